--- a/src/bin/oxbowhatch-wirehost.rs
+++ b/src/bin/dunlinspread-wirehost.rs
@@ -5,10 +5,10 @@
 use std::process::ExitCode;
 
 fn main() -> ExitCode {
-    match oxbowhatch::wire::serve(io::stdin().lock(), io::stdout().lock()) {
+    match dunlinspread::wire::serve(io::stdin().lock(), io::stdout().lock()) {
         Ok(()) => ExitCode::SUCCESS,
         Err(e) => {
-            eprintln!("oxbowhatch-wirehost: {e}");
+            eprintln!("dunlinspread-wirehost: {e}");
             ExitCode::FAILURE
         }
     }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -4,7 +4,7 @@
 //! [`Action`]s; it has no clock, threads or I/O of its own and shares nothing with other instances.
 //!
 //! ```
-//! use oxbowhatch::{Action, Arrival, Class, Effect, Event, Policy, Settings};
+//! use dunlinspread::{Action, Arrival, Class, Effect, Event, Policy, Settings};
 //!
 //! let class = Class { effect: Effect::Safe, aim_ms: 500.0, aim_stretch: 0.0, give_up_ms: 2000.0,
 //!     window_ms: 0.0, worth: 1.0, late_worth: 0.0, calls: false, skip_worth: 0.0 };
--- a/tests/adapter.rs
+++ b/tests/adapter.rs
@@ -9,7 +9,7 @@
 safety.fall_multiple=5 brand.new_key=x,y tick_ms=5";
 
 fn drive(input: &str) -> Output {
-    let mut child = Command::new(env!("CARGO_BIN_EXE_oxbowhatch-wirehost"))
+    let mut child = Command::new(env!("CARGO_BIN_EXE_dunlinspread-wirehost"))
         .stdin(Stdio::piped())
         .stdout(Stdio::piped())
         .stderr(Stdio::piped())
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -1,7 +1,7 @@
 //! A small driver for tests of the module: plain settings, and a log of what was done.
 #![allow(dead_code)]
 
-use oxbowhatch::*;
+use dunlinspread::*;
 
 pub fn class(effect: Effect) -> Class {
     Class {
--- a/tests/mechanism.rs
+++ b/tests/mechanism.rs
@@ -1,7 +1,7 @@
 //! Level, share and cut.
 mod common;
 use common::*;
-use oxbowhatch::*;
+use dunlinspread::*;
 
 fn says(actions: &[Action]) -> Vec<f64> {
     actions.iter().filter_map(|a| if let Action::Say(v) = a { Some(*v) } else { None }).collect()
--- a/tests/progress.rs
+++ b/tests/progress.rs
@@ -1,7 +1,7 @@
 //! Work that hangs, here or below: each test fails when the guard it names is taken out.
 mod common;
 use common::*;
-use oxbowhatch::*;
+use dunlinspread::*;
 
 fn healths(actions: &[Action]) -> Vec<bool> {
     actions.iter().filter_map(|a| if let Action::Health(good) = a { Some(*good) } else { None }).collect()
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -1,7 +1,7 @@
 //! The four rules: each test fails when the guard it names is taken out.
 mod common;
 use common::*;
-use oxbowhatch::*;
+use dunlinspread::*;
 
 #[test]
 fn a_running_request_is_answered_by_its_due_time() {
--- a/tests/shared.rs
+++ b/tests/shared.rs
@@ -1,7 +1,7 @@
 //! Reads of one subject share an answer that is fresh: each test fails when the guard it names is taken out.
 mod common;
 use common::*;
-use oxbowhatch::*;
+use dunlinspread::*;
 
 fn sharing() -> Settings {
     Settings { fresh_ms: 1000.0, preemption: Preemption::Abort, ..settings() }
--- a/tests/stream.rs
+++ b/tests/stream.rs
@@ -2,7 +2,7 @@
 //! four rules are checked after every event.
 mod common;
 use common::{class, settings};
-use oxbowhatch::*;
+use dunlinspread::*;
 use std::collections::{BTreeMap, VecDeque};
 
 struct Random(u64);
