--- /dev/null
+++ b/src/bin/dunlinspread.rs
@@ -0,0 +1,136 @@
+//! The round server: wires the actors together, hears SIGTERM, and ends. It decides nothing.
+#![forbid(unsafe_code)]
+
+use async_executor::LocalExecutor;
+use async_io::Async;
+use async_signal::{Signal, Signals};
+use dunlinspread::config::Config;
+use dunlinspread::node::catalog::Catalog;
+use dunlinspread::node::core::{Core, Peers, ToCore};
+use dunlinspread::node::front::{List, Shared, ToList};
+use dunlinspread::node::index::Index;
+use dunlinspread::node::pool::Pool;
+use dunlinspread::node::wheel::{Clock, Wheel};
+use futures_lite::StreamExt;
+use futures_lite::future::or;
+use slog::{Drain, Logger, info, o};
+use std::cell::Cell;
+use std::net::TcpListener;
+use std::process::ExitCode;
+use std::rc::Rc;
+
+/// Log lines that wait for the writer at most; further ones are dropped and counted.
+const LOG_LINES: usize = 1024;
+/// Messages that wait for the core at most, before those who send them wait.
+const CORE_MAILBOX: usize = 1024;
+/// Before the stop, the module's time ends so much earlier, ms: its last answers still have to go out.
+const ANSWER_MARGIN_MS: f64 = 100.0;
+/// Connections end so long before the stop, ms, so that nothing is read too late to be answered.
+const CLOSING_MS: f64 = 600.0;
+/// The program ends so long before the stop at the latest, ms.
+const END_MARGIN_MS: f64 = 40.0;
+
+fn main() -> ExitCode {
+    let config = match configuration() {
+        Ok(config) => config,
+        Err(e) => {
+            eprintln!("dunlinspread: configuration: {e}");
+            return ExitCode::FAILURE;
+        }
+    };
+    // The writer has a thread of its own: a log that nobody reads never holds up serving.
+    let decorator = slog_term::PlainSyncDecorator::new(std::io::stderr());
+    let format = slog_term::FullFormat::new(decorator).build().fuse();
+    let drain = slog_async::Async::new(format)
+        .chan_size(LOG_LINES)
+        .overflow_strategy(slog_async::OverflowStrategy::DropAndReport)
+        .build()
+        .fuse();
+    let log = Logger::root(drain, o!("name" => config.name.clone()));
+    let executor = Rc::new(LocalExecutor::new());
+    let result = async_io::block_on(executor.run(serve(config, executor.clone(), log)));
+    match result {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(e) => {
+            eprintln!("dunlinspread: {e}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn configuration() -> Result<Config, String> {
+    let path = std::env::var("RELAY_CONFIG").map_err(|_| "`RELAY_CONFIG`: is not set".to_owned())?;
+    let text = std::fs::read(&path).map_err(|e| format!("`RELAY_CONFIG`: {path}: {e}"))?;
+    let (name, listen) = (std::env::var("RELAY_NAME").ok(), std::env::var("RELAY_LISTEN").ok());
+    Config::read(&text, name.as_deref(), listen.as_deref()).map_err(|e| e.to_string())
+}
+
+async fn serve(config: Config, executor: Rc<LocalExecutor<'static>>, log: Logger) -> Result<(), String> {
+    let clock = Clock::start();
+    let wheel = Wheel::new(clock, config.settings.tick_ms);
+    let mut signals = Signals::new([Signal::Term, Signal::Int]).map_err(|e| format!("signals: {e}"))?;
+    let listener = TcpListener::bind(config.listen).and_then(Async::new);
+    let listener = listener.map_err(|e| format!("`listen`: {}: {e}", config.listen))?;
+
+    let (core_box, core_letters) = async_channel::bounded(CORE_MAILBOX);
+    let (pool_box, pool_letters) = async_channel::unbounded();
+    let (catalog_box, catalog_letters) = async_channel::unbounded();
+    let (list_box, list_letters) = async_channel::unbounded();
+    // Client proxies open half of the descriptors at most; the rest is for the index, the other links, the log,
+    // and those that are only just closing.
+    let (most_clients, most_calls) = (config.sockets * 5 / 8, config.sockets / 4);
+
+    let index_box = config.index.map(|address| {
+        let (index_box, letters) = async_channel::unbounded();
+        let (core, own, exe) = (core_box.clone(), index_box.clone(), executor.clone());
+        let index = Index::new(address, most_calls, core, own, exe, clock, wheel.clone(), log.clone());
+        executor.spawn(index.run(letters)).detach();
+        index_box
+    });
+    let (classes, wheel_for) = (config.classes.clone(), wheel.clone());
+    let pool = Pool::new(config.pool, classes, core_box.clone(), wheel_for, log.clone());
+    executor.spawn(pool.run(pool_letters)).detach();
+    let catalog = Catalog {
+        address: config.directory,
+        name: config.name.clone(),
+        wheel: wheel.clone(),
+        log: log.clone(),
+    };
+    executor.spawn(catalog.run(catalog_letters)).detach();
+    let peers = Peers { pool: pool_box, index: index_box, catalog: catalog_box, list: list_box.clone() };
+    let (own, exe) = (core_box.clone(), executor.clone());
+    let core = Core::new(&config, clock, wheel.clone(), exe, own, peers, log.clone());
+    executor.spawn(core.run(core_letters)).detach();
+    executor.spawn(wheel.clone().turn()).detach();
+    let shared = Rc::new(Shared {
+        classes: config.classes.iter().cloned().zip(config.settings.classes.iter().cloned()).collect(),
+        clock,
+        wheel: wheel.clone(),
+        core: core_box.clone(),
+        log: log.clone(),
+        last_id: Cell::new(0),
+    });
+    let list =
+        List { shared, listener, own: list_box.clone(), executor: executor.clone(), most: most_clients };
+    let list = executor.spawn(list.run(list_letters));
+    info!(log, "serving"; "listen" => config.listen.to_string(), "classes" => config.classes.len());
+
+    while let Some(signal) = signals.next().await {
+        if signal.is_ok() {
+            break;
+        }
+    }
+    let (stop_ms, notice) = (config.stop.as_secs_f64() * 1000.0, clock.now());
+    info!(log, "notice to leave"; "stop_ms" => stop_ms);
+    let stop_at = notice + (stop_ms - ANSWER_MARGIN_MS).max(0.0);
+    core_box.send(ToCore::Drain { stop_at }).await.map_err(|e| e.to_string())?;
+    let leave = async {
+        wheel.sleep((stop_ms - CLOSING_MS).max(0.0)).await;
+        // The list's mailbox is open as long as the list runs.
+        let _ = list_box.send(ToList::Leave).await;
+        list.await;
+    };
+    or(leave, wheel.sleep((stop_ms - END_MARGIN_MS).max(0.0))).await;
+    info!(log, "leaving");
+    Ok(())
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -21,7 +21,10 @@
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
+pub mod codec;
+pub mod config;
 pub mod interface;
+pub mod node;
 pub mod policy;
 pub mod wire;
 
--- /dev/null
+++ b/src/node/core.rs
@@ -0,0 +1,790 @@
+//! The module's actor. It owns the ledger of requests, the table of keys with their results, and what was last
+//! asked of the worker pool for each request; it hands every event to the module at once and in order, and carries
+//! out what the module answers. It alone gives final answers, exactly one for each request, whatever races. It must
+//! never wait for a peer, never run a keyed request again within its window, and never speak a protocol's words.
+
+use super::catalog::ToCatalog;
+use super::front::ToList;
+use super::index::{Call, ToIndex};
+use super::pool::{Command, End, Order, Report};
+use super::wheel::{Clock, Wheel};
+use crate::config::Config;
+use crate::interface::*;
+use crate::policy::Policy;
+use async_channel::{Receiver, Sender};
+use async_executor::LocalExecutor;
+use futures_lite::StreamExt;
+use slog::{Logger, info, warn};
+use std::collections::{BTreeMap, HashMap, VecDeque};
+use std::pin::pin;
+use std::rc::Rc;
+
+/// How long a timer waits for the gauges before it fires without them, ms.
+const GAUGES_LATE_MS: f64 = 20.0;
+/// Slack on a key's window, ms: stamps are whole milliseconds and the platform allows 50 ms on every time.
+const WINDOW_SLACK_MS: f64 = 60.0;
+/// How long a key's entry stays past its end, beside the class's give-up time, for tries that arrived before that
+/// end and are read late, ms.
+const READ_LATE_MS: f64 = 5000.0;
+/// How often ended entries are swept out, ms.
+const SWEEP_MS: f64 = 1000.0;
+/// The most requests in the ledger, and keys in the table: they bound this process's own memory.
+const MAX_REQUESTS: usize = 10_000;
+const MAX_KEYS: usize = 100_000;
+/// The most bytes of kept results; past that the oldest go, and their repeats get a failure.
+const MAX_RESULT_BYTES: usize = 32 << 20;
+/// The most log lines of the module between two sweeps.
+const MAX_NOTES: u32 = 5;
+
+/// A final answer, or the answer to a health check.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Answer {
+    /// The result of a run made for this request.
+    Served(Rc<[u8]>),
+    /// Turned away; this try never ran.
+    Refused {
+        /// Advice to keep away for this long; 0 for none.
+        retry_after_ms: f64,
+        /// Ask the caller to try no other instance.
+        last: bool,
+    },
+    /// An error, with no promise.
+    Failed,
+    /// The request can't be understood; nothing was done for it.
+    Invalid,
+    /// Health as the module set it.
+    Health(bool),
+}
+
+/// What a connection's actor is told.
+#[derive(Clone, Debug, PartialEq)]
+pub enum ToCaller {
+    /// The answer to what bears this tag, with the module's present value for callers.
+    Answer {
+        /// The connection's own mark for the request.
+        tag: u64,
+        /// The answer.
+        answer: Answer,
+        /// The value that goes out on every answer.
+        load: Option<f64>,
+    },
+    /// Take no new request from now on: tell the caller, and end once it has its answers.
+    Leave,
+}
+
+/// Where an answer goes. A connection that is gone takes it and does nothing.
+#[derive(Clone, Debug)]
+pub struct Handle {
+    /// The connection's mailbox.
+    pub mailbox: Sender<ToCaller>,
+    /// The connection's own mark for the request.
+    pub tag: u64,
+}
+
+/// A request as a front read it.
+#[derive(Debug)]
+pub struct Incoming {
+    /// The front's number for it, unique and rising.
+    pub id: RequestId,
+    /// The platform's name for this try.
+    pub call: u64,
+    /// The class, by position.
+    pub class: usize,
+    /// When it reached the machine, Unix ms.
+    pub reached: f64,
+    /// Memory while held.
+    pub held_kb: f64,
+    /// Its place, 0 to 1.
+    pub rank: f64,
+    /// What all tries of one keyed request share.
+    pub key: Option<Vec<u8>>,
+    /// It names what it reads.
+    pub subject: bool,
+    /// The body, unchanged.
+    pub body: Vec<u8>,
+    /// Where the answer goes.
+    pub handle: Handle,
+}
+
+/// What the core is told.
+#[derive(Debug)]
+pub enum ToCore {
+    /// A request was read.
+    Arrive(Box<Incoming>),
+    /// Something was read that is no proper request but can be answered.
+    Invalid(Handle),
+    /// A health check.
+    Check(Handle),
+    /// The caller no longer waits.
+    Gone(RequestId),
+    /// From the worker pool.
+    Pool(Report),
+    /// A call ended, with the reply's body if it went well.
+    CallEnded {
+        /// Whose call.
+        id: RequestId,
+        /// How it ended.
+        outcome: Outcome,
+        /// The reply.
+        body: Vec<u8>,
+        /// How long it took.
+        took_ms: f64,
+    },
+    /// A timer of the module is due.
+    Timer(u64),
+    /// The gauges asked for with this tag are late.
+    GaugesLate(u64),
+    /// Notice to leave.
+    Drain {
+        /// When the process stops, Unix ms.
+        stop_at: f64,
+    },
+    /// Time to sweep.
+    Sweep,
+}
+
+#[derive(Debug)]
+enum Stage {
+    Held,
+    Running,
+    Paused,
+    /// At a call that is not made: the notice that asked for it, and the call's body.
+    AtCall(u64, Rc<[u8]>),
+    /// The call is out.
+    Calling(u64, Rc<[u8]>),
+    /// Waits for the result of another try.
+    Reusing(f64),
+}
+
+struct Request {
+    call: u64,
+    class: usize,
+    key: Option<Rc<[u8]>>,
+    reached: f64,
+    body: Rc<[u8]>,
+    /// Where the one final answer goes; taken when it is given, or no longer owed.
+    handle: Option<Handle>,
+    stage: Stage,
+    /// What was asked of the worker pool since its last word on this request: asked again on a new link.
+    asked: Vec<Command>,
+}
+
+/// What is known of a key.
+struct Entry {
+    class: usize,
+    /// The try that stands for the key.
+    holder: RequestId,
+    /// Tries that reached the machine up to then repeat the holder.
+    until: f64,
+    /// The try that was run, and when it reached the machine.
+    ran: Option<(RequestId, f64)>,
+    /// How that run ended: its result, or none for a failure.
+    result: Option<Option<Rc<[u8]>>>,
+    /// Tries that wait for that.
+    waiting: Vec<RequestId>,
+}
+
+/// The mailboxes of the other actors.
+pub struct Peers {
+    /// The worker pool's link.
+    pub pool: Sender<Order>,
+    /// The index; the last tier has none.
+    pub index: Option<Sender<ToIndex>>,
+    /// The catalog.
+    pub catalog: Sender<ToCatalog>,
+    /// The list of connections.
+    pub list: Sender<ToList>,
+}
+
+/// The module's actor.
+pub struct Core {
+    set: Settings,
+    gauge_names: Vec<String>,
+    policy: Option<Policy>,
+    clock: Clock,
+    wheel: Rc<Wheel>,
+    executor: Rc<LocalExecutor<'static>>,
+    own: Sender<ToCore>,
+    peers: Peers,
+    log: Logger,
+    requests: BTreeMap<RequestId, Request>,
+    calls: HashMap<u64, RequestId>,
+    entries: HashMap<Rc<[u8]>, Entry>,
+    /// Keys with a kept result, oldest first, and the bytes of those results.
+    results: VecDeque<Rc<[u8]>>,
+    result_bytes: usize,
+    /// Events that carrying out actions brought about.
+    events: VecDeque<Event>,
+    /// The generation of the link to the worker pool, while it is up.
+    link: Option<u64>,
+    /// The timer that waits for gauges, by the tag of the asking.
+    asking: Option<(u64, u64)>,
+    tags: u64,
+    healthy: bool,
+    said: Option<f64>,
+    notes: u32,
+}
+
+impl Core {
+    /// An actor that has heard nothing yet.
+    pub fn new(
+        config: &Config,
+        clock: Clock,
+        wheel: Rc<Wheel>,
+        executor: Rc<LocalExecutor<'static>>,
+        own: Sender<ToCore>,
+        peers: Peers,
+        log: Logger,
+    ) -> Self {
+        Core {
+            set: config.settings.clone(),
+            gauge_names: config.gauges.clone(),
+            policy: None,
+            clock,
+            wheel,
+            executor,
+            own,
+            peers,
+            log,
+            requests: BTreeMap::new(),
+            calls: HashMap::new(),
+            entries: HashMap::new(),
+            results: VecDeque::new(),
+            result_bytes: 0,
+            events: VecDeque::new(),
+            link: None,
+            asking: None,
+            tags: 0,
+            healthy: true,
+            said: None,
+            notes: 0,
+        }
+    }
+
+    /// Reads the mailbox until it closes.
+    pub async fn run(mut self, inbox: Receiver<ToCore>) {
+        self.later(SWEEP_MS, ToCore::Sweep);
+        let mut inbox = pin!(inbox);
+        while let Some(message) = inbox.next().await {
+            self.take(message);
+        }
+    }
+
+    fn take(&mut self, message: ToCore) {
+        match message {
+            ToCore::Arrive(incoming) => self.on_arrive(*incoming),
+            ToCore::Invalid(handle) => self.send(handle, Answer::Invalid),
+            ToCore::Check(handle) => self.send(handle, Answer::Health(self.healthy)),
+            ToCore::Gone(id) => self.on_gone(id),
+            ToCore::Pool(report) => self.on_report(report),
+            ToCore::CallEnded { id, outcome, body, took_ms } => {
+                self.on_call_ended(id, outcome, body, took_ms)
+            }
+            ToCore::Timer(token) => self.on_timer(token),
+            ToCore::GaugesLate(tag) => self.fire(tag, Gauges::default()),
+            ToCore::Drain { stop_at } => {
+                self.start(None);
+                self.tell(Event::Drain { stop_at });
+            }
+            ToCore::Sweep => self.on_sweep(),
+        }
+    }
+
+    /// Starts the module, once; `pool` is how the worker pool started, and how long ago. Told before the first
+    /// request, it says better than the settings how warm the machine is.
+    fn start(&mut self, pool: Option<(bool, f64)>) {
+        if self.policy.is_some() {
+            return;
+        }
+        let mut born = self.clock.now();
+        if let Some((cold, ago_ms)) = pool {
+            self.set.cold = cold;
+            born -= ago_ms;
+        }
+        self.policy = Some(Policy::new(born, self.set.clone()));
+        self.tell(Event::Start);
+    }
+
+    /// Hands an event to the module and carries out its answer, and what that brings about in turn.
+    fn tell(&mut self, event: Event) {
+        self.events.push_back(event);
+        let mut actions = Vec::new();
+        while let Some(event) = self.events.pop_front() {
+            let now = self.clock.now();
+            if let Some(policy) = &mut self.policy {
+                policy.on_event(now, event, &mut actions);
+            }
+            for action in actions.drain(..) {
+                self.carry_out(now, action);
+            }
+        }
+    }
+
+    fn later(&self, ms: f64, message: ToCore) {
+        let (sleep, own) = (self.wheel.sleep(ms), self.own.clone());
+        let wake = async move {
+            sleep.await;
+            // The mailbox closes only when the program ends.
+            let _ = own.send(message).await;
+        };
+        self.executor.spawn(wake).detach();
+    }
+
+    fn send(&self, handle: Handle, answer: Answer) {
+        let message = ToCaller::Answer { tag: handle.tag, answer, load: self.said };
+        if let Err(async_channel::TrySendError::Full(_)) = handle.mailbox.try_send(message) {
+            // A reader this slow would grow memory without bound: its connection ends.
+            handle.mailbox.close();
+        }
+    }
+
+    /// Gives the final answer, if it is still owed.
+    fn answer(&mut self, id: RequestId, answer: Answer) {
+        let Some(request) = self.requests.get_mut(&id) else { return };
+        if let Some(handle) = request.handle.take() {
+            self.send(handle, answer);
+            self.stop_call(id);
+        }
+    }
+
+    /// A call for a request that is over is of no use: what lies below hears so.
+    fn stop_call(&mut self, id: RequestId) {
+        if let (Some(Request { stage: Stage::Calling(..), .. }), Some(index)) =
+            (self.requests.get(&id), &self.peers.index)
+        {
+            let sent = index.try_send(ToIndex::Stop(id));
+            debug_assert!(!matches!(sent, Err(async_channel::TrySendError::Full(_))));
+        }
+    }
+
+    /// Asks something of the worker pool. While there is no link it waits in the ledger.
+    fn ask(&mut self, id: RequestId, command: Command) {
+        let Some(request) = self.requests.get_mut(&id) else { return };
+        request.asked.push(command.clone());
+        if let Some(link) = self.link {
+            self.order(Order { link, command });
+        }
+    }
+
+    fn order(&self, order: Order) {
+        // The mailbox has no bound of its own: a link that does not take commands ends, and nothing is sent then.
+        let sent = self.peers.pool.try_send(order);
+        debug_assert!(!matches!(sent, Err(async_channel::TrySendError::Full(_))));
+    }
+
+    // -----------------------------------------------------------------------------------------------------
+    // Events
+    // -----------------------------------------------------------------------------------------------------
+
+    fn on_arrive(&mut self, incoming: Incoming) {
+        self.start(None);
+        let now = self.clock.now();
+        let Incoming { id, call, class, reached, held_kb, rank, key, subject, body, handle } = incoming;
+        // A try's name is new with every try; the same name again can't be told apart in the worker pool.
+        if self.calls.contains_key(&call) {
+            return self.send(handle, Answer::Invalid);
+        }
+        let key: Option<Rc<[u8]>> = key.map(Rc::from);
+        let new_key = key.as_ref().is_some_and(|k| !self.entries.contains_key(k));
+        if self.requests.len() >= MAX_REQUESTS || new_key && self.entries.len() >= MAX_KEYS {
+            return self.send(handle, Answer::Refused { retry_after_ms: 0.0, last: false });
+        }
+        let prior = key.as_ref().and_then(|k| self.prior(k, reached));
+        if let (Some(k), None) = (&key, prior) {
+            // The entry is there from the arrival on, whatever the module makes of it.
+            let until = reached + self.set.classes[class].window_ms + WINDOW_SLACK_MS;
+            self.enter(k.clone(), class, id, until);
+        }
+        let request = Request {
+            call,
+            class,
+            key,
+            reached,
+            body: body.into(),
+            handle: Some(handle),
+            stage: Stage::Held,
+            asked: Vec::new(),
+        };
+        self.requests.insert(id, request);
+        self.calls.insert(call, id);
+        self.tell(Event::Arrive(Arrival {
+            id,
+            class,
+            subject,
+            held_kb,
+            rank,
+            age_ms: (now - reached).max(0.0),
+            prior,
+            ..Arrival::default()
+        }));
+    }
+
+    /// The try that one with this key, having reached the machine then, repeats.
+    fn prior(&self, key: &Rc<[u8]>, reached: f64) -> Option<RequestId> {
+        let entry = self.entries.get(key)?;
+        match entry.ran {
+            Some((id, _)) => (reached <= entry.until).then_some(id),
+            // While it is held the holder may yet run, so the entry lasts at least that long.
+            None => {
+                (reached <= entry.until || self.requests.contains_key(&entry.holder)).then_some(entry.holder)
+            }
+        }
+    }
+
+    fn enter(&mut self, key: Rc<[u8]>, class: usize, holder: RequestId, until: f64) {
+        self.drop_result(&key);
+        let entry = Entry { class, holder, until, ran: None, result: None, waiting: Vec::new() };
+        self.entries.insert(key, entry);
+    }
+
+    fn on_gone(&mut self, id: RequestId) {
+        let Some(request) = self.requests.get_mut(&id) else { return };
+        if request.handle.take().is_none() {
+            return;
+        }
+        self.stop_call(id);
+        self.drop_idle(id);
+        self.tell(Event::Gone(id));
+    }
+
+    /// A request that is over and holds no core and stands at no call leaves the ledger at once.
+    fn drop_idle(&mut self, id: RequestId) {
+        let Some(request) = self.requests.get(&id) else { return };
+        if matches!(request.stage, Stage::Held | Stage::Paused | Stage::Reusing(_)) {
+            self.remove(id);
+        }
+    }
+
+    /// Takes a request out of the ledger; the entry of one that never ran goes with it.
+    fn remove(&mut self, id: RequestId) -> Option<Request> {
+        let request = self.requests.remove(&id)?;
+        self.calls.remove(&request.call);
+        if let Some(key) = &request.key {
+            if let Some(entry) = self.entries.get_mut(key) {
+                entry.waiting.retain(|w| *w != id);
+                if entry.holder == id && entry.ran.is_none() {
+                    self.entries.remove(key);
+                }
+            }
+        }
+        Some(request)
+    }
+
+    fn on_report(&mut self, report: Report) {
+        match report {
+            Report::Bound { cold, ago_ms } => self.start(Some((cold, ago_ms))),
+            Report::Up(link) => self.on_link(link),
+            Report::Down => self.link = None,
+            Report::Polled { tag, values } => {
+                let mut gauges = Gauges::default();
+                for (name, value) in self.gauge_names.iter().zip(values) {
+                    crate::config::set_gauge(&mut gauges, name, value);
+                }
+                self.fire(tag, gauges);
+            }
+            Report::Blocked { call, seq, body } => {
+                let Some(id) = self.known(call) else { return };
+                if let Some(request) = self.requests.get_mut(&id) {
+                    request.asked.clear();
+                    request.stage = Stage::AtCall(seq, body.into());
+                    self.tell(Event::CallNeeded(id));
+                }
+            }
+            Report::Finished { call, end, took_ms, body } => {
+                let Some(id) = self.known(call) else { return };
+                self.on_finished(id, end, took_ms, body);
+            }
+            Report::Unknown { command, call } => {
+                warn!(self.log, "worker pool did not carry out a command"; "command" => command.as_str());
+                let id = self
+                    .calls
+                    .get(&call)
+                    .copied()
+                    .filter(|_| matches!(command.as_str(), "spawn" | "proceed"));
+                if let Some(id) = id {
+                    // It will never end by itself: the run counts as one that failed.
+                    self.on_finished(id, End::Bad, 0.0, Vec::new());
+                }
+            }
+        }
+    }
+
+    fn known(&self, call: u64) -> Option<RequestId> {
+        // What was given up while it was paused is no longer in the ledger.
+        self.calls.get(&call).copied()
+    }
+
+    /// A new link: all that may have been lost with the old one is asked again.
+    fn on_link(&mut self, link: u64) {
+        self.link = Some(link);
+        let asked: Vec<Command> = self.requests.values().flat_map(|r| r.asked.iter().cloned()).collect();
+        info!(self.log, "worker pool link is up"; "asked_again" => asked.len());
+        asked.into_iter().for_each(|command| self.order(Order { link, command }));
+    }
+
+    fn on_finished(&mut self, id: RequestId, end: End, took_ms: f64, body: Vec<u8>) {
+        let Some(request) = self.requests.get_mut(&id) else { return };
+        request.asked.clear();
+        let owed = request.handle.is_some();
+        if end == End::Cut && owed && self.set.preemption != Preemption::Off {
+            let held = self.set.preemption == Preemption::Abort;
+            request.stage = if held { Stage::Held } else { Stage::Paused };
+            return self.tell(Event::Ended { id, outcome: Outcome::Cancelled, took_ms });
+        }
+        let handle = request.handle.take();
+        self.stop_call(id);
+        let result: Option<Rc<[u8]>> = (end == End::Good).then(|| body.into());
+        let (outcome, answer) = match (&result, end) {
+            (Some(body), _) => (Outcome::Ok, Answer::Served(body.clone())),
+            (None, End::Gone) => (Outcome::TooLate, Answer::Failed),
+            (None, End::Cut) => (Outcome::Cancelled, Answer::Failed),
+            (None, _) => (Outcome::Error, Answer::Failed),
+        };
+        if let Some(handle) = handle {
+            self.send(handle, answer);
+        }
+        let key = self.requests.get(&id).and_then(|r| r.key.clone());
+        if let Some(entry) = key.as_ref().and_then(|k| self.entries.get_mut(k)) {
+            if entry.ran.is_some_and(|(ran, _)| ran == id) {
+                if end == End::Gone {
+                    entry.ran = None;
+                } else {
+                    entry.result = Some(result.clone());
+                }
+                let waiting = std::mem::take(&mut entry.waiting);
+                if let (Some(body), Some(key)) = (&result, key) {
+                    self.keep_result(key, body.len());
+                }
+                waiting.into_iter().for_each(|w| self.end_reuse(w, result.clone()));
+            }
+        }
+        self.remove(id);
+        self.tell(Event::Ended { id, outcome, took_ms });
+    }
+
+    fn keep_result(&mut self, key: Rc<[u8]>, bytes: usize) {
+        self.results.push_back(key);
+        self.result_bytes += bytes;
+        while self.result_bytes > MAX_RESULT_BYTES {
+            let Some(oldest) = self.results.front().cloned() else { return };
+            self.drop_result(&oldest);
+        }
+    }
+
+    /// Frees a key's result; a later repeat of it gets a failure, never a second run.
+    fn drop_result(&mut self, key: &Rc<[u8]>) {
+        let Some(entry) = self.entries.get_mut(key) else { return };
+        if let Some(Some(body)) = &entry.result {
+            self.result_bytes -= body.len();
+            self.results.retain(|k| k != key);
+            entry.result = Some(None);
+        }
+    }
+
+    /// A try that waited for another's result gets it, or the failure.
+    fn end_reuse(&mut self, id: RequestId, result: Option<Rc<[u8]>>) {
+        let now = self.clock.now();
+        let since = match self.requests.get(&id).map(|r| &r.stage) {
+            Some(Stage::Reusing(since)) => *since,
+            _ => return,
+        };
+        let outcome = if result.is_some() { Outcome::Ok } else { Outcome::Error };
+        self.answer(id, result.map_or(Answer::Failed, Answer::Served));
+        self.remove(id);
+        self.events.push_back(Event::Ended { id, outcome, took_ms: now - since });
+    }
+
+    fn on_call_ended(&mut self, id: RequestId, outcome: Outcome, body: Vec<u8>, took_ms: f64) {
+        let Some(request) = self.requests.get_mut(&id) else { return };
+        let Stage::Calling(seq, ask) = &request.stage else { return };
+        if outcome == Outcome::Ok {
+            request.stage = Stage::Running;
+            let call = request.call;
+            self.ask(id, Command::Supply { call, body: body.into() });
+        } else {
+            request.stage = Stage::AtCall(*seq, ask.clone());
+        }
+        self.tell(Event::CallEnded { id, outcome, took_ms });
+    }
+
+    /// A timer comes with the gauges. If those are late, or there is no link, it still comes.
+    fn on_timer(&mut self, token: u64) {
+        self.tags += 1;
+        let tag = self.tags;
+        if let Some((older, _)) = self.asking {
+            self.fire(older, Gauges::default());
+        }
+        self.asking = Some((tag, token));
+        match self.link {
+            Some(link) => {
+                self.order(Order { link, command: Command::Poll { tag } });
+                self.later(GAUGES_LATE_MS, ToCore::GaugesLate(tag));
+            }
+            None => self.fire(tag, Gauges::default()),
+        }
+    }
+
+    fn fire(&mut self, tag: u64, gauges: Gauges) {
+        if let Some((_, token)) = self.asking.take_if(|(asked, _)| *asked == tag) {
+            self.tell(Event::Timer { token, gauges });
+        }
+    }
+
+    /// Frees the entries whose time is up, once no try that they cover can still be read.
+    fn on_sweep(&mut self) {
+        self.later(SWEEP_MS, ToCore::Sweep);
+        self.notes = 0;
+        let now = self.clock.now();
+        let over = |e: &Entry| now > e.until + self.set.classes[e.class].give_up_ms + READ_LATE_MS;
+        let ended: Vec<Rc<[u8]>> = self
+            .entries
+            .iter()
+            .filter(|(_, e)| over(e) && !self.requests.contains_key(&e.holder) && e.waiting.is_empty())
+            .map(|(key, _)| key.clone())
+            .collect();
+        for key in ended {
+            self.drop_result(&key);
+            self.entries.remove(&key);
+        }
+    }
+
+    // -----------------------------------------------------------------------------------------------------
+    // Actions
+    // -----------------------------------------------------------------------------------------------------
+
+    fn carry_out(&mut self, now: f64, action: Action) {
+        match action {
+            Action::Run(id) => self.run_request(id),
+            Action::Refuse { id, retry_after_ms, last } => {
+                // Once run, a request with an effect can't be turned away: that would promise that it never ran.
+                let ran = self.requests.get(&id).is_some_and(|r| {
+                    !matches!(r.stage, Stage::Held) && self.set.classes[r.class].effect != Effect::Safe
+                });
+                let refused = Answer::Refused { retry_after_ms, last };
+                self.answer(id, if ran { Answer::Failed } else { refused });
+                self.drop_idle(id);
+            }
+            Action::Fail(id) => {
+                self.answer(id, Answer::Failed);
+                self.drop_idle(id);
+            }
+            Action::Reuse(id) => self.reuse(now, id),
+            Action::Preempt(id) => {
+                if let Some(Request { call, stage: Stage::Running, .. }) = self.requests.get(&id) {
+                    let call = *call;
+                    self.ask(id, Command::Suspend { call });
+                }
+            }
+            Action::Keep { id, ttl_ms } => self.keep(now, id, ttl_ms),
+            Action::Forget(id) => self.forget(id),
+            Action::Call { id, limit_ms } => self.call(id, limit_ms),
+            Action::SkipCall(id) => {
+                let Some(request) = self.requests.get_mut(&id) else { return };
+                if let Stage::AtCall(seq, _) = request.stage {
+                    let call = request.call;
+                    request.stage = Stage::Running;
+                    self.ask(id, Command::Pass { call, seq });
+                }
+            }
+            Action::Say(value) => self.said = Some(value),
+            Action::Health(good) => {
+                if good != self.healthy {
+                    info!(self.log, "health changed"; "good" => good);
+                }
+                self.healthy = good;
+                let _ = self.peers.catalog.try_send(ToCatalog::Health(good));
+            }
+            Action::IdleLimit(ms) => drop(self.peers.list.try_send(ToList::IdleLimit(ms))),
+            Action::Timer { token, delay_ms } => self.later(delay_ms, ToCore::Timer(token)),
+            Action::Log(text) => {
+                self.notes += 1;
+                if self.notes <= MAX_NOTES {
+                    info!(self.log, "module says"; "text" => text);
+                }
+            }
+        }
+    }
+
+    fn run_request(&mut self, id: RequestId) {
+        let Some(request) = self.requests.get_mut(&id) else { return };
+        let (call, body) = (request.call, request.body.clone());
+        match request.stage {
+            Stage::Paused => {
+                request.stage = Stage::Running;
+                self.ask(id, Command::Proceed { call });
+            }
+            Stage::Held => {
+                if let Some(key) = request.key.clone() {
+                    let (class, reached) = (request.class, request.reached);
+                    let until = reached + self.set.classes[class].window_ms + WINDOW_SLACK_MS;
+                    if !self.entries.contains_key(&key) {
+                        self.enter(key.clone(), class, id, until);
+                    }
+                    let Some(entry) = self.entries.get_mut(&key) else { return };
+                    // The last guard against a second run: whatever the module asks, a key that ran is not run
+                    // again while its window lasts.
+                    if entry.ran.is_some_and(|(ran, _)| ran != id) && reached <= entry.until {
+                        warn!(self.log, "a second run of a key was asked for and not made");
+                        return self.answer(id, Answer::Failed);
+                    }
+                    entry.holder = id;
+                    entry.ran = Some((id, reached));
+                    entry.until = entry.until.max(until);
+                }
+                if let Some(request) = self.requests.get_mut(&id) {
+                    request.stage = Stage::Running;
+                    let class = request.class;
+                    self.ask(id, Command::Spawn { call, class, body });
+                }
+            }
+            _ => {}
+        }
+    }
+
+    fn reuse(&mut self, now: f64, id: RequestId) {
+        let Some(request) = self.requests.get_mut(&id) else { return };
+        request.stage = Stage::Reusing(now);
+        match request.key.as_ref().and_then(|k| self.entries.get_mut(k)) {
+            Some(entry) if entry.ran.is_some() => match entry.result.clone() {
+                Some(result) => self.end_reuse(id, result),
+                None => entry.waiting.push(id),
+            },
+            // What it repeats was dropped unrun.
+            _ => self.end_reuse(id, None),
+        }
+    }
+
+    /// The request stands for its key from now on, also as heir of an earlier try.
+    fn keep(&mut self, now: f64, id: RequestId, ttl_ms: f64) {
+        let Some(Request { key: Some(key), class, .. }) = self.requests.get(&id) else { return };
+        let (key, class) = (key.clone(), *class);
+        match self.entries.get_mut(&key) {
+            Some(entry) if entry.ran.is_some() && entry.holder != id => {}
+            Some(entry) => {
+                entry.holder = id;
+                entry.until = entry.until.max(now + ttl_ms);
+            }
+            None => self.enter(key, class, id, now + ttl_ms),
+        }
+    }
+
+    /// Gives an entry back, unless its try has run: that one outlasts everything.
+    fn forget(&mut self, id: RequestId) {
+        self.entries.retain(|_, e| e.holder != id || e.ran.is_some());
+    }
+
+    fn call(&mut self, id: RequestId, limit_ms: f64) {
+        let Some(request) = self.requests.get_mut(&id) else { return };
+        let Stage::AtCall(seq, body) = &request.stage else { return };
+        let (seq, body) = (*seq, body.clone());
+        let limit_ms = if limit_ms > 0.0 { limit_ms } else { self.set.classes[request.class].give_up_ms };
+        request.stage = Stage::Calling(seq, body.clone());
+        let call = Call { id, parent: request.call, limit_ms, body: body.clone() };
+        let sent = self.peers.index.as_ref().is_some_and(|i| i.try_send(ToIndex::Call(call)).is_ok());
+        if !sent {
+            // No index, or its mailbox is full: nothing ran.
+            request.stage = Stage::AtCall(seq, body);
+            self.events.push_back(Event::CallEnded { id, outcome: Outcome::Unreachable, took_ms: 0.0 });
+        }
+    }
+}
--- /dev/null
+++ b/src/node/index.rs
@@ -0,0 +1,255 @@
+//! Calls to the next tier through the index: one task a call, on connections that are kept between calls. It owns
+//! those connections and their number; it must never say that a call never ran unless that is proved, and never
+//! make a call twice.
+
+use super::core::ToCore;
+use super::wheel::{Clock, Wheel};
+use crate::codec::http;
+use crate::interface::{Outcome, RequestId};
+use async_channel::{Receiver, Sender};
+use async_executor::{LocalExecutor, Task};
+use async_io::Async;
+use futures_lite::future::or;
+use futures_lite::{AsyncReadExt, AsyncWriteExt, StreamExt};
+use slog::{Logger, warn};
+use std::cell::{Cell, RefCell};
+use std::collections::{HashMap, VecDeque};
+use std::io::{ErrorKind, Read};
+use std::net::{SocketAddr, TcpStream};
+use std::pin::pin;
+use std::rc::Rc;
+
+/// The index closes connections idle for 10 s; well before that they are not used again, ms.
+const REUSE_MS: f64 = 7000.0;
+/// The most log lines about broken calls, between two that are let through.
+const COMPLAIN_MS: f64 = 1000.0;
+
+/// A call to make.
+#[derive(Debug)]
+pub struct Call {
+    /// The request it is made for.
+    pub id: RequestId,
+    /// That try's name on the platform.
+    pub parent: u64,
+    /// Give it up after this long.
+    pub limit_ms: f64,
+    /// The body that the run gave.
+    pub body: Rc<[u8]>,
+}
+
+/// What the actor is told.
+#[derive(Debug)]
+pub enum ToIndex {
+    /// Make a call. A second one for a request gives up the first.
+    Call(Call),
+    /// Give up a request's call, if it is out; no end is reported.
+    Stop(RequestId),
+    /// A call's task is over.
+    Over(RequestId, u64),
+}
+
+/// What the tasks share.
+struct Shared {
+    address: SocketAddr,
+    host: String,
+    clock: Clock,
+    wheel: Rc<Wheel>,
+    log: Logger,
+    idle: RefCell<VecDeque<(f64, Async<TcpStream>)>>,
+    complained: Cell<f64>,
+}
+
+/// The index's actor.
+pub struct Index {
+    shared: Rc<Shared>,
+    core: Sender<ToCore>,
+    own: Sender<ToIndex>,
+    executor: Rc<LocalExecutor<'static>>,
+    /// Connections at most, open calls and kept ones together.
+    most: usize,
+    open: HashMap<RequestId, (u64, Task<()>)>,
+    waiting: VecDeque<(f64, Call)>,
+    calls: u64,
+}
+
+impl Index {
+    /// An actor with no connection yet, which opens at most `most`.
+    #[expect(clippy::too_many_arguments, reason = "each is a different party")]
+    pub fn new(
+        address: SocketAddr,
+        most: usize,
+        core: Sender<ToCore>,
+        own: Sender<ToIndex>,
+        executor: Rc<LocalExecutor<'static>>,
+        clock: Clock,
+        wheel: Rc<Wheel>,
+        log: Logger,
+    ) -> Self {
+        let shared = Shared {
+            address,
+            host: address.to_string(),
+            clock,
+            wheel,
+            log,
+            idle: RefCell::default(),
+            complained: Cell::new(f64::NEG_INFINITY),
+        };
+        Index {
+            shared: Rc::new(shared),
+            core,
+            own,
+            executor,
+            most,
+            open: HashMap::new(),
+            waiting: VecDeque::new(),
+            calls: 0,
+        }
+    }
+
+    /// Reads the mailbox until it closes.
+    pub async fn run(mut self, inbox: Receiver<ToIndex>) {
+        let mut inbox = pin!(inbox);
+        while let Some(message) = inbox.next().await {
+            match message {
+                ToIndex::Call(call) => {
+                    self.stop(call.id);
+                    self.waiting.push_back((self.shared.clock.now(), call));
+                }
+                ToIndex::Stop(id) => self.stop(id),
+                ToIndex::Over(id, number) => {
+                    if self.open.get(&id).is_some_and(|(n, _)| *n == number) {
+                        self.open.remove(&id);
+                    }
+                }
+            }
+            while self.open.len() < self.most {
+                let Some((since, call)) = self.waiting.pop_front() else { break };
+                self.begin(since, call);
+            }
+        }
+    }
+
+    /// Dropping the task closes its connection, which gives up the call.
+    fn stop(&mut self, id: RequestId) {
+        self.open.remove(&id);
+        self.waiting.retain(|(_, c)| c.id != id);
+    }
+
+    fn begin(&mut self, since: f64, call: Call) {
+        self.calls += 1;
+        let (id, number) = (call.id, self.calls);
+        {
+            // What is kept and what is out share the descriptors.
+            let mut idle = self.shared.idle.borrow_mut();
+            let now = self.shared.clock.now();
+            while idle.front().is_some_and(|(from, _)| now - from > REUSE_MS)
+                || !idle.is_empty() && self.open.len() + idle.len() >= self.most
+            {
+                idle.pop_front();
+            }
+        }
+        let (shared, core, own) = (self.shared.clone(), self.core.clone(), self.own.clone());
+        let task = self.executor.spawn(async move {
+            let left = call.limit_ms - (shared.clock.now() - since);
+            let limit = async {
+                shared.wheel.sleep(left).await;
+                (Outcome::TimedOut, Vec::new())
+            };
+            let (outcome, body) = or(shared.call(&call, left), limit).await;
+            let took_ms = shared.clock.now() - since;
+            // Both mailboxes close only when the program ends.
+            let _ = core.send(ToCore::CallEnded { id, outcome, body, took_ms }).await;
+            let _ = own.send(ToIndex::Over(id, number)).await;
+        });
+        self.open.insert(id, (number, task));
+    }
+}
+
+impl Shared {
+    /// A kept connection that the other side has not closed and that has nothing left to read.
+    fn kept(&self) -> Option<Async<TcpStream>> {
+        let now = self.clock.now();
+        let mut idle = self.idle.borrow_mut();
+        while let Some((from, stream)) = idle.pop_back() {
+            let quiet =
+                matches!(stream.get_ref().read(&mut [0]), Err(e) if e.kind() == ErrorKind::WouldBlock);
+            if now - from <= REUSE_MS && quiet {
+                return Some(stream);
+            }
+        }
+        None
+    }
+
+    fn complain(&self, what: &str, why: &str) {
+        let now = self.clock.now();
+        if now - self.complained.get() > COMPLAIN_MS {
+            self.complained.set(now);
+            warn!(self.log, "call below broke"; "what" => what, "why" => why);
+        }
+    }
+
+    async fn call(&self, call: &Call, left_ms: f64) -> (Outcome, Vec<u8>) {
+        let nothing = |outcome| (outcome, Vec::new());
+        let stream = match self.kept() {
+            Some(stream) => stream,
+            None => match Async::<TcpStream>::connect(self.address).await {
+                Ok(stream) => stream,
+                Err(e) => {
+                    // Not one byte was written: whatever the error, no call ran.
+                    self.complain("connecting", &e.to_string());
+                    return nothing(Outcome::Unreachable);
+                }
+            },
+        };
+        let _ = stream.get_ref().set_nodelay(true);
+        let parent = format!("{:016x}", call.parent);
+        let budget = format!("{}", left_ms.max(1.0).round());
+        let headers = [("X-Parent-Id", parent.as_str()), ("X-Budget-Ms", budget.as_str())];
+        let request = http::request("POST", "/lookup", &self.host, &headers, &call.body);
+        let mut io = &stream;
+        if let Err(e) = io.write_all(&request).await {
+            self.complain("writing", &e.to_string());
+            return nothing(Outcome::CutOff);
+        }
+        let (mut decoder, mut bytes) = (http::Decoder::default(), vec![0; 8 * 1024]);
+        loop {
+            let read = match io.read(&mut bytes).await {
+                Ok(n) => n,
+                Err(e) => {
+                    self.complain("reading", &e.to_string());
+                    return nothing(Outcome::CutOff);
+                }
+            };
+            decoder.feed(&bytes[..read]);
+            match decoder.next_reply(read == 0) {
+                Ok(Some(reply)) => {
+                    if reply.keep_alive && read > 0 && decoder.is_empty() {
+                        self.idle.borrow_mut().push_back((self.clock.now(), stream));
+                    }
+                    return judge(reply);
+                }
+                Ok(None) if read == 0 => {
+                    self.complain("reading", "closed by the index");
+                    return nothing(Outcome::CutOff);
+                }
+                Ok(None) => {}
+                Err(e) => {
+                    self.complain("reading", &e.to_string());
+                    return nothing(Outcome::CutOff);
+                }
+            }
+        }
+    }
+}
+
+/// What a reply says. Only a marked 503 or 409 proves that nothing ran.
+fn judge(reply: http::Reply) -> (Outcome, Vec<u8>) {
+    let shed = reply.header("x-shed") == Some("1");
+    let outcome = match reply.status {
+        200 => Outcome::Ok,
+        503 | 409 if shed => Outcome::Refused,
+        504 => Outcome::TimedOut,
+        _ => Outcome::Error,
+    };
+    (outcome, reply.body)
+}
--- /dev/null
+++ b/src/node/mod.rs
@@ -0,0 +1,10 @@
+//! The real round server around the decision module: one thread, an actor with a mailbox for each peer, for the list
+//! of connections and for the module. The core alone owns what becomes of a request; the other actors carry bytes
+//! and must never decide about one.
+
+pub mod catalog;
+pub mod core;
+pub mod front;
+pub mod index;
+pub mod pool;
+pub mod wheel;
--- /dev/null
+++ b/src/node/pool.rs
@@ -0,0 +1,370 @@
+//! The link to the worker pool: connects, binds, reads notices and writes commands, and sets up anew whenever the
+//! link ends. It owns the number of the last notice read, and drops notices seen before; after a new link it tells
+//! the core only once all that the pool kept has been read. It must never end for what the pool writes, and never
+//! change a body.
+
+use super::core::ToCore;
+use super::wheel::Wheel;
+use crate::codec::json::{self, Line, Lines, Value};
+use async_channel::{Receiver, Sender};
+use async_io::Async;
+use base64::Engine as _;
+use base64::engine::general_purpose::STANDARD as BASE64;
+use futures_lite::future::or;
+use futures_lite::{AsyncReadExt, AsyncWriteExt, StreamExt};
+use slog::{Logger, info, warn};
+use std::fmt::Write as _;
+use std::net::{SocketAddr, TcpStream};
+use std::pin::pin;
+use std::rc::Rc;
+
+/// The longest line that is taken in, in bytes.
+const MAX_LINE: usize = 64 * 1024;
+/// Wait before a new link is tried, ms.
+const RETRY_MS: f64 = 50.0;
+/// A link that takes no bytes for this long is given up, ms: longer than any pause of the machine.
+const STALLED_MS: f64 = 10_000.0;
+/// The most log lines about one link's bad or missing lines.
+const MAX_COMPLAINTS: u32 = 10;
+/// The tag of the asking that shows that all kept notices have been read.
+const CAUGHT_UP: &str = "caught-up";
+
+/// A command, in the core's words.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Command {
+    /// Run a request.
+    Spawn {
+        /// The try's name.
+        call: u64,
+        /// Its class, by position.
+        class: usize,
+        /// The body as it came.
+        body: Rc<[u8]>,
+    },
+    /// Stop a run.
+    Suspend {
+        /// The try's name.
+        call: u64,
+    },
+    /// Go on with a paused run.
+    Proceed {
+        /// The try's name.
+        call: u64,
+    },
+    /// The reply to the call that a run waits for.
+    Supply {
+        /// The try's name.
+        call: u64,
+        /// The reply, unchanged.
+        body: Rc<[u8]>,
+    },
+    /// Go on without the call that a notice asked for.
+    Pass {
+        /// The try's name.
+        call: u64,
+        /// The number of that notice.
+        seq: u64,
+    },
+    /// Ask for the gauges.
+    Poll {
+        /// Comes back with them.
+        tag: u64,
+    },
+}
+
+/// A command for one link; it is void on any other.
+#[derive(Debug)]
+pub struct Order {
+    /// The link's number.
+    pub link: u64,
+    /// The command.
+    pub command: Command,
+}
+
+/// How a run ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum End {
+    /// With a result.
+    Good,
+    /// It failed.
+    Bad,
+    /// It was stopped, or ended at a call since its request is over.
+    Cut,
+    /// Nothing was started, since its request is over.
+    Gone,
+}
+
+/// What the core is told.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Report {
+    /// The pool is there.
+    Bound {
+        /// It started cold.
+        cold: bool,
+        /// How long ago it started, ms.
+        ago_ms: f64,
+    },
+    /// The link with this number takes commands, and all notices before it have been read.
+    Up(u64),
+    /// The link ended.
+    Down,
+    /// A run is over.
+    Finished {
+        /// The try's name.
+        call: u64,
+        /// How it ended.
+        end: End,
+        /// After so long, ms.
+        took_ms: f64,
+        /// The result.
+        body: Vec<u8>,
+    },
+    /// A run waits for a call.
+    Blocked {
+        /// The try's name.
+        call: u64,
+        /// The number of this notice.
+        seq: u64,
+        /// The call's body.
+        body: Vec<u8>,
+    },
+    /// The gauges.
+    Polled {
+        /// The tag of the asking.
+        tag: u64,
+        /// The values, in the order of the settings.
+        values: Vec<f64>,
+    },
+    /// A command was not carried out.
+    Unknown {
+        /// The command.
+        command: String,
+        /// The try's name, or 0.
+        call: u64,
+    },
+}
+
+/// Writes a command as a line.
+pub fn encode(command: &Command, classes: &[String], out: &mut String) {
+    let put = |out: &mut String, op: &str, call: u64| {
+        let done = write!(out, "{{\"op\":\"{op}\",\"id\":\"{call:016x}\"");
+        debug_assert!(done.is_ok());
+    };
+    let put_body = |out: &mut String, body: &[u8]| {
+        out.push_str(",\"body\":\"");
+        BASE64.encode_string(body, out);
+        out.push('"');
+    };
+    match command {
+        Command::Spawn { call, class, body } => {
+            put(out, "spawn", *call);
+            out.push_str(",\"class\":");
+            json::put_str(out, classes.get(*class).map_or("", String::as_str));
+            put_body(out, body);
+        }
+        Command::Suspend { call } => put(out, "suspend", *call),
+        Command::Proceed { call } => put(out, "proceed", *call),
+        Command::Supply { call, body } => {
+            put(out, "supply", *call);
+            put_body(out, body);
+        }
+        Command::Pass { call, seq } => {
+            put(out, "pass", *call);
+            let done = write!(out, ",\"seq\":{seq}");
+            debug_assert!(done.is_ok());
+        }
+        Command::Poll { tag } => {
+            let done = write!(out, "{{\"op\":\"poll\",\"tag\":\"{tag}\"");
+            debug_assert!(done.is_ok());
+        }
+    }
+    out.push_str("}\n");
+}
+
+/// What a line says: a report, the number of the notice, and whether it shows that all kept notices are read.
+#[derive(Debug, Default, PartialEq)]
+struct Said {
+    report: Option<Report>,
+    seq: Option<u64>,
+    caught_up: bool,
+}
+
+fn decode(line: &[u8]) -> Result<Said, String> {
+    let value = json::parse(line).map_err(|e| e.to_string())?;
+    let missing = |key: &str| format!("`{key}` is missing or can't be read");
+    let word = |key: &str| value.get(key).and_then(Value::as_str).ok_or_else(|| missing(key));
+    let call = || u64::from_str_radix(word("id")?, 16).map_err(|_| missing("id"));
+    let seq = || value.get("seq").and_then(Value::as_u64).filter(|s| *s > 0).ok_or_else(|| missing("seq"));
+    let ms = || value.get("ms").and_then(Value::as_f64).filter(|m| *m >= 0.0).ok_or_else(|| missing("ms"));
+    let body = || BASE64.decode(word("body")?).map_err(|_| missing("body"));
+    let mut said = Said::default();
+    match word("op")? {
+        "bound" => {
+            said.report = Some(Report::Bound { cold: word("end")? == "new", ago_ms: ms()? });
+        }
+        "finished" => {
+            let end = match word("end")? {
+                "good" => End::Good,
+                "bad" => End::Bad,
+                "cut" => End::Cut,
+                "gone" => End::Gone,
+                _ => return Err(missing("end")),
+            };
+            let body = if end == End::Good { body()? } else { Vec::new() };
+            said.seq = Some(seq()?);
+            said.report = Some(Report::Finished { call: call()?, end, took_ms: ms().unwrap_or(0.0), body });
+        }
+        "blocked" => {
+            let seq = seq()?;
+            said.seq = Some(seq);
+            said.report = Some(Report::Blocked { call: call()?, seq, body: body()? });
+        }
+        "polled" if word("tag")? == CAUGHT_UP => said.caught_up = true,
+        "polled" => {
+            let tag = word("tag")?.parse().map_err(|_| missing("tag"))?;
+            let Some(Value::Array(values)) = value.get("values") else { return Err(missing("values")) };
+            let values = values.iter().map(|v| v.as_f64().unwrap_or(f64::NAN)).collect();
+            said.report = Some(Report::Polled { tag, values });
+        }
+        "unknown" => {
+            let command = word("end")?.to_owned();
+            said.report = Some(Report::Unknown { command, call: call().unwrap_or(0) });
+        }
+        "chatter" => said.seq = Some(seq()?),
+        other => return Err(format!("`op` is unknown: {}", other.escape_debug())),
+    }
+    Ok(said)
+}
+
+/// The link's actor.
+pub struct Pool {
+    /// Where the pool listens.
+    pub address: SocketAddr,
+    /// The names of the classes, in order.
+    pub classes: Vec<String>,
+    /// The core's mailbox.
+    pub core: Sender<ToCore>,
+    /// Timers.
+    pub wheel: Rc<Wheel>,
+    /// The log.
+    pub log: Logger,
+    /// The number of the last notice read, and of the link.
+    last_seq: u64,
+    link: u64,
+}
+
+impl Pool {
+    /// An actor that has no link yet.
+    pub fn new(
+        address: SocketAddr,
+        classes: Vec<String>,
+        core: Sender<ToCore>,
+        wheel: Rc<Wheel>,
+        log: Logger,
+    ) -> Self {
+        Pool { address, classes, core, wheel, log, last_seq: 0, link: 0 }
+    }
+
+    /// Keeps a link, for ever.
+    pub async fn run(mut self, inbox: Receiver<Order>) {
+        let mut failing = false;
+        loop {
+            match Async::<TcpStream>::connect(self.address).await {
+                Ok(stream) => {
+                    failing = false;
+                    self.link += 1;
+                    let why = self.serve(stream, &inbox).await;
+                    warn!(self.log, "worker pool link ended"; "why" => why, "last_notice" => self.last_seq);
+                    if self.core.send(ToCore::Pool(Report::Down)).await.is_err() {
+                        return;
+                    }
+                }
+                Err(e) if !failing => {
+                    failing = true;
+                    warn!(self.log, "worker pool can't be reached"; "why" => e.to_string());
+                }
+                Err(_) => {}
+            }
+            self.wheel.sleep(RETRY_MS).await;
+        }
+    }
+
+    async fn serve(&mut self, stream: Async<TcpStream>, inbox: &Receiver<Order>) -> String {
+        let _ = stream.get_ref().set_nodelay(true);
+        let (wheel, classes, link) = (self.wheel.clone(), self.classes.clone(), self.link);
+        let first = format!(
+            "{{\"op\":\"bind\",\"seq\":{}}}\n{{\"op\":\"poll\",\"tag\":\"{CAUGHT_UP}\"}}\n",
+            self.last_seq
+        );
+        let writer = async {
+            let mut text = first;
+            let mut inbox = pin!(inbox.clone());
+            loop {
+                let mut out = &stream;
+                let stalled = async {
+                    wheel.sleep(STALLED_MS).await;
+                    Err(std::io::ErrorKind::TimedOut.into())
+                };
+                if let Err(e) = or(out.write_all(text.as_bytes()), stalled).await {
+                    return format!("writing failed: {e}");
+                }
+                text.clear();
+                let Some(order) = inbox.next().await else { return "the program ends".to_owned() };
+                let mut next = Some(order);
+                while let Some(order) = next {
+                    if order.link == link {
+                        encode(&order.command, &classes, &mut text);
+                    }
+                    next = if text.len() < MAX_LINE { inbox.try_recv().ok() } else { None };
+                }
+            }
+        };
+        or(self.read(&stream), writer).await
+    }
+
+    async fn read(&mut self, mut stream: &Async<TcpStream>) -> String {
+        let (mut lines, mut bytes, mut complaints) = (Lines::new(MAX_LINE), vec![0; 16 * 1024], 0);
+        loop {
+            match stream.read(&mut bytes).await {
+                Ok(0) => return "closed by the worker pool".to_owned(),
+                Ok(n) => lines.feed(&bytes[..n]),
+                Err(e) => return format!("reading failed: {e}"),
+            }
+            while let Some(line) = lines.next_line() {
+                let said = match line {
+                    Line::Whole(line) => decode(&line),
+                    Line::TooLong => Err("line too long".to_owned()),
+                };
+                let said = match said {
+                    Ok(said) => said,
+                    Err(why) => {
+                        complaints += 1;
+                        if complaints <= MAX_COMPLAINTS {
+                            warn!(self.log, "bad line from the worker pool"; "why" => why);
+                        }
+                        continue;
+                    }
+                };
+                if let Some(seq) = said.seq {
+                    if seq <= self.last_seq {
+                        continue;
+                    }
+                    if seq > self.last_seq + 1 && complaints < MAX_COMPLAINTS {
+                        complaints += 1;
+                        warn!(self.log, "notices are missing"; "after" => self.last_seq, "next" => seq);
+                    }
+                    self.last_seq = seq;
+                }
+                if let Some(Report::Bound { cold, ago_ms }) = said.report {
+                    info!(self.log, "worker pool is there"; "cold" => cold, "up_ms" => ago_ms);
+                }
+                let report = if said.caught_up { Some(Report::Up(self.link)) } else { said.report };
+                if let Some(report) = report {
+                    if self.core.send(ToCore::Pool(report)).await.is_err() {
+                        return "the program ends".to_owned();
+                    }
+                }
+            }
+        }
+    }
+}
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -1,6 +1,7 @@
 //! The simulator's text wire: parses rounds of events, prints actions, one [`Policy`] per instance.
 //! No judgement here: what is read goes to the module, what it answers is printed.
 
+use crate::config::{Fault, Pairs, set_gauge};
 use crate::interface::*;
 use crate::policy::Policy;
 use std::collections::{BTreeMap, HashMap};
@@ -72,86 +73,9 @@
     }
 
     fn settings(&self) -> Result<Settings, WireError> {
-        let pairs: HashMap<&str, &str> = self.rest.split(' ').filter_map(|p| p.split_once('=')).collect();
-        let number = |key: &str, default: f64| -> Result<f64, WireError> {
-            pairs.get(key).map_or(Ok(default), |v| self.read(key, v))
-        };
-        let flag = |key: &str| matches!(pairs.get(key), Some(&("true" | "1")));
-        let listed = |key: &str, at: usize| -> Result<f64, WireError> {
-            let value = pairs.get(key).and_then(|v| v.split(',').nth(at));
-            value.map_or(Ok(0.0), |v| self.read(key, v))
-        };
-        let count = |key: &str| -> Result<usize, WireError> {
-            let n: usize = pairs.get(key).map_or(Ok(0), |v| self.read(key, v))?;
-            if n > 100_000 { Err(self.fault(format_args!("field `{key}` is too large: {n}"))) } else { Ok(n) }
-        };
-        let base = Settings::default();
-        let mut classes = Vec::new();
-        for at in 0..count("profiles.count")? {
-            let of = |key: &str| number(&format!("profiles.{at}.{key}"), 0.0);
-            classes.push(Class {
-                effect: match pairs.get(format!("profiles.{at}.effect").as_str()) {
-                    Some(&"pure") => Effect::Safe,
-                    Some(&"token") => Effect::Keyed,
-                    _ => Effect::Unsafe,
-                },
-                aim_ms: of("target_ms")?,
-                aim_stretch: of("aim_stretch")?,
-                give_up_ms: of("give_up_ms")?,
-                window_ms: of("memory_span_ms")?,
-                worth: of("worth")?,
-                late_worth: of("late_worth")?,
-                calls: pairs
-                    .get("specifics.class_calls")
-                    .is_some_and(|v| matches!(v.split(',').nth(at), Some("true" | "1"))),
-                skip_worth: listed("specifics.class_skip_worth", at)?,
-            });
-        }
-        let mut tenants = Vec::new();
-        for at in 0..count("accounts.count")? {
-            tenants.push(number(&format!("accounts.{at}.allowance_per_s"), f64::INFINITY)?);
-        }
-        Ok(Settings {
-            seed: self.required("nonce64")?,
-            servers: number("servers", base.servers)?,
-            cores: number("specifics.n_cores", base.cores)?,
-            tick_ms: number("tick_ms", base.tick_ms)?,
-            cold: flag("specifics.cold"),
-            cold_share: number("safety.cold_share", base.cold_share)?,
-            cold_ms: number("safety.cold_ms", base.cold_ms)?,
-            answer_slack_ms: number("safety.answer_slack_ms", base.answer_slack_ms)?,
-            drain_grace_ms: number("safety.drain_grace_ms", base.drain_grace_ms)?,
-            survivable_per_core: number("safety.fall_multiple", base.survivable_per_core)?,
-            crowd_window_ms: number("safety.tip_after_ms", base.crowd_window_ms)?,
-            memory_kb: number("specifics.memory_kb", base.memory_kb)?,
-            run_factor: number("specifics.run_factor", base.run_factor)?,
-            key_kb: number("specifics.key_kb", base.key_kb)?,
-            signal: match pairs.get("specifics.say") {
-                Some(&"share_of") => Signal::Share,
-                None | Some(&"off") => Signal::Off,
-                _ => Signal::Other,
-            },
-            preemption: match pairs.get("specifics.preemption") {
-                Some(&"abort") => Preemption::Abort,
-                Some(&"suspend") => Preemption::Suspend,
-                _ => Preemption::Off,
-            },
-            dependency: !matches!(pairs.get("specifics.below"), None | Some(&"off")),
-            calls_share: match pairs.get("specifics.below") {
-                Some(&"shared") => Some(number("specifics.calls_out", 0.0)?),
-                _ => None,
-            },
-            calls_window_ms: number("specifics.dep_window_ms", base.calls_window_ms)?,
-            linger_ms: number("specifics.linger_ms", base.linger_ms)?,
-            fresh_ms: number("specifics.fresh_for_ms", base.fresh_ms)?,
-            retry_after: flag("policy_limits.retry_after"),
-            max_retry_after_ms: number("policy_limits.max_retry_after_ms", base.max_retry_after_ms)?,
-            callers: number("specifics.callers", base.callers)?,
-            idle_max_ms: number("specifics.keepalive_max_ms", base.idle_max_ms)?,
-            over_share_worth: number("over_share_worth", base.over_share_worth)?,
-            classes,
-            tenants,
-        })
+        let pairs: Pairs = self.rest.split(' ').filter_map(|p| p.split_once('=')).collect();
+        let fault = |f: Fault| self.fault(format_args!("field `{}` {}", f.key, f.what));
+        pairs.settings(self.required("nonce64")?).map_err(fault)
     }
 
     fn gauges(&self) -> Result<Gauges, WireError> {
@@ -159,14 +83,7 @@
         for pair in self.text("stats").unwrap_or("").split(',').filter(|p| !p.is_empty()) {
             let (name, value) =
                 pair.split_once(':').ok_or_else(|| self.fault(format_args!("field `stats`: {pair}")))?;
-            let slot = match name {
-                "core_use" => &mut gauges.busy,
-                "on_cores" => &mut gauges.run_queue,
-                "heap_share" => &mut gauges.memory,
-                "links" => &mut gauges.connections,
-                _ => continue,
-            };
-            *slot = Some(self.read("stats", value)?);
+            set_gauge(&mut gauges, name, self.read("stats", value)?);
         }
         Ok(gauges)
     }
