Play recorded exchanges against the program; log the address that is listened on

The system chooses every port, so the program now logs the bound address.

Reading the core again found one leak: where the last guard against a second run held (core.rs, run_request), the request got its answer but stayed in the ledger and with the module as running. It now ends there.

--- a/src/bin/dunlinspread.rs
+++ b/src/bin/dunlinspread.rs
@@ -72,6 +72,8 @@
     let listener = TcpListener::bind(config.listen).and_then(Async::new);
     let listener = listener.map_err(|e| format!("`listen`: {}: {e}", config.listen))?;
 
+    let listening = listener.get_ref().local_addr().unwrap_or(config.listen);
+
     let (core_box, core_letters) = async_channel::bounded(CORE_MAILBOX);
     let (pool_box, pool_letters) = async_channel::unbounded();
     let (catalog_box, catalog_letters) = async_channel::unbounded();
@@ -113,7 +115,7 @@
     let list =
         List { shared, listener, own: list_box.clone(), executor: executor.clone(), most: most_clients };
     let list = executor.spawn(list.run(list_letters));
-    info!(log, "serving"; "listen" => config.listen.to_string(), "classes" => config.classes.len());
+    info!(log, "serving"; "listen" => listening.to_string(), "classes" => config.classes.len());
 
     while let Some(signal) = signals.next().await {
         if signal.is_ok() {
--- a/src/node/core.rs
+++ b/src/node/core.rs
@@ -725,7 +725,13 @@
                     // again while its window lasts.
                     if entry.ran.is_some_and(|(ran, _)| ran != id) && reached <= entry.until {
                         warn!(self.log, "a second run of a key was asked for and not made");
-                        return self.answer(id, Answer::Failed);
+                        self.answer(id, Answer::Failed);
+                        self.remove(id);
+                        return self.events.push_back(Event::Ended {
+                            id,
+                            outcome: Outcome::Error,
+                            took_ms: 0.0,
+                        });
                     }
                     entry.holder = id;
                     entry.ran = Some((id, reached));
--- /dev/null
+++ b/tests/exchanges.rs
@@ -0,0 +1,138 @@
+//! Recorded exchanges of bytes with the built round server; each text file in `exchanges/` is one test.
+
+use dunlinspread::codec::{http, json, msgpack};
+
+mod play;
+
+macro_rules! exchanges {
+    ($($name:ident)*) => {
+        $(#[test]
+        fn $name() {
+            insta::assert_snapshot!(play::play(include_str!(concat!("exchanges/", stringify!($name), ".txt"))));
+        })*
+
+        #[test]
+        fn every_file_is_played() {
+            let files = std::fs::read_dir("tests/exchanges").expect("the folder").count();
+            assert_eq!(files, [$(stringify!($name)),*].len());
+        }
+    };
+}
+
+exchanges! {
+    bad_input bad_peers call_given_up calls drain idle keyed leave no_pool relink serve unwanted
+}
+
+/// A faulty configuration ends the program, which names the key.
+#[test]
+fn faulty_configurations() {
+    let changes = [
+        (r#""name":"n3""#, r#""name":7"#),
+        (r#""name":"n3""#, r#""name":"a/b""#),
+        (r#""listen":"127.0.0.1:0""#, r#""listen":"here""#),
+        (r#""pool":"127.0.0.1:1""#, r#""spool":"127.0.0.1:1""#),
+        (r#""directory":"127.0.0.1:1""#, r#""directory":"""#),
+        (r#""seed":"8c1f30d27a5be964""#, r#""seed":"8c1f30d27a5be964ff""#),
+        (r#""stop_ms":30000"#, r#""stop_ms":"soon""#),
+        (r#""sockets":1024"#, r#""sockets":3"#),
+        (r#""give_up_ms":90000"#, r#""give_up_ms":"long""#),
+        (r#""name":"route-sheet","#, ""),
+        (r#""profiles":"#, r#""profile":"#),
+        (r#""retry_after":true"#, r#""retry_after":"perhaps""#),
+        (r#""settings":"#, r#""setting":"#),
+        (r#""limits":{"#, r#""limits":["#),
+    ];
+    let mut out = String::new();
+    for (from, to) in changes {
+        let text =
+            play::config("127.0.0.1:1", "127.0.0.1:1", "127.0.0.1:1", &[(from.to_owned(), to.to_owned())]);
+        let ended = play::start(&text).wait_with_output().expect("it ends");
+        out += &format!("{from} -> {to}\n    {}{}\n", String::from_utf8_lossy(&ended.stderr), ended.status);
+    }
+    insta::assert_snapshot!(out);
+}
+
+/// Reads a stream in pieces of that size; what was found, up to the first fault.
+type Reading = fn(&[u8], usize) -> Vec<String>;
+
+fn read_msgpack(bytes: &[u8], size: usize) -> Vec<String> {
+    let (mut decoder, mut out) = (msgpack::Decoder::default(), Vec::new());
+    for piece in bytes.chunks(size) {
+        decoder.feed(piece);
+        loop {
+            match decoder.next_message() {
+                Ok(Some(value)) => out.push(format!("{value:?}")),
+                Ok(None) => break,
+                Err(e) => return [out, vec![format!("{e}; request {:?}", decoder.request_id())]].concat(),
+            }
+        }
+    }
+    out
+}
+
+fn read_json(bytes: &[u8], size: usize) -> Vec<String> {
+    let (mut lines, mut out) = (json::Lines::new(96), Vec::new());
+    for piece in bytes.chunks(size) {
+        lines.feed(piece);
+        while let Some(line) = lines.next_line() {
+            out.push(match line {
+                json::Line::Whole(line) => {
+                    json::parse(&line).map_or_else(|e| e.to_string(), |v| format!("{v:?}"))
+                }
+                json::Line::TooLong => "too long".to_owned(),
+            });
+        }
+    }
+    out
+}
+
+fn read_http(bytes: &[u8], size: usize) -> Vec<String> {
+    let (mut decoder, mut out) = (http::Decoder::default(), Vec::new());
+    for piece in bytes.chunks(size).chain([&[][..]]) {
+        decoder.feed(piece);
+        loop {
+            match decoder.next_reply(piece.is_empty()) {
+                Ok(Some(reply)) => out.push(format!("{reply:?}")),
+                Ok(None) => break,
+                Err(e) => return [out, vec![e.to_string()]].concat(),
+            }
+        }
+    }
+    out
+}
+
+/// The recorded streams read alike whole and byte by byte. Cut short, or with any one byte changed, they may read as
+/// anything, but never panic.
+fn read_streams(script: &str, reading: Reading) -> String {
+    let mut out = String::new();
+    for text in script.lines() {
+        let bytes = play::unescape(text);
+        let found = reading(&bytes, usize::MAX);
+        assert_eq!(found, reading(&bytes, 1), "{text}");
+        for at in 0..bytes.len() {
+            reading(&bytes[..at], 7);
+            for other in [0x00, 0x0a, 0x22, 0x39, 0x7f, 0xc6, 0xdd, 0xff] {
+                let mut changed = bytes.clone();
+                changed[at] = other;
+                reading(&changed, 5);
+            }
+        }
+        out += &format!("{text}\n    {}\n", found.join("\n    "));
+    }
+    out
+}
+
+#[test]
+fn msgpack_streams() {
+    insta::assert_snapshot!(read_streams(include_str!("streams/msgpack.txt"), read_msgpack));
+}
+
+#[test]
+fn json_streams() {
+    insta::assert_snapshot!(read_streams(include_str!("streams/json.txt"), read_json));
+}
+
+#[test]
+fn http_streams() {
+    insta::assert_snapshot!(read_streams(include_str!("streams/http.txt"), read_http));
+}
--- /dev/null
+++ b/tests/play/mod.rs
@@ -0,0 +1,324 @@
+//! Plays a recorded exchange against the built round server: a text file says what the peers send and when
+//! something is awaited, and the transcript shows both, bytes escaped. Every wait is for an event, never for a
+//! span of time, and every port is chosen by the system. The pool's gauges and the catalog's replies are
+//! answered here by themselves and stay out of the transcript.
+
+use dunlinspread::codec::msgpack;
+use std::collections::HashMap;
+use std::fmt::Write as _;
+use std::io::{BufRead, BufReader, ErrorKind, Read, Write};
+use std::net::{Shutdown, TcpListener, TcpStream};
+use std::process::{Child, Command, Stdio};
+use std::sync::mpsc::{Receiver, channel};
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+/// Far beyond any delay of a working program: it ends a test that would hang.
+const HANG: Duration = Duration::from_secs(60);
+
+const SETTINGS: &str = r#"{"tick_ms":5.0,"servers":2,
+"profiles":[{"name":"route-sheet","effect":"pure","give_up_ms":90000,"target_ms":80000,"worth":1},
+{"name":"pour-entry","effect":"token","give_up_ms":90000,"target_ms":80000,"memory_span_ms":95000,"worth":5}],
+"policy_limits":{"retry_after":true,"max_retry_after_ms":1000},"safety":{"fall_multiple":8,"drain_grace_ms":0},
+"specifics":{"n_cores":4,"memory_kb":60000,"run_factor":8,"key_kb":10,"say":"share_of","preemption":"suspend",
+"below":"tier","class_calls":[true,true],"class_skip_worth":[0.5,0],"keepalive_max_ms":32000000000,"callers":1,
+"gauges":["core_use","on_cores","heap_share","links"]}}"#;
+
+/// The configuration, with each `from=to` of the script's `config` lines replaced.
+pub fn config(pool: &str, directory: &str, index: &str, changes: &[(String, String)]) -> String {
+    let mut text = format!(
+        r#"{{"name":"n3","listen":"127.0.0.1:0","pool":"{pool}","directory":"{directory}","index":"{index}",
+"seed":"8c1f30d27a5be964","stop_ms":30000,"limits":{{"cores":1.0,"memory_mb":192,"sockets":1024}},
+"settings":{SETTINGS}}}"#
+    );
+    for (from, to) in changes {
+        assert!(text.contains(from), "no {from} in the configuration");
+        text = text.replace(from, to);
+    }
+    text
+}
+
+/// Starts the program on a configuration.
+pub fn start(config: &str) -> Child {
+    let unique = format!("dunlinspread-{}-{:p}.json", std::process::id(), config);
+    let path = std::path::Path::new(env!("CARGO_TARGET_TMPDIR")).join(unique);
+    std::fs::write(&path, config).expect("the configuration is written");
+    Command::new(env!("CARGO_BIN_EXE_dunlinspread"))
+        .env("RELAY_CONFIG", &path)
+        .stderr(Stdio::piped())
+        .spawn()
+        .expect("the program starts")
+}
+
+fn unix_ms() -> u128 {
+    SystemTime::now().duration_since(UNIX_EPOCH).expect("a clock past 1970").as_millis()
+}
+
+/// Bytes as text: a backslash begins `\xNN`.
+pub fn unescape(text: &str) -> Vec<u8> {
+    let mut parts = text.split("\\x");
+    let mut out = parts.next().unwrap_or("").as_bytes().to_vec();
+    for part in parts {
+        out.push(u8::from_str_radix(&part[..2], 16).expect("two hex digits"));
+        out.extend(&part.as_bytes()[2..]);
+    }
+    out
+}
+
+/// `ID CLASS key=value…` as a request. Fields not named get plain values; an empty one is left out.
+fn request(name: &str, text: &str) -> Vec<u8> {
+    let mut words = text.split(' ');
+    let id: u64 = words.next().and_then(|w| w.parse().ok()).expect("a message id");
+    let class = words.next().expect("a class");
+    let mut fields = vec![
+        ("call", format!("{}{id:014}", name.bytes().map(|b| format!("{b:02x}")).collect::<String>())),
+        ("recv", unix_ms().to_string()),
+        ("src", "4".to_owned()),
+        ("heap", "20".to_owned()),
+        ("crit", "0.9".to_owned()),
+        ("body", "b".to_owned()),
+    ];
+    for (key, value) in words.filter_map(|w| w.split_once('=')) {
+        let value = match value.strip_prefix("now-") {
+            Some(ago) => (unix_ms() - ago.parse::<u128>().expect("milliseconds")).to_string(),
+            None => value
+                .strip_prefix("x*")
+                .map_or(value.to_owned(), |n| "x".repeat(n.parse().expect("a number"))),
+        };
+        fields.retain(|(k, _)| *k != key);
+        fields.push((key, value));
+    }
+    let at = fields.iter().position(|(k, _)| *k == "body").expect("a body");
+    let body = fields.remove(at).1;
+    fields.retain(|(_, v)| !v.is_empty());
+    let mut out = Vec::new();
+    msgpack::put_array(&mut out, 4);
+    msgpack::put_uint(&mut out, 0);
+    msgpack::put_uint(&mut out, id);
+    msgpack::put_str(&mut out, class);
+    msgpack::put_array(&mut out, 2);
+    msgpack::put_map(&mut out, fields.len() as u8);
+    for (key, value) in &fields {
+        msgpack::put_str(&mut out, key);
+        msgpack::put_str(&mut out, value);
+    }
+    msgpack::put_bin(&mut out, body.as_bytes());
+    out
+}
+
+/// The next whole message's bytes, escaped, or how the connection ended.
+fn message(stream: &mut TcpStream) -> String {
+    let (mut decoder, mut all, mut byte) = (msgpack::Decoder::default(), Vec::new(), [0]);
+    loop {
+        match stream.read(&mut byte) {
+            Ok(0) => return "closed".to_owned(),
+            Ok(_) => all.push(byte[0]),
+            Err(e) if e.kind() == ErrorKind::ConnectionReset => return "closed".to_owned(),
+            Err(e) => panic!("nothing comes: {e}"),
+        }
+        decoder.feed(&byte);
+        if decoder.next_message().expect("MessagePack").is_some() {
+            return all.escape_ascii().to_string();
+        }
+    }
+}
+
+fn accept(listener: &TcpListener) -> BufReader<TcpStream> {
+    let (stream, _) = listener.accept().expect("the program connects");
+    stream.set_read_timeout(Some(HANG)).expect("a time limit");
+    BufReader::new(stream)
+}
+
+fn line(reader: &mut BufReader<TcpStream>) -> String {
+    let mut text = String::new();
+    reader.read_line(&mut text).expect("a line");
+    text.trim_end().to_owned()
+}
+
+/// An HTTP request's head and body on one line, without what is the same in all.
+fn http(reader: &mut BufReader<TcpStream>) -> Option<String> {
+    let (mut all, mut length) = (line(reader), 0);
+    loop {
+        let text = line(reader);
+        match text.split_once(": ") {
+            Some(("Content-Length", n)) => length = n.parse().expect("a length"),
+            Some(("Host" | "Content-Type", _)) => {}
+            Some(("X-Budget-Ms", n)) => {
+                assert!(n.parse::<u64>().is_ok_and(|n| n > 0), "budget {n}");
+                all.push_str(" | X-Budget-Ms: N");
+            }
+            Some(_) => drop(write!(all, " | {text}")),
+            None if all.is_empty() => return None,
+            None => break,
+        }
+    }
+    let mut body = vec![0; length];
+    reader.read_exact(&mut body).expect("a body");
+    Some(format!("{all} | {}", body.escape_ascii()))
+}
+
+struct Play {
+    child: Child,
+    address: String,
+    log: Receiver<String>,
+    reports: Receiver<String>,
+    clients: HashMap<String, TcpStream>,
+    pool: (TcpListener, Option<BufReader<TcpStream>>),
+    index: (TcpListener, Option<BufReader<TcpStream>>),
+}
+
+impl Drop for Play {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+impl Play {
+    fn new(changes: &[(String, String)]) -> Play {
+        let bind = || TcpListener::bind("127.0.0.1:0").expect("a free port");
+        let (pool, index, catalog) = (bind(), bind(), bind());
+        let address = |l: &TcpListener| l.local_addr().expect("an address").to_string();
+        let mut child = start(&config(&address(&pool), &address(&catalog), &address(&index), changes));
+        let (tell_log, log) = channel();
+        let errors = BufReader::new(child.stderr.take().expect("a log"));
+        std::thread::spawn(move || errors.lines().map_while(Result::ok).try_for_each(|l| tell_log.send(l)));
+        let (tell, reports) = channel();
+        std::thread::spawn(move || {
+            let mut last = String::new();
+            loop {
+                let mut reader = accept(&catalog);
+                while let Some(report) = http(&mut reader) {
+                    if report != last && tell.send(report.clone()).is_err() {
+                        return;
+                    }
+                    last = report;
+                    let _ = reader.get_mut().write_all(b"HTTP/1.1 204 No Content\r\n\r\n");
+                }
+            }
+        });
+        let mut play = Play {
+            child,
+            address: String::new(),
+            log,
+            reports,
+            clients: HashMap::new(),
+            pool: (pool, None),
+            index: (index, None),
+        };
+        let serving = play.logged("serving");
+        let listen = serving.split("listen: ").nth(1).and_then(|t| t.split(',').next());
+        play.address = listen.expect("the address is logged").to_owned();
+        play
+    }
+
+    fn logged(&self, words: &str) -> String {
+        loop {
+            let line = self.log.recv_timeout(HANG).unwrap_or_else(|_| panic!("not logged: {words}"));
+            if line.contains(words) {
+                return line;
+            }
+        }
+    }
+
+    /// The next line of the pool's link, past what is answered here by itself.
+    fn command(&mut self) -> String {
+        let (listener, link) = &mut self.pool;
+        let reader = link.get_or_insert_with(|| accept(listener));
+        loop {
+            let text = line(reader);
+            match text.split_once(r#"{"op":"poll","tag":""#) {
+                Some((_, tag)) => {
+                    let tag = tag.trim_end_matches("\"}");
+                    let reply = format!("{{\"op\":\"polled\",\"tag\":\"{tag}\",\"values\":[0.1,0,0.1,1]}}\n");
+                    reader.get_mut().write_all(reply.as_bytes()).expect("the link stands");
+                }
+                None => return text,
+            }
+        }
+    }
+
+    fn client(&mut self, name: &str) -> &mut TcpStream {
+        let address = &self.address;
+        self.clients.entry(name.to_owned()).or_insert_with(|| {
+            let stream = TcpStream::connect(address).expect("the program listens");
+            stream.set_read_timeout(Some(HANG)).expect("a time limit");
+            stream
+        })
+    }
+
+    fn send(&mut self, name: &str, text: &str) {
+        let (verb, rest) = text.split_once(' ').unwrap_or((text, ""));
+        match (name, verb) {
+            ("pool", "close") => self.pool.1 = None,
+            ("pool", _) => {
+                let link = self.pool.1.as_mut().expect("a link").get_mut();
+                link.write_all(format!("{text}\n").as_bytes()).expect("the link stands");
+            }
+            ("index", "close") => self.index.1 = None,
+            ("index", _) => {
+                let raw = unescape(&text.replace("\\r\\n", "\r\n"));
+                self.index.1.as_mut().expect("a call").get_mut().write_all(&raw).expect("a call stands");
+            }
+            ("signal", _) => {
+                let sent = Command::new("kill").args(["-s", verb, &self.child.id().to_string()]).status();
+                assert!(sent.expect("kill is there").success());
+            }
+            (_, "close") => drop(self.clients.remove(name)),
+            (_, "end") => self.client(name).shutdown(Shutdown::Write).expect("it stands"),
+            _ => {
+                let bytes = match verb {
+                    "req" => request(name, rest),
+                    "raw" => unescape(rest),
+                    "forget" => {
+                        [&unescape("\\x93\\x02\\xa6forget\\x91")[..], &[rest.parse().expect("an id")]]
+                            .concat()
+                    }
+                    "well" => {
+                        [&[0x94, 0, rest.parse().expect("an id")], &unescape("\\xa6isWell\\x91\\x80")[..]]
+                            .concat()
+                    }
+                    _ => panic!("unknown: {name}: {text}"),
+                };
+                self.client(name).write_all(&bytes).expect("the connection stands");
+            }
+        }
+    }
+
+    fn expect(&mut self, name: &str, words: &str) -> String {
+        match name {
+            "pool" => self.command(),
+            "catalog" => self.reports.recv_timeout(HANG).expect("a report"),
+            "log" => self.logged(words).split_once(" WARN ").map_or(words.to_owned(), |l| l.1.to_owned()),
+            "exit" => self.child.wait().expect("it ends").to_string(),
+            "index" => {
+                let (listener, call) = &mut self.index;
+                http(call.get_or_insert_with(|| accept(listener))).unwrap_or_else(|| "closed".to_owned())
+            }
+            _ => message(self.client(name)),
+        }
+    }
+}
+
+/// Plays a script; what came of it, line by line.
+pub fn play(script: &str) -> String {
+    let changes = script.lines().filter_map(|l| l.strip_prefix("config ")?.split_once(" -> "));
+    let changes: Vec<_> = changes.map(|(from, to)| (from.to_owned(), to.to_owned())).collect();
+    let (mut play, mut out) = (Play::new(&changes), String::new());
+    for text in script.lines().filter(|l| !l.is_empty() && !l.starts_with("config ")) {
+        out.push_str(text);
+        out.push('\n');
+        if text.starts_with('#') {
+            continue;
+        }
+        match (text.split_once(": "), text.split_once('?')) {
+            (Some((name, what)), _) => play.send(name, what),
+            (None, Some((name, words))) => {
+                let seen = play.expect(name, words.trim());
+                let done = writeln!(out, "    {seen}");
+                assert!(done.is_ok());
+            }
+            _ => panic!("unknown line: {text}"),
+        }
+    }
+    out
+}
