--- a/src/node/pool.rs
+++ b/src/node/pool.rs
@@ -20,7 +20,9 @@
 
 /// The longest line that is taken in, in bytes.
 const MAX_LINE: usize = 64 * 1024;
-/// Wait before a new link is tried, ms.
+/// Wait before a new link is tried, ms: after one that stood, and after a try that failed. Runs that were asked for
+/// meanwhile wait that long.
+const AGAIN_MS: f64 = 5.0;
 const RETRY_MS: f64 = 50.0;
 /// A link that takes no bytes for this long is given up, ms: longer than any pause of the machine.
 const STALLED_MS: f64 = 10_000.0;
@@ -251,6 +253,8 @@
     /// The number of the last notice read, and of the link.
     last_seq: u64,
     link: u64,
+    /// The present link was answered.
+    bound: bool,
 }
 
 impl Pool {
@@ -262,13 +266,14 @@
         wheel: Rc<Wheel>,
         log: Logger,
     ) -> Self {
-        Pool { address, classes, core, wheel, log, last_seq: 0, link: 0 }
+        Pool { address, classes, core, wheel, log, last_seq: 0, link: 0, bound: false }
     }
 
     /// Keeps a link, for ever.
     pub async fn run(mut self, inbox: Receiver<Order>) {
         let mut failing = false;
         loop {
+            let mut wait = RETRY_MS;
             match Async::<TcpStream>::connect(self.address).await {
                 Ok(stream) => {
                     failing = false;
@@ -278,6 +283,7 @@
                     if self.core.send(ToCore::Pool(Report::Down)).await.is_err() {
                         return;
                     }
+                    wait = if std::mem::take(&mut self.bound) { AGAIN_MS } else { RETRY_MS };
                 }
                 Err(e) if !failing => {
                     failing = true;
@@ -285,7 +291,7 @@
                 }
                 Err(_) => {}
             }
-            self.wheel.sleep(RETRY_MS).await;
+            self.wheel.sleep(wait).await;
         }
     }
 
@@ -356,6 +362,7 @@
                     self.last_seq = seq;
                 }
                 if let Some(Report::Bound { cold, ago_ms }) = said.report {
+                    self.bound = true;
                     info!(self.log, "worker pool is there"; "cold" => cold, "up_ms" => ago_ms);
                 }
                 let report = if said.caught_up { Some(Report::Up(self.link)) } else { said.report };
