Bound what clients can take: descriptors, unread answers, log lines

Three gaps found by reading and small probes against the program: - The parts of the descriptors added up to all but an eighth of the limit, which at 64 left 8 for some fifteen others. The others now get 24 first. - A caller that reads nothing kept its connection for 30 s after its mailbox was closed, as the writer was stuck and the reader did not look (front.rs, read). - A burst of messages could fill a mailbox before its writer had a turn, which would have ended a sound connection: the reader now yields every 32 messages. Lines about faulty connections are bounded to 20 a second.

--- a/src/bin/dunlinspread.rs
+++ b/src/bin/dunlinspread.rs
@@ -30,6 +30,9 @@
 /// The program ends so long before the stop at the latest, ms.
 const END_MARGIN_MS: f64 = 40.0;
 
+/// Descriptors that are neither a client's nor a call's: some fifteen, and room.
+const OTHER_DESCRIPTORS: usize = 24;
+
 fn main() -> ExitCode {
     let config = match configuration() {
         Ok(config) => config,
@@ -78,9 +81,10 @@
     let (pool_box, pool_letters) = async_channel::unbounded();
     let (catalog_box, catalog_letters) = async_channel::unbounded();
     let (list_box, list_letters) = async_channel::unbounded();
-    // Client proxies open half of the descriptors at most; the rest is for the index, the other links, the log,
-    // and those that are only just closing.
-    let (most_clients, most_calls) = (config.sockets * 5 / 8, config.sockets / 4);
+    // Client proxies open half of the descriptors at most; a few of theirs may be only just closing. The rest is
+    // for calls, but for the listener, the other links, the log, and what the runtime holds.
+    let most_clients = config.sockets / 2 + config.sockets / 16;
+    let most_calls = (config.sockets * 3 / 8).saturating_sub(OTHER_DESCRIPTORS).max(8);
 
     let index_box = config.index.map(|address| {
         let (index_box, letters) = async_channel::unbounded();
@@ -111,6 +115,7 @@
         core: core_box.clone(),
         log: log.clone(),
         last_id: Cell::new(0),
+        complaints: Cell::new((0.0, 0)),
     });
     let list =
         List { shared, listener, own: list_box.clone(), executor: executor.clone(), most: most_clients };
--- a/src/node/front.rs
+++ b/src/node/front.rs
@@ -27,6 +27,8 @@
 const MAX_OPEN: usize = 64;
 /// Answers that wait for one connection's writer, past which it ends.
 const MAILBOX: usize = 4 * MAX_OPEN;
+/// Messages taken from one connection before the other actors have a turn.
+const YIELD_AFTER: u64 = 32;
 /// A connection that takes no bytes for this long ends, ms: longer than a hall is ever cut off.
 const STALLED_MS: f64 = 30_000.0;
 /// How often the list looks for idle connections, ms.
@@ -35,8 +37,9 @@
 const LEAVE_MS: f64 = 1000.0;
 /// Pause in accepting when descriptors run out, ms.
 const FULL_MS: f64 = 50.0;
-/// The least time between two log lines of one kind, ms.
+/// The least time between two log lines of one kind, ms, and the most lines about faulty connections in that time.
 const COMPLAIN_MS: f64 = 1000.0;
+const MAX_COMPLAINTS: u32 = 20;
 
 /// What the list is told.
 #[derive(Debug)]
@@ -63,6 +66,19 @@
     pub log: Logger,
     /// The number of the last request read on any connection.
     pub last_id: Cell<RequestId>,
+    /// Since when lines about faulty connections are counted, and how many there were.
+    pub complaints: Cell<(f64, u32)>,
+}
+
+impl Shared {
+    fn complain(&self, why: &str) {
+        let (now, (since, count)) = (self.clock.now(), self.complaints.get());
+        let (since, count) = if now - since > COMPLAIN_MS { (now, 0) } else { (since, count) };
+        self.complaints.set((since, count + 1));
+        if count < MAX_COMPLAINTS {
+            warn!(self.log, "connection ended for a fault"; "why" => why);
+        }
+    }
 }
 
 /// What the list and a connection's actor both see of it.
@@ -198,7 +214,7 @@
         let _ = stream.get_ref().set_nodelay(true);
         let fault = or(self.read(shared, &stream), self.write(shared, &stream, letters)).await;
         if let Err(why) = fault {
-            warn!(shared.log, "connection ended for a fault"; "why" => why);
+            shared.complain(&why);
         }
         self.mailbox.close();
         let open: Vec<RequestId> = self.open.borrow_mut().drain().map(|(_, id)| id).collect();
@@ -209,7 +225,7 @@
     }
 
     async fn read(&self, shared: &Shared, mut stream: &Async<TcpStream>) -> Result<(), String> {
-        let (mut decoder, mut bytes) = (msgpack::Decoder::default(), vec![0; 8 * 1024]);
+        let (mut decoder, mut bytes, mut taken) = (msgpack::Decoder::default(), vec![0; 8 * 1024], 0u64);
         loop {
             match stream.read(&mut bytes).await {
                 // An end or a reset is the caller's own affair.
@@ -219,7 +235,18 @@
             self.used.set(shared.clock.now());
             loop {
                 match decoder.next_message() {
-                    Ok(Some(message)) => self.take(shared, message).await?,
+                    Ok(Some(message)) => {
+                        // The core closes the mailbox of a caller that reads no answers; its writer may be stuck.
+                        if self.mailbox.is_closed() {
+                            return Err("reads no answers".to_owned());
+                        }
+                        self.take(shared, message).await?;
+                        taken += 1;
+                        if taken % YIELD_AFTER == 0 {
+                            // A burst may not fill the mailbox before the writer has had a turn.
+                            futures_lite::future::yield_now().await;
+                        }
+                    }
                     Ok(None) => break,
                     Err(e) => {
                         if let Some(tag) = decoder.request_id() {
@@ -343,7 +370,7 @@
             match or(stream.write_all(&out), stalled).await {
                 Ok(()) => {}
                 Err(e) if e.kind() == std::io::ErrorKind::TimedOut => {
-                    return Err("reads no answers".to_owned());
+                    return Err("takes no bytes".to_owned());
                 }
                 Err(_) => return Ok(()),
             }
--- a/tests/play/mod.rs
+++ b/tests/play/mod.rs
@@ -263,6 +263,17 @@
                 let sent = Command::new("kill").args(["-s", verb, &self.child.id().to_string()]).status();
                 assert!(sent.expect("kill is there").success());
             }
+            ("crowd", "drop") => self.clients.retain(|name, _| !name.starts_with("crowd")),
+            ("crowd", _) => {
+                for at in 0..rest.parse::<usize>().expect("how many") {
+                    self.client(&format!("crowd{at}"));
+                }
+            }
+            // Health checks without end, whose answers nobody reads: until the program has had enough.
+            (_, "flood") => {
+                let many = [0x94, 0, 1, 0xa6, b'i', b's', b'W', b'e', b'l', b'l', 0x91, 0x80].repeat(1000);
+                while self.client(name).write_all(&many).is_ok() {}
+            }
             (_, "close") => drop(self.clients.remove(name)),
             (_, "end") => self.client(name).shutdown(Shutdown::Write).expect("it stands"),
             _ => {
