Write the log's last lines before the program ends

The writer's thread was ended with the process before it had written all (bin/dunlinspread.rs: the drain was built without its guard). The guard is now dropped before the end, which flushes.

The field for the module's value in the core's messages is now called `said`; the old name was a word of the present front's protocol.

--- a/src/bin/dunlinspread.rs
+++ b/src/bin/dunlinspread.rs
@@ -44,14 +44,15 @@
     // The writer has a thread of its own: a log that nobody reads never holds up serving.
     let decorator = slog_term::PlainSyncDecorator::new(std::io::stderr());
     let format = slog_term::FullFormat::new(decorator).build().fuse();
-    let drain = slog_async::Async::new(format)
+    let (drain, flush) = slog_async::Async::new(format)
         .chan_size(LOG_LINES)
         .overflow_strategy(slog_async::OverflowStrategy::DropAndReport)
-        .build()
-        .fuse();
-    let log = Logger::root(drain, o!("name" => config.name.clone()));
+        .build_with_guard();
+    let log = Logger::root(drain.fuse(), o!("name" => config.name.clone()));
     let executor = Rc::new(LocalExecutor::new());
     let result = async_io::block_on(executor.run(serve(config, executor.clone(), log)));
+    // Lines still on their way are written before the end.
+    drop(flush);
     match result {
         Ok(()) => ExitCode::SUCCESS,
         Err(e) => {
--- a/src/node/core.rs
+++ b/src/node/core.rs
@@ -66,7 +66,7 @@
         /// The answer.
         answer: Answer,
         /// The value that goes out on every answer.
-        load: Option<f64>,
+        said: Option<f64>,
     },
     /// Take no new request from now on: tell the caller, and end once it has its answers.
     Leave,
@@ -331,7 +331,7 @@
     }
 
     fn send(&self, handle: Handle, answer: Answer) {
-        let message = ToCaller::Answer { tag: handle.tag, answer, load: self.said };
+        let message = ToCaller::Answer { tag: handle.tag, answer, said: self.said };
         if let Err(async_channel::TrySendError::Full(_)) = handle.mailbox.try_send(message) {
             // A reader this slow would grow memory without bound: its connection ends.
             handle.mailbox.close();
--- a/src/node/front.rs
+++ b/src/node/front.rs
@@ -379,7 +379,7 @@
     }
 
     fn put(&self, letter: ToCaller, out: &mut Vec<u8>) {
-        let ToCaller::Answer { tag, answer, load } = letter else {
+        let ToCaller::Answer { tag, answer, said } = letter else {
             msgpack::put_array(out, 3);
             msgpack::put_uint(out, 2);
             msgpack::put_str(out, "shutdown");
@@ -392,7 +392,7 @@
             }
         }
         let mut fields = Vec::new();
-        fields.extend(load.map(|l| ("load", l.to_string())));
+        fields.extend(said.map(|value| ("load", value.to_string())));
         if let Answer::Refused { retry_after_ms, last } = &answer {
             if *retry_after_ms > 0.0 {
                 fields.push(("pushback", retry_after_ms.round().to_string()));
