Leave no one waiting when a key's run outlasts its window

Read, then shown by the new exchange "window": core.rs, enter(), replaced a key's entry together with the tries that waited for its run; those were answered only when they fell due. They get their failure at once now.

New exchanges: window (counted from the arrival of the try that ran, also for a try read late), heir (the first try is given up while held), cold (a pool that has just started).

--- a/src/node/core.rs
+++ b/src/node/core.rs
@@ -434,7 +434,10 @@
     fn enter(&mut self, key: Rc<[u8]>, class: usize, holder: RequestId, until: f64) {
         self.drop_result(&key);
         let entry = Entry { class, holder, until, ran: None, result: None, waiting: Vec::new() };
-        self.entries.insert(key, entry);
+        if let Some(older) = self.entries.insert(key, entry) {
+            // A run that outlasts its own window: those who wait for it would no longer be found.
+            older.waiting.into_iter().for_each(|w| self.end_reuse(w, None));
+        }
     }
 
     fn on_gone(&mut self, id: RequestId) {
