Reread the configuration on SIGHUP and move the links to pool, index and catalog

At fault: bin/dunlinspread.rs registered SIGTERM and SIGINT alone, and no actor could change its peer's address. Checked and ruled out: the crash is the signal's default action, not a panic (exit 129, no line in the log).

Now the handler stands before the listener does. A valid file sends each actor its new address. The pool link keeps using the old connection until the new one stands, binds with the last notice read, and asks again what may have been lost. Calls that are out end where they were made; kept connections to the old index are dropped. The catalog gets a report at its new address at once. A faulty file is logged with its key and changes nothing. SIGHUP during the drain does not end the program either.

The exchange `reload` fails without the handler: the program ends.

--- a/src/bin/dunlinspread.rs
+++ b/src/bin/dunlinspread.rs
@@ -1,19 +1,20 @@
-//! The round server: wires the actors together, hears SIGTERM, and ends. It decides nothing.
+//! The round server: wires the actors together, hears signals, and ends. SIGTERM is the notice to leave, SIGHUP has
+//! the configuration reread. It decides nothing, and must never end for a SIGHUP or a faulty file.
 #![forbid(unsafe_code)]
 
 use async_executor::LocalExecutor;
 use async_io::Async;
 use async_signal::{Signal, Signals};
 use dunlinspread::config::Config;
-use dunlinspread::node::catalog::Catalog;
+use dunlinspread::node::catalog::{Catalog, ToCatalog};
 use dunlinspread::node::core::{Core, Peers, ToCore};
 use dunlinspread::node::front::{List, Shared, ToList};
-use dunlinspread::node::index::Index;
-use dunlinspread::node::pool::Pool;
+use dunlinspread::node::index::{Index, ToIndex};
+use dunlinspread::node::pool::{Pool, ToPool};
 use dunlinspread::node::wheel::{Clock, Wheel};
 use futures_lite::StreamExt;
 use futures_lite::future::or;
-use slog::{Drain, Logger, info, o};
+use slog::{Drain, Logger, info, o, warn};
 use std::cell::Cell;
 use std::net::TcpListener;
 use std::process::ExitCode;
@@ -69,10 +70,63 @@
     Config::read(&text, name.as_deref(), listen.as_deref()).map_err(|e| e.to_string())
 }
 
-async fn serve(config: Config, executor: Rc<LocalExecutor<'static>>, log: Logger) -> Result<(), String> {
+/// The mailboxes of the actors whose peers can move.
+struct Links {
+    pool: async_channel::Sender<ToPool>,
+    index: Option<async_channel::Sender<ToIndex>>,
+    catalog: async_channel::Sender<ToCatalog>,
+}
+
+impl Links {
+    /// Rereads the configuration and moves the links whose addresses changed. A faulty file changes nothing, and
+    /// whatever else differs waits for the next start.
+    fn reread(&self, config: &mut Config, log: &Logger) {
+        let new = match configuration() {
+            Ok(new) => new,
+            Err(e) => return warn!(log, "configuration is faulty, the running one stays"; "why" => e),
+        };
+        // The mailboxes have no bound and close only when the program ends.
+        if new.pool != config.pool {
+            let _ = self.pool.try_send(ToPool::Move(new.pool));
+        }
+        if new.directory != config.directory {
+            let _ = self.catalog.try_send(ToCatalog::Move(new.directory));
+        }
+        match (&self.index, new.index) {
+            (Some(index), Some(to)) if Some(to) != config.index => {
+                let _ = index.try_send(ToIndex::Move(to));
+            }
+            (Some(_), Some(_)) | (None, None) => {}
+            _ => warn!(log, "configuration: `index`: comes or goes only with a restart"),
+        }
+        if (&new.name, new.listen) != (&config.name, config.listen) {
+            warn!(log, "configuration: `name`, `listen`: change only with a restart");
+        }
+        (config.pool, config.directory) = (new.pool, new.directory);
+        config.index = config.index.and(new.index).or(config.index);
+        info!(log, "configuration reread"; "pool" => config.pool.to_string(),
+            "directory" => config.directory.to_string(),
+            "index" => config.index.map_or("none".to_owned(), |i| i.to_string()));
+    }
+
+    /// Hears signals until the notice to leave, for ever if none comes.
+    async fn hear(&self, signals: &mut Signals, config: &mut Config, log: &Logger) {
+        while let Some(signal) = signals.next().await {
+            match signal {
+                Ok(Signal::Hup) => self.reread(config, log),
+                Ok(_) => return,
+                Err(e) => warn!(log, "a signal can't be read"; "why" => e.to_string()),
+            }
+        }
+        futures_lite::future::pending().await
+    }
+}
+
+async fn serve(mut config: Config, executor: Rc<LocalExecutor<'static>>, log: Logger) -> Result<(), String> {
     let clock = Clock::start();
     let wheel = Wheel::new(clock, config.settings.tick_ms);
-    let mut signals = Signals::new([Signal::Term, Signal::Int]).map_err(|e| format!("signals: {e}"))?;
+    let mut signals =
+        Signals::new([Signal::Term, Signal::Int, Signal::Hup]).map_err(|e| format!("signals: {e}"))?;
     let listener = TcpListener::bind(config.listen).and_then(Async::new);
     let listener = listener.map_err(|e| format!("`listen`: {}: {e}", config.listen))?;
 
@@ -104,6 +158,7 @@
         log: log.clone(),
     };
     executor.spawn(catalog.run(catalog_letters)).detach();
+    let links = Links { pool: pool_box.clone(), index: index_box.clone(), catalog: catalog_box.clone() };
     let peers = Peers { pool: pool_box, index: index_box, catalog: catalog_box, list: list_box.clone() };
     let (own, exe) = (core_box.clone(), executor.clone());
     let core = Core::new(&config, clock, wheel.clone(), exe, own, peers, log.clone());
@@ -123,11 +178,7 @@
     let list = executor.spawn(list.run(list_letters));
     info!(log, "serving"; "listen" => listening.to_string(), "classes" => config.classes.len());
 
-    while let Some(signal) = signals.next().await {
-        if signal.is_ok() {
-            break;
-        }
-    }
+    links.hear(&mut signals, &mut config, &log).await;
     let (stop_ms, notice) = (config.stop.as_secs_f64() * 1000.0, clock.now());
     info!(log, "notice to leave"; "stop_ms" => stop_ms);
     let stop_at = notice + (stop_ms - ANSWER_MARGIN_MS).max(0.0);
@@ -138,7 +189,12 @@
         let _ = list_box.send(ToList::Leave).await;
         list.await;
     };
-    or(leave, wheel.sleep((stop_ms - END_MARGIN_MS).max(0.0))).await;
+    let hearing = async {
+        loop {
+            links.hear(&mut signals, &mut config, &log).await;
+        }
+    };
+    or(or(leave, wheel.sleep((stop_ms - END_MARGIN_MS).max(0.0))), hearing).await;
     info!(log, "leaving");
     Ok(())
 }
--- a/src/node/catalog.rs
+++ b/src/node/catalog.rs
@@ -26,6 +26,8 @@
 pub enum ToCatalog {
     /// Health as the module set it.
     Health(bool),
+    /// The catalog listens elsewhere from now on.
+    Move(SocketAddr),
 }
 
 /// The catalog's actor.
@@ -42,7 +44,7 @@
 
 impl Catalog {
     /// Reports until the mailbox closes.
-    pub async fn run(self, inbox: Receiver<ToCatalog>) {
+    pub async fn run(mut self, inbox: Receiver<ToCatalog>) {
         let mut inbox = pin!(inbox);
         let (mut good, mut kept, mut counted) = (true, None, None);
         loop {
@@ -62,20 +64,21 @@
                 let wait = if result.is_ok() { PERIOD_MS } else { RETRY_MS };
                 kept = result.ok().flatten();
                 self.wheel.sleep(wait).await;
-                Some(good)
+                Some(ToCatalog::Health(good))
             };
             // A change interrupts whatever is on, also a report that hangs.
             let change = async {
                 loop {
                     match inbox.next().await {
-                        Some(ToCatalog::Health(now)) if now != good => return Some(now),
-                        Some(_) => {}
+                        Some(ToCatalog::Health(now)) if now == good => {}
+                        Some(told) => return Some(told),
                         None => return None,
                     }
                 }
             };
             match or(change, round).await {
-                Some(now) => good = now,
+                Some(ToCatalog::Health(now)) => good = now,
+                Some(ToCatalog::Move(to)) => (self.address, kept) = (to, None),
                 None => return,
             }
         }
--- a/src/node/core.rs
+++ b/src/node/core.rs
@@ -6,7 +6,7 @@
 use super::catalog::ToCatalog;
 use super::front::ToList;
 use super::index::{Call, ToIndex};
-use super::pool::{Command, End, Order, Report};
+use super::pool::{Command, End, Order, Report, ToPool};
 use super::wheel::{Clock, Wheel};
 use crate::config::Config;
 use crate::interface::*;
@@ -187,7 +187,7 @@
 /// The mailboxes of the other actors.
 pub struct Peers {
     /// The worker pool's link.
-    pub pool: Sender<Order>,
+    pub pool: Sender<ToPool>,
     /// The index; the last tier has none.
     pub index: Option<Sender<ToIndex>>,
     /// The catalog.
@@ -368,7 +368,7 @@
 
     fn order(&self, order: Order) {
         // The mailbox has no bound of its own: a link that does not take commands ends, and nothing is sent then.
-        let sent = self.peers.pool.try_send(order);
+        let sent = self.peers.pool.try_send(ToPool::Order(order));
         debug_assert!(!matches!(sent, Err(async_channel::TrySendError::Full(_))));
     }
 
--- a/src/node/index.rs
+++ b/src/node/index.rs
@@ -44,14 +44,15 @@
     Call(Call),
     /// Give up a request's call, if it is out; no end is reported.
     Stop(RequestId),
+    /// The index listens elsewhere from now on; calls that are out go on where they are.
+    Move(SocketAddr),
     /// A call's task is over.
     Over(RequestId, u64),
 }
 
 /// What the tasks share.
 struct Shared {
-    address: SocketAddr,
-    host: String,
+    address: Cell<SocketAddr>,
     clock: Clock,
     wheel: Rc<Wheel>,
     log: Logger,
@@ -86,8 +87,7 @@
         log: Logger,
     ) -> Self {
         let shared = Shared {
-            address,
-            host: address.to_string(),
+            address: Cell::new(address),
             clock,
             wheel,
             log,
@@ -116,6 +116,10 @@
                     self.waiting.push_back((self.shared.clock.now(), call));
                 }
                 ToIndex::Stop(id) => self.stop(id),
+                ToIndex::Move(to) => {
+                    self.shared.address.set(to);
+                    self.shared.idle.borrow_mut().clear();
+                }
                 ToIndex::Over(id, number) => {
                     if self.open.get(&id).is_some_and(|(n, _)| *n == number) {
                         self.open.remove(&id);
@@ -190,9 +194,10 @@
 
     async fn call(&self, call: &Call, left_ms: f64) -> (Outcome, Vec<u8>) {
         let nothing = |outcome| (outcome, Vec::new());
+        let address = self.address.get();
         let stream = match self.kept() {
             Some(stream) => stream,
-            None => match Async::<TcpStream>::connect(self.address).await {
+            None => match Async::<TcpStream>::connect(address).await {
                 Ok(stream) => stream,
                 Err(e) => {
                     // Not one byte was written: whatever the error, no call ran.
@@ -205,7 +210,7 @@
         let parent = format!("{:016x}", call.parent);
         let budget = format!("{}", left_ms.max(1.0).round());
         let headers = [("X-Parent-Id", parent.as_str()), ("X-Budget-Ms", budget.as_str())];
-        let request = http::request("POST", "/lookup", &self.host, &headers, &call.body);
+        let request = http::request("POST", "/lookup", &address.to_string(), &headers, &call.body);
         let mut io = &stream;
         if let Err(e) = io.write_all(&request).await {
             self.complain("writing", &e.to_string());
@@ -223,7 +228,8 @@
             decoder.feed(&bytes[..read]);
             match decoder.next_reply(read == 0) {
                 Ok(Some(reply)) => {
-                    if reply.keep_alive && read > 0 && decoder.is_empty() {
+                    let there = address == self.address.get();
+                    if there && reply.keep_alive && read > 0 && decoder.is_empty() {
                         self.idle.borrow_mut().push_back((self.clock.now(), stream));
                     }
                     return judge(reply);
--- a/src/node/pool.rs
+++ b/src/node/pool.rs
@@ -1,5 +1,5 @@
 //! The link to the worker pool: connects, binds, reads notices and writes commands, and sets up anew whenever the
-//! link ends. It owns the number of the last notice read, and drops notices seen before; after a new link it tells
+//! link ends or the pool's address changes. It owns the number of the last notice read, and drops notices seen before; after a new link it tells
 //! the core only once all that the pool kept has been read. It must never end for what the pool writes, and never
 //! change a body.
 
@@ -10,12 +10,11 @@
 use async_io::Async;
 use base64::Engine as _;
 use base64::engine::general_purpose::STANDARD as BASE64;
-use futures_lite::future::or;
-use futures_lite::{AsyncReadExt, AsyncWriteExt, StreamExt};
+use futures_lite::future::{BoxedLocal, or, pending};
+use futures_lite::{AsyncReadExt, AsyncWriteExt};
 use slog::{Logger, info, warn};
 use std::fmt::Write as _;
 use std::net::{SocketAddr, TcpStream};
-use std::pin::pin;
 use std::rc::Rc;
 
 /// The longest line that is taken in, in bytes.
@@ -83,6 +82,23 @@
     pub command: Command,
 }
 
+/// What the link's actor is told.
+#[derive(Debug)]
+pub enum ToPool {
+    /// Send a command.
+    Order(Order),
+    /// The pool listens elsewhere from now on; its runs and notices go on.
+    Move(SocketAddr),
+}
+
+/// How a link ended.
+enum Ended {
+    /// It broke.
+    Broken(String),
+    /// The pool moved: the connection to its new address.
+    Moved(Async<TcpStream>),
+}
+
 /// How a run ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum End {
@@ -270,20 +286,41 @@
     }
 
     /// Keeps a link, for ever.
-    pub async fn run(mut self, inbox: Receiver<Order>) {
-        let mut failing = false;
+    pub async fn run(mut self, inbox: Receiver<ToPool>) {
+        let (mut failing, mut next) = (false, None);
         loop {
             let mut wait = RETRY_MS;
-            match Async::<TcpStream>::connect(self.address).await {
+            let connected = match next.take() {
+                Some(stream) => Ok(stream),
+                None => {
+                    or(Async::<TcpStream>::connect(self.address), async {
+                        self.address = moved(&inbox).await;
+                        Async::<TcpStream>::connect(self.address).await
+                    })
+                    .await
+                }
+            };
+            match connected {
                 Ok(stream) => {
                     failing = false;
                     self.link += 1;
-                    let why = self.serve(stream, &inbox).await;
-                    warn!(self.log, "worker pool link ended"; "why" => why, "last_notice" => self.last_seq);
+                    let ended = self.serve(stream, &inbox).await;
                     if self.core.send(ToCore::Pool(Report::Down)).await.is_err() {
                         return;
                     }
-                    wait = if std::mem::take(&mut self.bound) { AGAIN_MS } else { RETRY_MS };
+                    let bound = std::mem::take(&mut self.bound);
+                    match ended {
+                        Ended::Moved(stream) => {
+                            info!(self.log, "worker pool moved"; "to" => self.address.to_string());
+                            next = Some(stream);
+                            continue;
+                        }
+                        Ended::Broken(why) => {
+                            warn!(self.log, "worker pool link ended";
+                                "why" => why, "last_notice" => self.last_seq);
+                            wait = if bound { AGAIN_MS } else { RETRY_MS };
+                        }
+                    }
                 }
                 Err(e) if !failing => {
                     failing = true;
@@ -291,17 +328,21 @@
                 }
                 Err(_) => {}
             }
-            self.wheel.sleep(wait).await;
+            let wheel = self.wheel.clone();
+            or(wheel.sleep(wait), async { self.address = moved(&inbox).await }).await;
         }
     }
 
-    async fn serve(&mut self, stream: Async<TcpStream>, inbox: &Receiver<Order>) -> String {
+    async fn serve(&mut self, stream: Async<TcpStream>, inbox: &Receiver<ToPool>) -> Ended {
         let _ = stream.get_ref().set_nodelay(true);
         let (wheel, classes, link) = (self.wheel.clone(), self.classes.clone(), self.link);
         let first = format!("{{\"op\":\"bind\",\"seq\":{}}}\n", self.last_seq);
+        let mut address = self.address;
         let writer = async {
             let mut text = first;
-            let mut inbox = pin!(inbox.clone());
+            // The present link is used until the pool can be reached at its new address: what is on its way over
+            // it is then still read, and the new one's `bind` names the last notice read here.
+            let mut moving: Option<BoxedLocal<Ended>> = None;
             loop {
                 let mut out = &stream;
                 let stalled = async {
@@ -309,20 +350,40 @@
                     Err(std::io::ErrorKind::TimedOut.into())
                 };
                 if let Err(e) = or(out.write_all(text.as_bytes()), stalled).await {
-                    return format!("writing failed: {e}");
+                    return Ended::Broken(format!("writing failed: {e}"));
                 }
                 text.clear();
-                let Some(order) = inbox.next().await else { return "the program ends".to_owned() };
-                let mut next = Some(order);
-                while let Some(order) = next {
-                    if order.link == link {
-                        encode(&order.command, &classes, &mut text);
+                let arrived = async {
+                    match &mut moving {
+                        Some(moving) => Err(moving.await),
+                        None => pending().await,
+                    }
+                };
+                let told = match or(arrived, async { Ok(inbox.recv().await) }).await {
+                    Ok(Ok(told)) => told,
+                    Ok(Err(_)) => return Ended::Broken("the program ends".to_owned()),
+                    Err(moved) => return moved,
+                };
+                let mut next = Some(told);
+                while let Some(told) = next {
+                    match told {
+                        ToPool::Order(order) if order.link == link => {
+                            encode(&order.command, &classes, &mut text);
+                        }
+                        // Meant for a link that ended.
+                        ToPool::Order(_) => {}
+                        ToPool::Move(to) => {
+                            address = to;
+                            moving = Some(Box::pin(reach(to, wheel.clone())));
+                        }
                     }
                     next = if text.len() < MAX_LINE { inbox.try_recv().ok() } else { None };
                 }
             }
         };
-        or(self.read(&stream), writer).await
+        let ended = or(async { Ended::Broken(self.read(&stream).await) }, writer).await;
+        self.address = address;
+        ended
     }
 
     async fn read(&mut self, mut stream: &Async<TcpStream>) -> String {
@@ -378,3 +439,24 @@
         }
     }
 }
+
+/// Waits for a new address; orders that come meanwhile are for a link that ended.
+async fn moved(inbox: &Receiver<ToPool>) -> SocketAddr {
+    loop {
+        match inbox.recv().await {
+            Ok(ToPool::Move(to)) => return to,
+            Ok(ToPool::Order(_)) => {}
+            Err(_) => return pending().await,
+        }
+    }
+}
+
+/// Connects to the pool's new address, however long that takes.
+async fn reach(to: SocketAddr, wheel: Rc<Wheel>) -> Ended {
+    loop {
+        if let Ok(stream) = Async::<TcpStream>::connect(to).await {
+            return Ended::Moved(stream);
+        }
+        wheel.sleep(RETRY_MS).await;
+    }
+}
--- a/tests/play/mod.rs
+++ b/tests/play/mod.rs
@@ -8,8 +8,9 @@
 use std::fmt::Write as _;
 use std::io::{BufRead, BufReader, ErrorKind, Read, Write};
 use std::net::{Shutdown, TcpListener, TcpStream};
+use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
-use std::sync::mpsc::{Receiver, channel};
+use std::sync::mpsc::{Receiver, Sender, channel};
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 /// Far beyond any delay of a working program: it ends a test that would hang.
@@ -39,14 +40,19 @@
 
 /// Starts the program on a configuration.
 pub fn start(config: &str) -> Child {
+    start_with(config).0
+}
+
+fn start_with(config: &str) -> (Child, PathBuf) {
     let unique = format!("dunlinspread-{}-{:p}.json", std::process::id(), config);
     let path = std::path::Path::new(env!("CARGO_TARGET_TMPDIR")).join(unique);
     std::fs::write(&path, config).expect("the configuration is written");
-    Command::new(env!("CARGO_BIN_EXE_dunlinspread"))
+    let child = Command::new(env!("CARGO_BIN_EXE_dunlinspread"))
         .env("RELAY_CONFIG", &path)
         .stderr(Stdio::piped())
         .spawn()
-        .expect("the program starts")
+        .expect("the program starts");
+    (child, path)
 }
 
 fn unix_ms() -> u128 {
@@ -158,12 +164,18 @@
 
 struct Play {
     child: Child,
+    /// The configuration file, and what it says beside addresses.
+    file: (PathBuf, Vec<(String, String)>),
     address: String,
     log: Receiver<String>,
     reports: Receiver<String>,
     clients: HashMap<String, TcpStream>,
     pool: (TcpListener, Option<BufReader<TcpStream>>),
     index: (TcpListener, Option<BufReader<TcpStream>>),
+    /// The call that was open when the index moved.
+    old_index: Option<BufReader<TcpStream>>,
+    /// Where the catalog reports come from.
+    tell: Sender<String>,
 }
 
 impl Drop for Play {
@@ -175,35 +187,24 @@
 
 impl Play {
     fn new(changes: &[(String, String)]) -> Play {
-        let bind = || TcpListener::bind("127.0.0.1:0").expect("a free port");
-        let (pool, index, catalog) = (bind(), bind(), bind());
-        let address = |l: &TcpListener| l.local_addr().expect("an address").to_string();
-        let mut child = start(&config(&address(&pool), &address(&catalog), &address(&index), changes));
+        let ((pool, index, catalog), text) = listeners(changes);
+        let (mut child, path) = start_with(&text);
         let (tell_log, log) = channel();
         let errors = BufReader::new(child.stderr.take().expect("a log"));
         std::thread::spawn(move || errors.lines().map_while(Result::ok).try_for_each(|l| tell_log.send(l)));
         let (tell, reports) = channel();
-        std::thread::spawn(move || {
-            let mut last = String::new();
-            loop {
-                let mut reader = accept(&catalog);
-                while let Some(report) = http(&mut reader) {
-                    if report != last && tell.send(report.clone()).is_err() {
-                        return;
-                    }
-                    last = report;
-                    let _ = reader.get_mut().write_all(b"HTTP/1.1 204 No Content\r\n\r\n");
-                }
-            }
-        });
+        take_reports(catalog, tell.clone());
         let mut play = Play {
             child,
+            file: (path, changes.to_vec()),
             address: String::new(),
             log,
             reports,
             clients: HashMap::new(),
             pool: (pool, None),
             index: (index, None),
+            old_index: None,
+            tell,
         };
         let serving = play.logged("serving");
         let listen = serving.split("listen: ").nth(1).and_then(|t| t.split(',').next());
@@ -260,6 +261,23 @@
                 link.get_mut().write_all(format!("{text}\n").as_bytes()).expect("the link stands");
             }
             ("index", "close") => self.index.1 = None,
+            ("old", _) => {
+                let raw = unescape(&text.replace("\\r\\n", "\r\n"));
+                self.old_index.as_mut().expect("a call").get_mut().write_all(&raw).expect("a call stands");
+            }
+            // Everything moves; the old pool and index go on for what is open.
+            ("reload", "moved") => {
+                let ((pool, index, catalog), text) = listeners(&self.file.1);
+                std::fs::write(&self.file.0, text).expect("the configuration is written");
+                take_reports(catalog, self.tell.clone());
+                self.pool = (pool, None);
+                self.old_index = std::mem::replace(&mut self.index, (index, None)).1;
+                self.send("signal", "HUP");
+            }
+            ("reload", _) => {
+                std::fs::write(&self.file.0, text).expect("the configuration is written");
+                self.send("signal", "HUP");
+            }
             ("index", _) => {
                 let raw = unescape(&text.replace("\\r\\n", "\r\n"));
                 self.index.1.as_mut().expect("a call").get_mut().write_all(&raw).expect("a call stands");
@@ -315,6 +333,34 @@
     }
 }
 
+type Listeners = (TcpListener, TcpListener, TcpListener);
+
+/// New addresses for pool, index and catalog, and a configuration that names them.
+fn listeners(changes: &[(String, String)]) -> (Listeners, String) {
+    let bind = || TcpListener::bind("127.0.0.1:0").expect("a free port");
+    let (pool, index, catalog) = (bind(), bind(), bind());
+    let address = |l: &TcpListener| l.local_addr().expect("an address").to_string();
+    let text = config(&address(&pool), &address(&catalog), &address(&index), changes);
+    ((pool, index, catalog), text)
+}
+
+/// Answers the reports to a catalog, and tells each change.
+fn take_reports(catalog: TcpListener, tell: Sender<String>) {
+    std::thread::spawn(move || {
+        let mut last = String::new();
+        loop {
+            let mut reader = accept(&catalog);
+            while let Some(report) = http(&mut reader) {
+                if report != last && tell.send(report.clone()).is_err() {
+                    return;
+                }
+                last = report;
+                let _ = reader.get_mut().write_all(b"HTTP/1.1 204 No Content\r\n\r\n");
+            }
+        }
+    });
+}
+
 /// Plays a script; what came of it, line by line.
 pub fn play(script: &str) -> String {
     let changes = script.lines().filter_map(|l| l.strip_prefix("config ")?.split_once(" -> "));
