Answer a keyed request whose body is not that of its key with an error

At fault: core.rs on_arrive took whatever bore a kept key for a further try and gave it that key's result. Ruled out: an id of an open request with another body (answered Invalid already), an id the worker pool doesn't know (answered Failed).

An entry now keeps a mark of its body (64 bits, seeded anew at each start), and a request with its key and another body is an error: neither a repeat nor a run.

Beside it: a request that the core found to be none (`call` of an open one) stayed in its connection's open list, front.rs put(): that connection never counted as idle, and its message id could not be used again.

--- a/src/node/core.rs
+++ b/src/node/core.rs
@@ -16,6 +16,7 @@
 use futures_lite::StreamExt;
 use slog::{Logger, info, warn};
 use std::collections::{BTreeMap, HashMap, VecDeque};
+use std::hash::{BuildHasher, RandomState};
 use std::pin::pin;
 use std::rc::Rc;
 
@@ -172,6 +173,8 @@
 /// What is known of a key.
 struct Entry {
     class: usize,
+    /// The mark of the body that all its tries carry.
+    print: u64,
     /// The try that stands for the key.
     holder: RequestId,
     /// Tries that reached the machine up to then repeat the holder.
@@ -209,6 +212,8 @@
     log: Logger,
     requests: BTreeMap<RequestId, Request>,
     calls: HashMap<u64, RequestId>,
+    /// Makes marks of bodies that nobody outside can foresee.
+    prints: RandomState,
     entries: HashMap<Rc<[u8]>, Entry>,
     /// Keys with a kept result, oldest first, and the bytes of those results.
     results: VecDeque<Rc<[u8]>>,
@@ -248,6 +253,7 @@
             log,
             requests: BTreeMap::new(),
             calls: HashMap::new(),
+            prints: RandomState::new(),
             entries: HashMap::new(),
             results: VecDeque::new(),
             result_bytes: 0,
@@ -390,10 +396,17 @@
             return self.send(handle, Answer::Refused { retry_after_ms: 0.0, last: false });
         }
         let prior = key.as_ref().and_then(|k| self.prior(k, reached));
+        let print = self.prints.hash_one(&body);
+        // All tries of one request carry the same body. A key with another body is no try of it: that run's result
+        // is not this one's answer, and to run it would break the promise of the key.
+        if prior.is_some() && key.as_ref().and_then(|k| self.entries.get(k)).is_some_and(|e| e.print != print)
+        {
+            return self.send(handle, Answer::Invalid);
+        }
         if let (Some(k), None) = (&key, prior) {
             // The entry is there from the arrival on, whatever the module makes of it.
             let until = reached + self.set.classes[class].window_ms + WINDOW_SLACK_MS;
-            self.enter(k.clone(), class, id, until);
+            self.enter(k.clone(), class, print, id, until);
         }
         let request = Request {
             call,
@@ -431,9 +444,9 @@
         }
     }
 
-    fn enter(&mut self, key: Rc<[u8]>, class: usize, holder: RequestId, until: f64) {
+    fn enter(&mut self, key: Rc<[u8]>, class: usize, print: u64, holder: RequestId, until: f64) {
         self.drop_result(&key);
-        let entry = Entry { class, holder, until, ran: None, result: None, waiting: Vec::new() };
+        let entry = Entry { class, print, holder, until, ran: None, result: None, waiting: Vec::new() };
         if let Some(older) = self.entries.insert(key, entry) {
             // A run that outlasts its own window: those who wait for it would no longer be found.
             older.waiting.into_iter().for_each(|w| self.end_reuse(w, None));
@@ -721,7 +734,8 @@
                     let (class, reached) = (request.class, request.reached);
                     let until = reached + self.set.classes[class].window_ms + WINDOW_SLACK_MS;
                     if !self.entries.contains_key(&key) {
-                        self.enter(key.clone(), class, id, until);
+                        let print = self.prints.hash_one(&body[..]);
+                        self.enter(key.clone(), class, print, id, until);
                     }
                     let Some(entry) = self.entries.get_mut(&key) else { return };
                     // The last guard against a second run: whatever the module asks, a key that ran is not run
@@ -765,15 +779,15 @@
 
     /// The request stands for its key from now on, also as heir of an earlier try.
     fn keep(&mut self, now: f64, id: RequestId, ttl_ms: f64) {
-        let Some(Request { key: Some(key), class, .. }) = self.requests.get(&id) else { return };
-        let (key, class) = (key.clone(), *class);
+        let Some(Request { key: Some(key), class, body, .. }) = self.requests.get(&id) else { return };
+        let (key, class, print) = (key.clone(), *class, self.prints.hash_one(&body[..]));
         match self.entries.get_mut(&key) {
             Some(entry) if entry.ran.is_some() && entry.holder != id => {}
             Some(entry) => {
                 entry.holder = id;
                 entry.until = entry.until.max(now + ttl_ms);
             }
-            None => self.enter(key, class, id, now + ttl_ms),
+            None => self.enter(key, class, print, id, now + ttl_ms),
         }
     }
 
--- a/src/node/front.rs
+++ b/src/node/front.rs
@@ -385,11 +385,11 @@
             msgpack::put_str(out, "shutdown");
             return msgpack::put_array(out, 0);
         };
-        if matches!(answer, Answer::Served(_) | Answer::Refused { .. } | Answer::Failed) {
-            // One that was forgotten meanwhile is owed nothing.
-            if self.open.borrow_mut().remove(&tag).is_none() {
-                return;
-            }
+        // One that was forgotten meanwhile is owed nothing. What was never taken for a request is not open, but gets
+        // its error; what the core found to be none is open no longer, or its connection would never be idle.
+        let open = self.open.borrow_mut().remove(&tag).is_some();
+        if !open && matches!(answer, Answer::Served(_) | Answer::Refused { .. } | Answer::Failed) {
+            return;
         }
         let mut fields = Vec::new();
         fields.extend(said.map(|value| ("load", value.to_string())));
