Take no reply with two unlike lengths, or with a length beside chunks

At fault: http.rs next_reply took the first Content-Length it found, so a part of the body passed for the whole. Checked and ruled out: replies followed by noise or a second copy were cut where they should be; 3 GB lengths, endless heads, bad status lines and bad chunks were rejected already; 1xx heads were passed over.

Such a reply is now spoilt, as RFC 9112 has it; the same length twice is still good.

--- a/src/codec/http.rs
+++ b/src/codec/http.rs
@@ -101,6 +101,12 @@
             let rest = &self.buffer[from..];
             let chunked =
                 reply.header("transfer-encoding").is_some_and(|v| v.to_ascii_lowercase().contains("chunked"));
+            let lengths = || reply.headers.iter().filter(|(n, _)| n == "content-length").map(|(_, v)| v);
+            // Two lengths that differ, or a length beside chunks: where the body ends can't be known, and to pick one
+            // would take a part of it for the whole.
+            if lengths().any(|v| Some(v) != lengths().next()) || chunked && lengths().next().is_some() {
+                return Err(Error::BadLength);
+            }
             let used = if reply.status == 204 || reply.status == 304 {
                 Some(0)
             } else if chunked {
