End silent and half-sent connections, and let idle ones make room for new ones

At fault: front.rs closed a connection only by the module's idle limit (30 s where few callers come often), whether it had ever asked anything or not, and at the limit stopped accepting, so that good clients waited behind idle ones. Checked and ruled out: descriptors (350 of 512), CPU (0.03 of a core), the system's queue.

A connection now has 2 s to its first whole request, and a message 2 s from its first byte to its last. When seven eighths of the clients' part are taken, each new connection closes an idle one: those that never asked first, else the one idle longest.

--- a/src/codec/msgpack.rs
+++ b/src/codec/msgpack.rs
@@ -194,6 +194,11 @@
         }
     }
 
+    /// Whether nothing is left over.
+    pub fn is_empty(&self) -> bool {
+        self.at == self.buffer.len()
+    }
+
     /// The message id of the request that the buffer begins with, whatever follows: it serves to answer a
     /// request that can't be read as a whole.
     pub fn request_id(&self) -> Option<u64> {
--- a/src/node/front.rs
+++ b/src/node/front.rs
@@ -33,6 +33,13 @@
 const STALLED_MS: f64 = 30_000.0;
 /// How often the list looks for idle connections, ms.
 const SWEEP_MS: f64 = 25.0;
+/// How long a connection may take to its first whole request, and a message from its first byte to its last, ms. The
+/// platform allows three seconds in all; a caller that means well sends within a round trip.
+const WHOLE_MS: f64 = 2000.0;
+/// How long a new connection counts as one that is about to send, when room is needed, ms.
+const NEW_MS: f64 = 50.0;
+/// The part of the connections, as a divisor, that is kept free by closing idle ones.
+const FREE_PART: usize = 8;
 /// How long a caller has to close a connection after `shutdown`, before it is closed here, ms.
 const LEAVE_MS: f64 = 1000.0;
 /// Pause in accepting when descriptors run out, ms.
@@ -84,6 +91,11 @@
 /// What the list and a connection's actor both see of it.
 struct Connection {
     mailbox: Sender<ToCaller>,
+    /// When it was accepted, and whether it has sent anything that is answered.
+    since: f64,
+    spoke: Cell<bool>,
+    /// Since when a message is there in part.
+    half: Cell<Option<f64>>,
     /// When it last carried something.
     used: Cell<f64>,
     /// Open requests: the message id, and the core's number.
@@ -146,6 +158,9 @@
                     let (mailbox, letters) = async_channel::bounded(MAILBOX);
                     let connection = Rc::new(Connection {
                         mailbox,
+                        since: now,
+                        spoke: Cell::new(false),
+                        half: Cell::new(None),
                         used: Cell::new(now),
                         open: RefCell::default(),
                         left: Cell::new(None),
@@ -158,9 +173,13 @@
                         let _ = own.send(ToList::Ended(number)).await;
                     };
                     executor.spawn(actor).detach();
-                    if connections.len() == most && now - complained > COMPLAIN_MS {
+                    let tight = connections.len() > most - most / FREE_PART;
+                    if tight {
+                        make_room(&connections, now);
+                    }
+                    if tight && now - complained > COMPLAIN_MS {
                         complained = now;
-                        warn!(shared.log, "connection limit reached"; "open" => most);
+                        warn!(shared.log, "connections are tight"; "open" => connections.len(), "most" => most);
                     }
                 }
                 Next::Connected(Err(e)) => {
@@ -193,9 +212,30 @@
     }
 }
 
+/// Closes the idle connection that is missed least: one that never sent a request, else the one idle longest. It
+/// guards against callers that open connections by the hundred, or ask once and stay, and so keep the others out.
+fn make_room(connections: &HashMap<u64, Rc<Connection>>, now: f64) {
+    let idle = connections.values().filter(|c| c.open.borrow().is_empty() && !c.mailbox.is_closed());
+    let useful = |c: &Connection| c.spoke.get() || now - c.since < NEW_MS;
+    let order = |a: &&Rc<Connection>, b: &&Rc<Connection>| {
+        useful(a).cmp(&useful(b)).then(a.used.get().total_cmp(&b.used.get()))
+    };
+    if let Some(connection) = idle.min_by(order) {
+        // A request that crosses this is sent again by its caller.
+        let _ = connection.mailbox.try_send(ToCaller::Leave);
+        connection.mailbox.close();
+    }
+}
+
 impl Connection {
     /// Tells an idle caller to leave, and ends the connection if it does not.
     fn look(&self, now: f64, idle_limit: f64) {
+        // Silence and half messages cost a descriptor and a buffer, and would keep others out: they end in time.
+        let silent = !self.spoke.get() && now - self.since >= WHOLE_MS;
+        if silent || self.half.get().is_some_and(|since| now - since >= WHOLE_MS) {
+            self.mailbox.close();
+            return;
+        }
         let open = !self.open.borrow().is_empty();
         match self.left.get() {
             None if idle_limit < 0.0 || !open && now - self.used.get() >= idle_limit => {
@@ -233,6 +273,7 @@
                 Ok(n) => decoder.feed(&bytes[..n]),
             }
             self.used.set(shared.clock.now());
+            let before = taken;
             loop {
                 match decoder.next_message() {
                     Ok(Some(message)) => {
@@ -247,7 +288,11 @@
                             futures_lite::future::yield_now().await;
                         }
                     }
-                    Ok(None) => break,
+                    Ok(None) => {
+                        let since = self.half.get().filter(|_| taken == before).unwrap_or(self.used.get());
+                        self.half.set((!decoder.is_empty()).then_some(since));
+                        break;
+                    }
                     Err(e) => {
                         if let Some(tag) = decoder.request_id() {
                             self.invalid(shared, tag).await;
@@ -296,6 +341,7 @@
     }
 
     async fn request(&self, shared: &Shared, tag: u64, rest: &[Value]) {
+        self.spoke.set(true);
         let message = match rest {
             [Value::Str(method), Value::Array(_)] if method == b"isWell" => ToCore::Check(self.handle(tag)),
             [Value::Str(method), Value::Array(args)] => match self.incoming(shared, tag, method, args) {
