Take a spawn that the worker pool does not know for a run that never was

At fault: core.rs on_report counted each as a failed run. Two or three in a second pass the module's mark for a sick machine, which then refuses everyone; and a keyed one left its key with a failure. Checked: such a spawn can't be one that ran, since a second spawn of a running request does nothing and notices of ended runs come before a new link is used.

It now ends as "nothing was started". The exchange `unknown_runs` fails without the change: the third such request makes the server refuse the next.

--- a/src/node/core.rs
+++ b/src/node/core.rs
@@ -518,8 +518,10 @@
                     .copied()
                     .filter(|_| matches!(command.as_str(), "spawn" | "proceed"));
                 if let Some(id) = id {
-                    // It will never end by itself: the run counts as one that failed.
-                    self.on_finished(id, End::Bad, 0.0, Vec::new());
+                    // It will never end by itself. What the pool does not know never ran: it is no failing run, by
+                    // which the module would take the machine for sick, and leaves its key free for true tries.
+                    let end = if command == "spawn" { End::Gone } else { End::Bad };
+                    self.on_finished(id, end, 0.0, Vec::new());
                 }
             }
         }
