Make a safe call that broke off again, and give calls that may not be repeated a new connection

And the index forgets idle connections and resets them at the next call: on a kept connection that can't be told from a call that ran and lost its reply. At fault: policy.rs on_call_ended left out a call that broke off like one that timed out; index.rs put every call on a kept connection, also those of keyed requests, which must then be failed.

A safe request's call that broke off goes out again at once, twice at most. A keyed request's call always gets a new connection. After a kept connection breaks under a call, the other kept ones are dropped.

--- a/src/node/core.rs
+++ b/src/node/core.rs
@@ -804,7 +804,8 @@
         let (seq, body) = (*seq, body.clone());
         let limit_ms = if limit_ms > 0.0 { limit_ms } else { self.set.classes[request.class].give_up_ms };
         request.stage = Stage::Calling(seq, body.clone());
-        let call = Call { id, parent: request.call, limit_ms, body: body.clone() };
+        let once = self.set.classes[request.class].effect != Effect::Safe;
+        let call = Call { id, parent: request.call, limit_ms, body: body.clone(), once };
         let sent = self.peers.index.as_ref().is_some_and(|i| i.try_send(ToIndex::Call(call)).is_ok());
         if !sent {
             // No index, or its mailbox is full: nothing ran.
--- a/src/node/index.rs
+++ b/src/node/index.rs
@@ -35,6 +35,8 @@
     pub limit_ms: f64,
     /// The body that the run gave.
     pub body: Rc<[u8]>,
+    /// It may not be made again unless it is proved that it never ran.
+    pub once: bool,
 }
 
 /// What the actor is told.
@@ -195,7 +197,11 @@
     async fn call(&self, call: &Call, left_ms: f64) -> (Outcome, Vec<u8>) {
         let nothing = |outcome| (outcome, Vec::new());
         let address = self.address.get();
-        let stream = match self.kept() {
+        // A kept connection may have been forgotten by the other side and break under the call. That would prove
+        // nothing, though the call never ran: one that can't be made again gets a connection of its own.
+        let kept = if call.once { None } else { self.kept() };
+        let again = kept.is_some();
+        let stream = match kept {
             Some(stream) => stream,
             None => match Async::<TcpStream>::connect(address).await {
                 Ok(stream) => stream,
@@ -221,6 +227,10 @@
             let read = match io.read(&mut bytes).await {
                 Ok(n) => n,
                 Err(e) => {
+                    if again {
+                        // The others were kept as long: the next call had better not try its luck.
+                        self.idle.borrow_mut().clear();
+                    }
                     self.complain("reading", &e.to_string());
                     return nothing(Outcome::CutOff);
                 }
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -75,6 +75,8 @@
 const CALL_ROOM: f64 = 2.0;
 /// First wait before a call is tried again, ms; it doubles with each try.
 const CALL_RETRY_MS: f64 = 100.0;
+/// Times that a safe call which broke off is made again at once.
+const BROKEN_TRIES: i32 = 2;
 
 /// One overload level: the time that the run queue takes to clear, as a part of the usual aim, at which the
 /// level is entered and left, and the share told to callers.
@@ -458,11 +460,17 @@
             return;
         }
         let class = &self.set.classes[r.class];
+        let safe = class.effect == Effect::Safe;
+        // A call that broke off says nothing about load: safe work asks again at once, but not for long.
+        if outcome == Outcome::CutOff && safe && r.call_tries < BROKEN_TRIES && self.set.calls_share.is_none()
+        {
+            r.call_tries += 1;
+            r.state = State::AtCall(now);
         // A tier has other machines, one of which may take what this one refused.
-        if class.skip_worth > 0.0 && !(never_ran && self.set.calls_share.is_none()) {
+        } else if class.skip_worth > 0.0 && !(never_ran && self.set.calls_share.is_none()) {
             r.state = State::Running;
             out.push(Action::SkipCall(id));
-        } else if never_ran || class.effect == Effect::Safe {
+        } else if never_ran || safe {
             // Back off, doubling: a dependency in trouble is not helped by more calls.
             r.call_tries = (r.call_tries + 1).min(6);
             r.state = State::AtCall(now + CALL_RETRY_MS * f64::from(1 << r.call_tries));
@@ -545,11 +553,10 @@
     }
 
     /// Symptoms that no gauge names: runs that fail fast and so draw traffic in, and runs that make no
-    /// progress while requests are still read. What arrives is told at once, so that it may go elsewhere, and
+    /// progress while requests are read. What arrives is told at once, so that it may go elsewhere, and
     /// health says bad; the failing part fades, so that a little traffic finds out whether it is over. They
-    /// raise the level like load. It guards against work that fails or stops here, for whatever cause;
-    /// overload alone does neither. It could hurt where one class always fails, or a few long runs hold all
-    /// cores.
+    /// raise the level like load. It guards against work that fails or stops here, whatever the cause, which
+    /// overload alone does not. It could hurt where a class always fails or few long runs hold all cores.
     fn is_sick(&self, now: f64) -> bool {
         self.failing.value() > FAILING || self.is_stalled(now)
     }
@@ -617,12 +624,11 @@
         }
     }
 
-    /// Many callers that each come seldom fill the table of connections with ones that idle, at which others
-    /// find no room and the cores pay for each. Such callers' connections close soon; where few callers come
-    /// often, they stay. When opening them crowds the cores itself (a storm of tries), they are kept, the
-    /// longer the worse it is: those who hold one pay nothing, and a full table turns the rest away for
-    /// nothing. The limit shrinks again only while cores idle. It could hurt where the crowd is of another
-    /// kind.
+    /// Many callers that each come seldom fill the table with idle connections, at which others find no room
+    /// and the cores pay for each: such connections close soon; where few callers come often, they stay. When
+    /// opening them crowds the cores (a storm of tries), they are kept, the longer the worse it is: who holds
+    /// one pays nothing, and a full table turns the rest away for nothing. The limit shrinks again only while
+    /// cores idle. It could hurt where the crowd is of another kind.
     fn step_idle_limit(&mut self, busy: f64, out: &mut Actions) {
         let fade = (-TIMER_MS / RATE_SPAN_MS).exp();
         self.arrivals *= fade;
--- a/tests/play/mod.rs
+++ b/tests/play/mod.rs
@@ -261,6 +261,8 @@
                 link.get_mut().write_all(format!("{text}\n").as_bytes()).expect("the link stands");
             }
             ("index", "close") => self.index.1 = None,
+            // The next call is awaited on another connection; this one stays open.
+            ("index", "next") => self.old_index = self.index.1.take(),
             ("old", _) => {
                 let raw = unescape(&text.replace("\\r\\n", "\r\n"));
                 self.old_index.as_mut().expect("a call").get_mut().write_all(&raw).expect("a call stands");
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -189,6 +189,20 @@
     }
 }
 
+/// A spoilt reply cost a read half of its worth, though the call could be made again.
+#[test]
+fn a_safe_call_that_broke_off_is_made_again_twice_then_left_out() {
+    let mut set = Settings { dependency: true, ..settings() };
+    set.classes[0].skip_worth = 0.5;
+    let mut d = Driver::new(set);
+    let (id, _) = d.arrive(0);
+    d.send(Event::CallNeeded(id));
+    let mut outs = || d.send(Event::CallEnded { id, outcome: Outcome::CutOff, took_ms: 5.0 });
+    assert!(matches!(outs()[..], [Action::Call { .. }]));
+    assert!(matches!(outs()[..], [Action::Call { .. }]));
+    assert_eq!(outs(), [Action::SkipCall(id)]);
+}
+
 #[test]
 fn calls_in_hand_stay_within_the_share_lingering_ones_included() {
     let mut d = Driver::new(Settings { cores: 8.0, dependency: true, calls_share: Some(3.0), ..settings() });
