Scale every bound to the limits given, and refuse figures out of range

Seen by rereading: `limits.memory_mb` was not read; core.rs kept up to 32 MB of results and 100,000 keys, in front.rs a connection could hold some 140 kB (288 of them 40 MB), and the log 1,024 lines, on servers that are killed at 32 MB. `heap` had no upper bound, `crit` could be 1, and a stamp far ahead (`recv`) kept its key's entry for as long: up to centuries.

`Bounds` in config.rs now gives connections, calls, requests, keys, results, the core's mailbox and the log their part of the limits; a message may have 8 KiB, a mailbox holds half as many answers, and a writer's buffer shrinks. A stamp counts as a second ahead at most. A result that goes takes no walk through all of them. Lines about commands not carried out are five a second at most. Tests: `the_bounds_fit_the_limits`, `bad_input`, `faulty_configurations`.

--- a/src/bin/dunlinspread.rs
+++ b/src/bin/dunlinspread.rs
@@ -20,10 +20,6 @@
 use std::process::ExitCode;
 use std::rc::Rc;
 
-/// Log lines that wait for the writer at most; further ones are dropped and counted.
-const LOG_LINES: usize = 1024;
-/// Messages that wait for the core at most, before those who send them wait.
-const CORE_MAILBOX: usize = 1024;
 /// Before the stop, the module's time ends so much earlier, ms: its last answers still have to go out.
 const ANSWER_MARGIN_MS: f64 = 100.0;
 /// Connections end so long before the stop, ms, so that nothing is read too late to be answered.
@@ -31,9 +27,6 @@
 /// The program ends so long before the stop at the latest, ms.
 const END_MARGIN_MS: f64 = 40.0;
 
-/// Descriptors that are neither a client's nor a call's: some fifteen, and room.
-const OTHER_DESCRIPTORS: usize = 24;
-
 fn main() -> ExitCode {
     let config = match configuration() {
         Ok(config) => config,
@@ -46,7 +39,7 @@
     let decorator = slog_term::PlainSyncDecorator::new(std::io::stderr());
     let format = slog_term::FullFormat::new(decorator).build().fuse();
     let (drain, flush) = slog_async::Async::new(format)
-        .chan_size(LOG_LINES)
+        .chan_size(config.bounds.log_lines)
         .overflow_strategy(slog_async::OverflowStrategy::DropAndReport)
         .build_with_guard();
     let log = Logger::root(drain.fuse(), o!("name" => config.name.clone()));
@@ -132,19 +125,16 @@
 
     let listening = listener.get_ref().local_addr().unwrap_or(config.listen);
 
-    let (core_box, core_letters) = async_channel::bounded(CORE_MAILBOX);
+    let (core_box, core_letters) = async_channel::bounded(config.bounds.core_mailbox);
     let (pool_box, pool_letters) = async_channel::unbounded();
     let (catalog_box, catalog_letters) = async_channel::unbounded();
     let (list_box, list_letters) = async_channel::unbounded();
-    // Client proxies open half of the descriptors at most; a few of theirs may be only just closing. The rest is
-    // for calls, but for the listener, the other links, the log, and what the runtime holds.
-    let most_clients = config.sockets / 2 + config.sockets / 16;
-    let most_calls = (config.sockets * 3 / 8).saturating_sub(OTHER_DESCRIPTORS).max(8);
 
     let index_box = config.index.map(|address| {
         let (index_box, letters) = async_channel::unbounded();
         let (core, own, exe) = (core_box.clone(), index_box.clone(), executor.clone());
-        let index = Index::new(address, most_calls, core, own, exe, clock, wheel.clone(), log.clone());
+        let index =
+            Index::new(address, config.bounds.calls, core, own, exe, clock, wheel.clone(), log.clone());
         executor.spawn(index.run(letters)).detach();
         index_box
     });
@@ -173,8 +163,13 @@
         last_id: Cell::new(0),
         complaints: Cell::new((0.0, 0)),
     });
-    let list =
-        List { shared, listener, own: list_box.clone(), executor: executor.clone(), most: most_clients };
+    let list = List {
+        shared,
+        listener,
+        own: list_box.clone(),
+        executor: executor.clone(),
+        most: config.bounds.clients,
+    };
     let list = executor.spawn(list.run(list_letters));
     info!(log, "serving"; "listen" => listening.to_string(), "classes" => config.classes.len());
 
--- a/src/codec/msgpack.rs
+++ b/src/codec/msgpack.rs
@@ -1,12 +1,13 @@
 //! MessagePack: reads whole values out of a growing buffer and writes the few forms that answers need. It owns
 //! the bounds on length, depth and count; it must never allocate by a length that it was merely told.
 
-/// The longest message that is taken in, with everything around its body, in bytes.
-pub const MAX_MESSAGE: usize = 64 * 1024;
+/// The longest message that is taken in, with everything around its body, in bytes: the largest request takes less
+/// than half of that, and every connection may hold one in part.
+pub const MAX_MESSAGE: usize = 8 * 1024;
 /// The deepest nesting.
 const MAX_DEPTH: usize = 8;
 /// The most values in one message.
-const MAX_VALUES: usize = 4096;
+const MAX_VALUES: usize = 1024;
 
 /// One value. Strings are bytes: whether they are UTF-8 is looked at where they are used, so that a message with
 /// a bad one can still be tied to its id.
--- a/src/config.rs
+++ b/src/config.rs
@@ -203,6 +203,51 @@
     }
 }
 
+/// What the process may hold, scaled to its limits: whatever outside sends, each kind of holding keeps to its part.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Bounds {
+    /// Connections of clients.
+    pub clients: usize,
+    /// Calls below, open and kept connections together.
+    pub calls: usize,
+    /// Requests in the ledger.
+    pub requests: usize,
+    /// Keys in the table.
+    pub keys: usize,
+    /// Bytes of kept results.
+    pub result_bytes: usize,
+    /// Messages that wait for the core, before those who send them wait.
+    pub core_mailbox: usize,
+    /// Log lines that wait for the writer; further ones are dropped and counted.
+    pub log_lines: usize,
+}
+
+impl Bounds {
+    /// What one of each may take with everything around it, bytes. A connection has its buffers and mailbox, a
+    /// request its body, twice while it is encoded.
+    const CLIENT: usize = 32 << 10;
+    const REQUEST: usize = 5 << 10;
+    const KEY: usize = 400;
+    const LOG_LINE: usize = 1 << 10;
+    /// Descriptors that are neither a client's nor a call's: some fifteen, and room.
+    const OTHER_DESCRIPTORS: usize = 24;
+
+    /// Bounds for limits. Of the memory, a quarter is for clients, a fifth for results, a sixth for requests and a
+    /// tenth for keys; the rest is for calls, the log and the program itself. Client proxies open half of the
+    /// descriptors at most, and a few of theirs may be only just closing; the rest is for calls.
+    pub fn new(memory_bytes: usize, sockets: usize) -> Bounds {
+        Bounds {
+            clients: (sockets / 2 + sockets / 16).min(memory_bytes / 4 / Self::CLIENT),
+            calls: (sockets * 3 / 8).saturating_sub(Self::OTHER_DESCRIPTORS).max(8),
+            requests: (memory_bytes / 6 / Self::REQUEST).min(10_000),
+            keys: memory_bytes / 10 / Self::KEY,
+            result_bytes: memory_bytes / 5,
+            core_mailbox: (memory_bytes / 32 / Self::REQUEST).clamp(64, 1024),
+            log_lines: (memory_bytes / 64 / Self::LOG_LINE).clamp(64, 1024),
+        }
+    }
+}
+
 /// What a round server is told at its start.
 #[derive(Clone, Debug)]
 pub struct Config {
@@ -218,8 +263,8 @@
     pub index: Option<SocketAddr>,
     /// From the notice to leave to the kill.
     pub stop: Duration,
-    /// File descriptors that the process may hold.
-    pub sockets: usize,
+    /// What the process may hold.
+    pub bounds: Bounds,
     /// The module's settings.
     pub settings: Settings,
     /// The names of the classes, in order.
@@ -269,8 +314,12 @@
             return Err(Fault::new("stop_ms", "is over an hour"));
         }
         let sockets = number(limits, "limits.", "sockets", 1024.0)?;
-        if sockets < 64.0 {
-            return Err(Fault::new("limits.sockets", "is under 64"));
+        if !(64.0..1e6).contains(&sockets) {
+            return Err(Fault::new("limits.sockets", "is under 64 or absurd"));
+        }
+        let memory_mb = number(limits, "limits.", "memory_mb", 192.0)?;
+        if !(16.0..1e6).contains(&memory_mb) {
+            return Err(Fault::new("limits.memory_mb", "is under 16 or absurd"));
         }
         let stated = root.get("settings").ok_or_else(|| missing("settings"))?;
         let pairs = Pairs::from(stated);
@@ -290,7 +339,7 @@
             directory: address("directory", None)?.ok_or_else(|| missing("directory"))?,
             index: address("index", None)?,
             stop: Duration::from_secs_f64(stop_ms / 1000.0),
-            sockets: sockets as usize,
+            bounds: Bounds::new((memory_mb * 1024.0 * 1024.0) as usize, sockets as usize),
             settings,
             classes,
             gauges: pairs.gauge_names(),
--- a/src/node/core.rs
+++ b/src/node/core.rs
@@ -8,7 +8,7 @@
 use super::index::{Call, ToIndex};
 use super::pool::{Command, End, Order, Report, ToPool};
 use super::wheel::{Clock, Wheel};
-use crate::config::Config;
+use crate::config::{Bounds, Config};
 use crate::interface::*;
 use crate::policy::Policy;
 use async_channel::{Receiver, Sender};
@@ -29,12 +29,9 @@
 const READ_LATE_MS: f64 = 5000.0;
 /// How often ended entries are swept out, ms.
 const SWEEP_MS: f64 = 1000.0;
-/// The most requests in the ledger, and keys in the table: they bound this process's own memory.
-const MAX_REQUESTS: usize = 10_000;
-const MAX_KEYS: usize = 100_000;
-/// The most bytes of kept results; past that the oldest go, and their repeats get a failure.
-const MAX_RESULT_BYTES: usize = 32 << 20;
-/// The most log lines of the module between two sweeps.
+/// The furthest that a stamp may lie ahead of the clock, ms. One far ahead would hold its key's entry for as long.
+const AHEAD_MS: f64 = 1000.0;
+/// The most log lines of one kind between two sweeps: the module's notes, and commands not carried out.
 const MAX_NOTES: u32 = 5;
 
 /// A final answer, or the answer to a health check.
@@ -202,6 +199,7 @@
 /// The module's actor.
 pub struct Core {
     set: Settings,
+    bounds: Bounds,
     gauge_names: Vec<String>,
     policy: Option<Policy>,
     clock: Clock,
@@ -215,7 +213,7 @@
     /// Makes marks of bodies that nobody outside can foresee.
     prints: RandomState,
     entries: HashMap<Rc<[u8]>, Entry>,
-    /// Keys with a kept result, oldest first, and the bytes of those results.
+    /// Keys whose results were kept, oldest first, some of them gone since, and the bytes of the results there are.
     results: VecDeque<Rc<[u8]>>,
     result_bytes: usize,
     /// Events that carrying out actions brought about.
@@ -228,6 +226,7 @@
     healthy: bool,
     said: Option<f64>,
     notes: u32,
+    not_done: u32,
 }
 
 impl Core {
@@ -243,6 +242,7 @@
     ) -> Self {
         Core {
             set: config.settings.clone(),
+            bounds: config.bounds,
             gauge_names: config.gauges.clone(),
             policy: None,
             clock,
@@ -264,6 +264,7 @@
             healthy: true,
             said: None,
             notes: 0,
+            not_done: 0,
         }
     }
 
@@ -386,13 +387,14 @@
         self.start(None);
         let now = self.clock.now();
         let Incoming { id, call, class, reached, held_kb, rank, key, subject, body, handle } = incoming;
+        let reached = reached.min(now + AHEAD_MS);
         // A try's name is new with every try; the same name again can't be told apart in the worker pool.
         if self.calls.contains_key(&call) {
             return self.send(handle, Answer::Invalid);
         }
         let key: Option<Rc<[u8]>> = key.map(Rc::from);
         let new_key = key.as_ref().is_some_and(|k| !self.entries.contains_key(k));
-        if self.requests.len() >= MAX_REQUESTS || new_key && self.entries.len() >= MAX_KEYS {
+        if self.requests.len() >= self.bounds.requests || new_key && self.entries.len() >= self.bounds.keys {
             return self.send(handle, Answer::Refused { retry_after_ms: 0.0, last: false });
         }
         let prior = key.as_ref().and_then(|k| self.prior(k, reached));
@@ -511,7 +513,10 @@
                 self.on_finished(id, end, took_ms, body);
             }
             Report::Unknown { command, call } => {
-                warn!(self.log, "worker pool did not carry out a command"; "command" => command.as_str());
+                self.not_done += 1;
+                if self.not_done <= MAX_NOTES {
+                    warn!(self.log, "worker pool did not carry out a command"; "command" => command.as_str());
+                }
                 let id = self
                     .calls
                     .get(&call)
@@ -580,11 +585,12 @@
         self.tell(Event::Ended { id, outcome, took_ms });
     }
 
+    /// Past the bytes allowed the oldest results go.
     fn keep_result(&mut self, key: Rc<[u8]>, bytes: usize) {
         self.results.push_back(key);
         self.result_bytes += bytes;
-        while self.result_bytes > MAX_RESULT_BYTES {
-            let Some(oldest) = self.results.front().cloned() else { return };
+        while self.result_bytes > self.bounds.result_bytes {
+            let Some(oldest) = self.results.pop_front() else { return };
             self.drop_result(&oldest);
         }
     }
@@ -594,7 +600,6 @@
         let Some(entry) = self.entries.get_mut(key) else { return };
         if let Some(Some(body)) = &entry.result {
             self.result_bytes -= body.len();
-            self.results.retain(|k| k != key);
             entry.result = Some(None);
         }
     }
@@ -651,7 +656,7 @@
     /// Frees the entries whose time is up, once no try that they cover can still be read.
     fn on_sweep(&mut self) {
         self.later(SWEEP_MS, ToCore::Sweep);
-        self.notes = 0;
+        (self.notes, self.not_done) = (0, 0);
         let now = self.clock.now();
         let over = |e: &Entry| now > e.until + self.set.classes[e.class].give_up_ms + READ_LATE_MS;
         let ended: Vec<Rc<[u8]>> = self
@@ -664,6 +669,10 @@
             self.drop_result(&key);
             self.entries.remove(&key);
         }
+        let kept = |k: &Rc<[u8]>| self.entries.get(k).is_some_and(|e| matches!(e.result, Some(Some(_))));
+        while self.results.front().is_some_and(|k| !kept(k)) {
+            self.results.pop_front();
+        }
     }
 
     // -----------------------------------------------------------------------------------------------------
--- a/src/node/front.rs
+++ b/src/node/front.rs
@@ -26,11 +26,16 @@
 /// Requests open on one connection, past which further ones get an error: the protocol allows half as many.
 const MAX_OPEN: usize = 64;
 /// Answers that wait for one connection's writer, past which it ends.
-const MAILBOX: usize = 4 * MAX_OPEN;
+const MAILBOX: usize = 2 * MAX_OPEN;
 /// Messages taken from one connection before the other actors have a turn.
 const YIELD_AFTER: u64 = 32;
 /// A connection that takes no bytes for this long ends, ms: longer than a hall is ever cut off.
 const STALLED_MS: f64 = 30_000.0;
+/// Bytes read and written at once, and what a writer's buffer keeps at most between answers.
+const CHUNK: usize = 4 * 1024;
+const WRITTEN: usize = 16 * 1024;
+/// The most memory that a request may say it takes while held, kB; the protocol allows less.
+const MAX_HELD_KB: f64 = 2000.0;
 /// How often the list looks for idle connections, ms.
 const SWEEP_MS: f64 = 25.0;
 /// How long a connection may take to its first whole request, and a message from its first byte to its last, ms. The
@@ -265,7 +270,7 @@
     }
 
     async fn read(&self, shared: &Shared, mut stream: &Async<TcpStream>) -> Result<(), String> {
-        let (mut decoder, mut bytes, mut taken) = (msgpack::Decoder::default(), vec![0; 8 * 1024], 0u64);
+        let (mut decoder, mut bytes, mut taken) = (msgpack::Decoder::default(), vec![0; CHUNK], 0u64);
         loop {
             match stream.read(&mut bytes).await {
                 // An end or a reset is the caller's own affair.
@@ -381,8 +386,8 @@
             call: u64::from_str_radix(call, 16).ok()?,
             class,
             reached: number("recv").filter(|r| *r > 0.0)?,
-            held_kb: number("heap").filter(|h| *h > 0.0)?,
-            rank: number("crit").filter(|r| (0.0..=1.0).contains(r))?,
+            held_kb: number("heap").filter(|h| *h > 0.0 && *h < MAX_HELD_KB)?,
+            rank: number("crit").filter(|r| (0.0..1.0).contains(r))?,
             // The class is part of the key: two classes' tries are never tries of one request.
             key: key.filter(|_| keyed).map(|k| [&[class as u8], k.as_bytes()].concat()),
             subject: field("row").is_some(),
@@ -403,10 +408,11 @@
         let mut out = Vec::new();
         while let Some(letter) = letters.next().await {
             out.clear();
+            out.shrink_to(WRITTEN);
             let mut next = Some(letter);
             while let Some(letter) = next {
                 self.put(letter, &mut out);
-                next = if out.len() < 64 * 1024 { letters.try_recv().ok() } else { None };
+                next = if out.len() < WRITTEN { letters.try_recv().ok() } else { None };
             }
             self.used.set(shared.clock.now());
             let stalled = async {
--- a/tests/exchanges.rs
+++ b/tests/exchanges.rs
@@ -1,6 +1,7 @@
 //! Recorded exchanges of bytes with the built round server; each text file in `exchanges/` is one test.
 
 use dunlinspread::codec::{http, json, msgpack};
+use dunlinspread::config::Bounds;
 
 mod play;
 
@@ -35,6 +36,7 @@
         (r#""seed":"8c1f30d27a5be964""#, r#""seed":"8c1f30d27a5be964ff""#),
         (r#""stop_ms":30000"#, r#""stop_ms":"soon""#),
         (r#""sockets":1024"#, r#""sockets":3"#),
+        (r#""memory_mb":192"#, r#""memory_mb":3"#),
         (r#""give_up_ms":90000"#, r#""give_up_ms":"long""#),
         (r#""name":"route-sheet","#, ""),
         (r#""profiles":"#, r#""profile":"#),
@@ -52,6 +54,19 @@
     insta::assert_snapshot!(out);
 }
 
+/// What the process may hold stays within its limits, and still holds a busy minute, at every size in service.
+#[test]
+fn the_bounds_fit_the_limits() {
+    for (memory_mb, sockets) in [(32, 384), (48, 512), (192, 384), (192, 1024)] {
+        let b = Bounds::new(memory_mb << 20, sockets);
+        let held = b.clients * (32 << 10) + (b.requests + b.core_mailbox) * (5 << 10);
+        let all = held + b.keys * 400 + b.result_bytes + b.log_lines * 1024;
+        assert!(all < (memory_mb << 20) * 7 / 8, "{b:?} hold {all} bytes");
+        assert!(b.clients + b.calls < sockets, "{b:?}");
+        assert!(b.clients >= sockets / 2 && b.requests >= 1000 && b.keys >= 5000 && b.calls >= 100, "{b:?}");
+    }
+}
+
 /// Reads a stream in pieces of that size; what was found, up to the first fault.
 type Reading = fn(&[u8], usize) -> Vec<String>;
 
