--- a/tests/play/mod.rs
+++ b/tests/play/mod.rs
@@ -40,14 +40,20 @@
 
 /// Starts the program on a configuration.
 pub fn start(config: &str) -> Child {
-    start_with(config).0
+    start_with(config, "unlimited").0
 }
 
-fn start_with(config: &str) -> (Child, PathBuf) {
+fn start_with(config: &str, descriptors: &str) -> (Child, PathBuf) {
     let unique = format!("dunlinspread-{}-{:p}.json", std::process::id(), config);
     let path = std::path::Path::new(env!("CARGO_TARGET_TMPDIR")).join(unique);
     std::fs::write(&path, config).expect("the configuration is written");
-    let child = Command::new(env!("CARGO_BIN_EXE_dunlinspread"))
+    let child = Command::new("sh")
+        .args([
+            "-c",
+            "[ $1 = unlimited ] || ulimit -n $1; exec $0",
+            env!("CARGO_BIN_EXE_dunlinspread"),
+            descriptors,
+        ])
         .env("RELAY_CONFIG", &path)
         .stderr(Stdio::piped())
         .spawn()
@@ -186,9 +192,9 @@
 }
 
 impl Play {
-    fn new(changes: &[(String, String)]) -> Play {
+    fn new(changes: &[(String, String)], descriptors: &str) -> Play {
         let ((pool, index, catalog), text) = listeners(changes);
-        let (mut child, path) = start_with(&text);
+        let (mut child, path) = start_with(&text, descriptors);
         let (tell_log, log) = channel();
         let errors = BufReader::new(child.stderr.take().expect("a log"));
         std::thread::spawn(move || errors.lines().map_while(Result::ok).try_for_each(|l| tell_log.send(l)));
@@ -324,7 +330,14 @@
         match name {
             "pool" => self.command(),
             "catalog" => self.reports.recv_timeout(HANG).expect("a report"),
-            "log" => self.logged(words).split_once(" WARN ").map_or(words.to_owned(), |l| l.1.to_owned()),
+            "log" => {
+                let line = self.logged(words);
+                let text = line.split_once(" WARN ").map_or(words, |l| l.1);
+                // How many are open when descriptors run out depends on what the other links hold just then.
+                let (before, after) = text.split_once("open: ").unwrap_or((text, ""));
+                let after = after.trim_start_matches(|c: char| c.is_ascii_digit());
+                if after.is_empty() { before.to_owned() } else { format!("{before}open: N{after}") }
+            }
             "exit" => self.child.wait().expect("it ends").to_string(),
             "index" => {
                 let (listener, call) = &mut self.index;
@@ -367,8 +380,10 @@
 pub fn play(script: &str) -> String {
     let changes = script.lines().filter_map(|l| l.strip_prefix("config ")?.split_once(" -> "));
     let changes: Vec<_> = changes.map(|(from, to)| (from.to_owned(), to.to_owned())).collect();
-    let (mut play, mut out) = (Play::new(&changes), String::new());
-    for text in script.lines().filter(|l| !l.is_empty() && !l.starts_with("config ")) {
+    let descriptors = script.lines().find_map(|l| l.strip_prefix("descriptors ")).unwrap_or("unlimited");
+    let (mut play, mut out) = (Play::new(&changes, descriptors), String::new());
+    let settings = |l: &str| l.starts_with("config ") || l.starts_with("descriptors ");
+    for text in script.lines().filter(|l| !l.is_empty() && !settings(l)) {
         out.push_str(text);
         out.push('\n');
         if text.starts_with('#') {
