Take a time without gauges for a pause of the machine, not for runs that stall

"health changed, good: false" for 50 to 200 ms at a time. At fault: policy.rs step_health knew a pause by its late timer alone. Health went bad, the catalog was told, and all that was held was turned away. Such a time no longer counts. Where gauges come and nothing ends, it is a stall as before; both are in the new test in progress.rs, which fails without the change.

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -499,7 +499,7 @@
         self.entries.retain(|_, until| *until > now);
         self.calls.retain(|(_, _, until)| *until > now - self.set.calls_window_ms);
         self.step_level(now, gauges);
-        self.step_health(now, out);
+        self.step_health(now, gauges == Gauges::default(), out);
         self.step_cut();
         let running = self.count(State::Running) as f64 / self.set.cores;
         self.step_idle_limit(gauges.busy.unwrap_or(running), out);
@@ -570,9 +570,9 @@
     }
 
     /// What is held can't be served while runs make no progress: it is told too. A process frozen as a whole
-    /// reads nothing either, and its timer is late: that is no such time.
-    fn step_health(&mut self, now: f64, out: &mut Actions) {
-        if now - self.timer_at > 2.0 * TIMER_MS {
+    /// reads nothing either, and its timer is late, or no gauge is to be had: that is no such time.
+    fn step_health(&mut self, now: f64, blind: bool, out: &mut Actions) {
+        if blind || now - self.timer_at > 2.0 * TIMER_MS {
             self.progress = (self.progress + now - self.timer_at).min(now);
         }
         self.timer_at = now;
--- a/tests/progress.rs
+++ b/tests/progress.rs
@@ -107,3 +107,21 @@
     }
     assert_eq!(healths(&out), vec![true], "it finds out by itself");
 }
+
+/// On the sockets a pause of the machine leaves timers in time but brings neither notices nor gauges: health went bad and
+/// all that was held was turned away, for a moment in which nothing could have ended.
+#[test]
+fn a_time_without_gauges_is_no_stall() {
+    let mut d = Driver::new(settings());
+    let (id, _) = d.arrive(0);
+    d.progress(id);
+    d.tick(1.0, 2.0);
+    for _ in 0..40 {
+        d.now += 50.0;
+        let out = d.send(Event::Timer { token: 1, gauges: Gauges::default() });
+        assert!(!out.contains(&Action::Health(false)));
+    }
+    let mut bad = false;
+    (0..40).for_each(|_| bad |= d.tick(1.0, 2.0).contains(&Action::Health(false)));
+    assert!(bad, "with gauges it is one");
+}
