Hold the time in which the program itself stood still against no caller

At fault: front.rs. The list looked at its connections before their actors had read what had come meanwhile: it closed ones with half a message, and idle ones to make room for those in the queue, and the readers then found the mailbox closed. Checked and ruled out: a mailbox that was full (a burst brings some 64 answers at the most, 128 fit).

The list now notices that it is late by more than 500 ms, whatever woke it: it says so ("the program stood still"), puts off all time limits by as much, and takes and evicts nothing for 50 ms, so that what waits is read first. The exchange `stopped` (SIGSTOP, 2.5 s, SIGCONT) fails without the change: the silent connection is closed.

--- a/src/node/front.rs
+++ b/src/node/front.rs
@@ -41,6 +41,8 @@
 /// How long a connection may take to its first whole request, and a message from its first byte to its last, ms. The
 /// platform allows three seconds in all; a caller that means well sends within a round trip.
 const WHOLE_MS: f64 = 2000.0;
+/// How late the list may be in looking, ms, before the time counts as one in which the program itself stood still.
+const STOOD_STILL_MS: f64 = 500.0;
 /// How long a new connection counts as one that is about to send, when room is needed, ms.
 const NEW_MS: f64 = 50.0;
 /// The part of the connections, as a divisor, that is kept free by closing idle ones.
@@ -97,7 +99,7 @@
 struct Connection {
     mailbox: Sender<ToCaller>,
     /// When it was accepted, and whether it has sent anything that is answered.
-    since: f64,
+    since: Cell<f64>,
     spoke: Cell<bool>,
     /// Since when a message is there in part.
     half: Cell<Option<f64>>,
@@ -137,7 +139,7 @@
         let (mut idle_limit, mut last, mut leaving) = (f64::INFINITY, 0u64, false);
         let (mut listener, mut paused_until, mut complained) = (Some(listener), 0.0, f64::NEG_INFINITY);
         let mut inbox = pin!(inbox);
-        let mut sweep = shared.wheel.sleep(SWEEP_MS);
+        let (mut sweep, mut looked) = (shared.wheel.sleep(SWEEP_MS), shared.clock.now());
         loop {
             let now = shared.clock.now();
             // Waiting callers stay in the system's queue until there is room.
@@ -156,14 +158,24 @@
                 (&mut sweep).await;
                 Next::Sweep
             };
-            match or(told, or(swept, accepting)).await {
+            let next = or(told, or(swept, accepting)).await;
+            let now = shared.clock.now();
+            // Whatever woke the list first, time that the program did not get is made good before anyone is
+            // closed; what callers sent meanwhile is read before further ones are taken.
+            let lost = now - looked - SWEEP_MS;
+            if lost > STOOD_STILL_MS {
+                warn!(shared.log, "the program stood still"; "ms" => lost.round());
+                connections.values().for_each(|c| c.forgive(lost));
+                (looked, paused_until) = (now, now + FULL_MS);
+            }
+            match next {
                 Next::Connected(Ok(stream)) => {
                     let Ok(stream) = Async::new(stream) else { continue };
                     last += 1;
                     let (mailbox, letters) = async_channel::bounded(MAILBOX);
                     let connection = Rc::new(Connection {
                         mailbox,
-                        since: now,
+                        since: Cell::new(now),
                         spoke: Cell::new(false),
                         half: Cell::new(None),
                         used: Cell::new(now),
@@ -179,7 +191,7 @@
                     };
                     executor.spawn(actor).detach();
                     let tight = connections.len() > most - most / FREE_PART;
-                    if tight {
+                    if tight && now >= paused_until {
                         make_room(&connections, now);
                     }
                     if tight && now - complained > COMPLAIN_MS {
@@ -205,6 +217,7 @@
                 }
                 Next::Sweep => {
                     sweep = shared.wheel.sleep(SWEEP_MS);
+                    looked = now;
                     for connection in connections.values() {
                         connection.look(now, if leaving { f64::NEG_INFINITY } else { idle_limit });
                     }
@@ -221,7 +234,7 @@
 /// guards against callers that open connections by the hundred, or ask once and stay, and so keep the others out.
 fn make_room(connections: &HashMap<u64, Rc<Connection>>, now: f64) {
     let idle = connections.values().filter(|c| c.open.borrow().is_empty() && !c.mailbox.is_closed());
-    let useful = |c: &Connection| c.spoke.get() || now - c.since < NEW_MS;
+    let useful = |c: &Connection| c.spoke.get() || now - c.since.get() < NEW_MS;
     let order = |a: &&Rc<Connection>, b: &&Rc<Connection>| {
         useful(a).cmp(&useful(b)).then(a.used.get().total_cmp(&b.used.get()))
     };
@@ -233,10 +246,17 @@
 }
 
 impl Connection {
+    /// What callers sent while the program got no time waits unread: that silence was not theirs.
+    fn forgive(&self, lost: f64) {
+        self.since.set(self.since.get() + lost);
+        self.used.set(self.used.get() + lost);
+        self.half.set(self.half.get().map(|since| since + lost));
+    }
+
     /// Tells an idle caller to leave, and ends the connection if it does not.
     fn look(&self, now: f64, idle_limit: f64) {
         // Silence and half messages cost a descriptor and a buffer, and would keep others out: they end in time.
-        let silent = !self.spoke.get() && now - self.since >= WHOLE_MS;
+        let silent = !self.spoke.get() && now - self.since.get() >= WHOLE_MS;
         if silent || self.half.get().is_some_and(|since| now - since >= WHOLE_MS) {
             self.mailbox.close();
             return;
@@ -282,9 +302,10 @@
             loop {
                 match decoder.next_message() {
                     Ok(Some(message)) => {
-                        // The core closes the mailbox of a caller that reads no answers; its writer may be stuck.
+                        // The core closes the mailbox of a caller that reads no answers, the list that of one
+                        // whose time is up; the writer may be stuck.
                         if self.mailbox.is_closed() {
-                            return Err("reads no answers".to_owned());
+                            return Err("reads no answers, or out of time".to_owned());
                         }
                         self.take(shared, message).await?;
                         taken += 1;
--- a/tests/play/mod.rs
+++ b/tests/play/mod.rs
@@ -290,6 +290,12 @@
                 let raw = unescape(&text.replace("\\r\\n", "\r\n"));
                 self.index.1.as_mut().expect("a call").get_mut().write_all(&raw).expect("a call stands");
             }
+            // The one span of time: a program that is stopped can't tell when it has been for long enough.
+            ("stopped", ms) => {
+                self.send("signal", "STOP");
+                std::thread::sleep(Duration::from_millis(ms.parse().expect("milliseconds")));
+                self.send("signal", "CONT");
+            }
             ("signal", _) => {
                 let sent = Command::new("kill").args(["-s", verb, &self.child.id().to_string()]).status();
                 assert!(sent.expect("kill is there").success());
@@ -331,7 +337,10 @@
             "pool" => self.command(),
             "catalog" => self.reports.recv_timeout(HANG).expect("a report"),
             "log" => {
-                let line = self.logged(words);
+                let mut line = self.logged(words);
+                if words == "the program stood still" {
+                    line.truncate(line.find(", ms").unwrap_or(line.len()));
+                }
                 let text = line.split_once(" WARN ").map_or(words, |l| l.1);
                 // How many are open when descriptors run out depends on what the other links hold just then.
                 let (before, after) = text.split_once("open: ").unwrap_or((text, ""));
