Keep the key of a run that was cut and then found gone: it has run

At fault, by rereading every way in which a key becomes free: core.rs on_finished took "gone" for a run that never was. A keyed run at a call is cut when its caller gives up; where the pool's notice comes before the caller's `forget`, the request still looks owed, is asked to proceed, and the pool answers "gone". The key was then free, and the next try ran. Calls that are never answered make this likely. Checked and ruled out: the table's bound (33,000 keys there), a body that differs, entries swept early, a spawn sent again on a new link (its notices come first).

"gone" now means that only while the start is the last thing asked; else the run counts as failed and its key stays. The exchange `cut_then_gone` fails without the change: the second try is run.

--- a/src/node/core.rs
+++ b/src/node/core.rs
@@ -547,6 +547,10 @@
 
     fn on_finished(&mut self, id: RequestId, end: End, took_ms: f64, body: Vec<u8>) {
         let Some(request) = self.requests.get_mut(&id) else { return };
+        // "Nothing was started" says that a run never was only while its start is the last thing asked: what was cut at
+        // a call and asked to go on has run, and its key must not be free for a second run.
+        let start_asked = matches!(request.asked.first(), Some(Command::Spawn { .. }));
+        let end = if end == End::Gone && !start_asked { End::Bad } else { end };
         request.asked.clear();
         let owed = request.handle.is_some();
         if end == End::Cut && owed && self.set.preemption != Preemption::Off {
