Add the store: a log of records that survives crashes, with a disk that fails by seed

Need: the ledger and the results of keyed requests have to outlast any crash, the serving thread may not wait for a disk, and no record that was reported durable may be passed over in silence.

All I/O goes through a Disk trait; SimDisk keeps or loses any part of what was not synced.

An epoch in each frame was tried and taken out: no test could be made to fail without it.

--- /dev/null
+++ b/crates/store/tests/crash.rs
@@ -0,0 +1,263 @@
+//! A scenario on the faulty disk, with the power cut at every operation in turn, each sync failing in turn, and the
+//! disk full at every size. What was reported durable has to be there; what was not may be there only whole and at its
+//! place. Seeds are in the messages.
+
+use dunlinspread_store::sim::{Faults, SimDisk};
+use dunlinspread_store::{Log, Options, StoreError, Visit};
+use std::sync::Arc;
+
+/// The record of that number; each attempt to write it makes another one.
+fn record(number: u64, attempt: u32) -> Vec<u8> {
+    let len = (number * 37 % 300) as usize;
+    let mut bytes = format!("{number}/{attempt}:").into_bytes();
+    bytes.resize(bytes.len() + len, number as u8);
+    bytes
+}
+
+fn number_of(bytes: &[u8]) -> u64 {
+    let text = String::from_utf8_lossy(bytes);
+    text.split('/').next().and_then(|n| n.parse().ok()).expect("a record of the test")
+}
+
+fn options() -> Options {
+    Options { segment_bytes: 1500, salt: 7, ..Options::new("n3") }
+}
+
+/// What must and what may be in the store.
+#[derive(Clone, Default)]
+struct Model {
+    /// Records reported durable, from number 1.
+    acked: Vec<Vec<u8>>,
+    /// The batch on which the last commit ended in an error that leaves its fate open.
+    doubtful: Vec<Vec<u8>>,
+    /// Up to here a snapshot may stand for the records.
+    snapshots: u64,
+    attempts: u32,
+}
+
+impl Model {
+    fn next(&self) -> u64 {
+        self.acked.len() as u64 + 1
+    }
+
+    fn commit(&mut self, log: &mut Log, count: u64) -> Result<(), StoreError> {
+        self.attempts += 1;
+        let batch: Vec<_> = (self.next()..self.next() + count).map(|n| record(n, self.attempts)).collect();
+        match log.commit(&batch) {
+            Ok(numbers) => {
+                assert_eq!(numbers, self.next()..self.next() + count);
+                self.acked.extend(batch);
+                Ok(())
+            }
+            Err(e) => {
+                // With no space it is certain that nothing is there, unless the power goes before the next commit.
+                self.doubtful = batch;
+                Err(e)
+            }
+        }
+    }
+
+    fn snapshot(&mut self, log: &mut Log, before: u64) -> Result<(), StoreError> {
+        self.snapshots = self.snapshots.max(before);
+        log.snapshot(before, &snapshot_content(before))
+    }
+
+    /// Opens the store and compares; what was found beyond the acknowledged counts as such from now on.
+    fn open(&mut self, disk: &SimDisk, what: &str) -> Result<Log, StoreError> {
+        let mut seen: Vec<Vec<u8>> = Vec::new();
+        let mut floor = 1;
+        let (log, recovery) = Log::open(Arc::new(disk.clone()), options(), |visit| {
+            match visit {
+                Visit::Snapshot(before, content) => {
+                    assert_eq!(content, snapshot_content(before), "{what}");
+                    floor = before;
+                }
+                Visit::Record(number, bytes) => {
+                    assert_eq!((number, number), (floor + seen.len() as u64, number_of(bytes)), "{what}");
+                    seen.push(bytes.to_vec());
+                }
+            }
+            Ok(())
+        })?;
+        assert!(floor <= self.snapshots.max(1), "{what}: a snapshot nobody took");
+        let next = floor + seen.len() as u64;
+        assert_eq!((recovery.next, log.next()), (next, next), "{what}");
+        assert!(next >= self.next(), "{what}: {} durable, {next} the next", self.acked.len());
+        let all: Vec<_> = self.acked.iter().chain(&self.doubtful).cloned().collect();
+        let found = floor as usize - 1..next as usize - 1;
+        assert_eq!(all.get(found.clone()), Some(&seen[..]), "{what}: records {found:?}");
+        // A commit is there whole or not at all.
+        assert!(next == self.next() || next as usize == all.len() + 1, "{what}: a part of a commit is there");
+        self.acked = all[..next as usize - 1].to_vec();
+        self.doubtful.clear();
+        Ok(log)
+    }
+}
+
+fn snapshot_content(before: u64) -> Vec<u8> {
+    before.to_le_bytes().repeat(100)
+}
+
+/// Commits of many sizes over several segments, snapshots, a close and an opening. Ends at the first error.
+fn scenario(disk: &SimDisk, model: &mut Model, what: &str) -> Result<(), StoreError> {
+    let mut log = model.open(disk, what)?;
+    for count in [1, 3, 7, 1, 12, 2] {
+        model.commit(&mut log, count)?;
+    }
+    model.snapshot(&mut log, 12)?;
+    for count in [5, 1, 9] {
+        model.commit(&mut log, count)?;
+    }
+    log.close()?;
+    let mut log = model.open(disk, what)?;
+    model.commit(&mut log, 4)?;
+    let before = model.next();
+    model.snapshot(&mut log, before)?;
+    for count in [6, 2] {
+        model.commit(&mut log, count)?;
+    }
+    Ok(())
+}
+
+/// Without faults: how many operations and syncs the scenario has.
+fn size(seed: u64) -> (u64, u64) {
+    let disk = SimDisk::new(seed);
+    scenario(&disk, &mut Model::default(), "without faults").expect("no fault");
+    (disk.operations(), disk.syncs())
+}
+
+#[test]
+fn the_power_goes_at_every_operation() {
+    let (operations, _) = size(0);
+    assert!(operations > 80, "{operations}");
+    for seed in 0..24 {
+        // Short writes make more operations of it; each has its turn as far as the scenario goes.
+        let mut at = 0;
+        loop {
+            let what = format!("seed {seed}, power cut at operation {at}");
+            let (disk, mut model) = (SimDisk::new(seed * 1000 + at), Model::default());
+            disk.set(Faults { crash_at: Some(at), short: seed % 2 == 1, ..Faults::default() });
+            let ended = scenario(&disk, &mut model, &what);
+            if !disk.is_off() {
+                ended.expect("nothing failed");
+                break;
+            }
+            if seed % 3 == 0 {
+                disk.kill()
+            } else {
+                disk.power_cycle()
+            }
+            // It ends again while it recovers, and this time the power goes for sure.
+            disk.set(Faults { crash_at: Some(seed % 16), ..Faults::default() });
+            drop(model.open(&disk, &what));
+            disk.power_cycle();
+            let mut log = model.open(&disk, &what).expect(&what);
+            model.commit(&mut log, 3).expect(&what);
+            drop(log);
+            // Killed, not powered off: what the next process is shown has to last.
+            disk.kill();
+            drop(model.open(&disk, &what).expect(&what));
+            disk.power_cycle();
+            drop(model.open(&disk, &what).expect(&what));
+            at += 1;
+        }
+        assert!(at >= operations.min(80), "{at}");
+    }
+}
+
+#[test]
+fn a_sync_fails_each_in_turn() {
+    let (_, syncs) = size(0);
+    for (seed, at) in (0..12).flat_map(|seed| (0..syncs).map(move |at| (seed, at))) {
+        let what = format!("seed {seed}, sync {at} fails");
+        let (disk, mut model) = (SimDisk::new(seed * 1000 + at), Model::default());
+        disk.set(Faults { failing_syncs: vec![at], ..Faults::default() });
+        let Err(e) = scenario(&disk, &mut model, &what) else { panic!("{what}: not noticed") };
+        assert!(matches!(e, StoreError::Io { .. }), "{what}: {e}");
+        if seed % 2 == 0 {
+            // Only the process is started anew: it may be shown what is on no disk, and has to bring it there.
+            disk.set(Faults::default());
+            disk.kill();
+            drop(model.open(&disk, &what).expect(&what));
+        }
+        disk.power_cycle();
+        let mut log = model.open(&disk, &what).expect(&what);
+        model.commit(&mut log, 3).expect(&what);
+        drop(log);
+        disk.power_cycle();
+        drop(model.open(&disk, &what).expect(&what));
+    }
+}
+
+#[test]
+fn nothing_is_claimed_after_a_failed_sync() {
+    let disk = SimDisk::new(1);
+    let mut model = Model::default();
+    let mut log = model.open(&disk, "new").expect("opens");
+    model.commit(&mut log, 2).expect("good");
+    disk.set(Faults { failing_syncs: vec![0], ..Faults::default() });
+    assert!(matches!(model.commit(&mut log, 2), Err(StoreError::Io { .. })));
+    // The disk is well again; the log can't know what it lost.
+    assert!(matches!(log.commit(&[b"more"]), Err(StoreError::Poisoned { .. })));
+    assert!(matches!(log.snapshot(2, b"s"), Err(StoreError::Poisoned { .. })));
+    assert!(log.poisoned().is_some_and(|why| why.contains("syncing")), "{:?}", log.poisoned());
+    assert!(matches!(log.close(), Err(StoreError::Poisoned { .. })));
+}
+
+/// At every size of the disk: commits fail without harm, and go on once there is room.
+#[test]
+fn a_full_disk_comes_back() {
+    let mut full = 0;
+    for capacity in (128..9000).step_by(61) {
+        let what = format!("capacity {capacity}");
+        let (disk, mut model) = (SimDisk::new(capacity), Model::default());
+        let faults = Faults { capacity: Some(capacity), short: capacity % 2 == 0, ..Faults::default() };
+        disk.set(faults.clone());
+        let mut log = match model.open(&disk, &what) {
+            Ok(log) => log,
+            Err(e) => {
+                assert!(matches!(e, StoreError::NoSpace { .. }), "{what}: {e}");
+                continue;
+            }
+        };
+        for count in (1..14).cycle().take(60) {
+            // Nor can it always be tidied up at once.
+            disk.set(Faults { failing_truncates: full % 2 == 0, ..faults.clone() });
+            let committed = model.commit(&mut log, count);
+            disk.set(faults.clone());
+            match committed {
+                Ok(()) => {}
+                Err(StoreError::NoSpace { .. }) => full += 1,
+                Err(e) => panic!("{what}: {e}"),
+            }
+        }
+        match capacity % 3 {
+            // Room again, in service.
+            0 => {
+                disk.set(Faults::default());
+                for count in [1, 2, 9, 9] {
+                    model.commit(&mut log, count).expect(&what);
+                }
+                model.doubtful.clear();
+            }
+            // The power goes while the disk is full.
+            1 => {
+                drop(log);
+                disk.power_cycle();
+                drop(model.open(&disk, &what).expect(&what));
+                continue;
+            }
+            // Only the process goes; the disk is still full, and the store opens all the same.
+            _ => {
+                drop(log);
+                disk.kill();
+                drop(model.open(&disk, &what).expect(&what));
+                continue;
+            }
+        }
+        drop(log);
+        disk.power_cycle();
+        drop(model.open(&disk, &what).expect(&what));
+    }
+    assert!(full > 1000, "{full}");
+}
