Add the played parties, dunlinspreadctl try, and the daemon as a function of the library

- crates/standin: the four parties on loopback, a thread each, written from the protocol's pages with libraries of their own for JSON, MessagePack and HTTP heads.
Faults: resets in mid-notice, duplicates, split notices, remarks, stalls, kills; calls shed, failed, reset, never answered.
The proxies are open loop and count each try by what they saw.
- dunlinspreadctl try: table of served, late, refused, failed and withdrawn by class with percentiles; fails if a result is wrong, a keyed request ran twice, an answer was lost, or the server did not leave in good order.
- The daemon's main moved to src/daemon.rs unchanged, so that dunlinspreadctl can start it as a process of its own.

--- /dev/null
+++ b/crates/standin/src/party.rs
@@ -0,0 +1,70 @@
+//! A party's thread: it runs the party's tasks until the party is dropped.
+
+use async_channel::Sender;
+use async_executor::LocalExecutor;
+use async_io::Async;
+use std::future::Future;
+use std::io;
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::rc::Rc;
+use std::thread::JoinHandle;
+
+/// The tasks of one party.
+pub(crate) type Tasks = Rc<LocalExecutor<'static>>;
+
+/// A running thread. Dropping it ends its tasks, closes its sockets and waits for it.
+pub(crate) struct Party {
+    stop: Option<Sender<()>>,
+    thread: Option<JoinHandle<()>>,
+}
+
+impl Party {
+    /// Starts a thread on which `begin` spawns the party's tasks.
+    pub fn start(name: &str, begin: impl FnOnce(&Tasks) + Send + 'static) -> io::Result<Party> {
+        let (stop, stopped) = async_channel::bounded::<()>(1);
+        let thread = std::thread::Builder::new().name(name.to_owned()).spawn(move || {
+            let tasks: Tasks = Rc::new(LocalExecutor::new());
+            begin(&tasks);
+            async_io::block_on(tasks.run(async {
+                // An error is what is awaited: the other end is gone.
+                let _ = stopped.recv().await;
+            }));
+        })?;
+        Ok(Party { stop: Some(stop), thread: Some(thread) })
+    }
+
+    /// A party that listens on a free port of the loopback address. `begin` gives what it does with each connection.
+    pub fn listen<F, Fut>(
+        name: &str,
+        begin: impl FnOnce(&Tasks) -> F + Send + 'static,
+    ) -> io::Result<(Party, SocketAddr)>
+    where
+        F: Fn(Async<TcpStream>) -> Fut + 'static,
+        Fut: Future<Output = ()> + 'static,
+    {
+        let listener = TcpListener::bind("127.0.0.1:0")?;
+        let address = listener.local_addr()?;
+        let party = Party::start(name, move |tasks| {
+            let serve = begin(tasks);
+            let inner = tasks.clone();
+            let accepting = async move {
+                let Ok(listener) = Async::new(listener) else { return };
+                while let Ok((stream, _)) = listener.accept().await {
+                    let _ = stream.get_ref().set_nodelay(true);
+                    inner.spawn(serve(stream)).detach();
+                }
+            };
+            tasks.spawn(accepting).detach();
+        })?;
+        Ok((party, address))
+    }
+}
+
+impl Drop for Party {
+    fn drop(&mut self) {
+        self.stop.take();
+        if let Some(thread) = self.thread.take() {
+            let _ = thread.join();
+        }
+    }
+}
--- /dev/null
+++ b/src/daemon.rs
@@ -0,0 +1,282 @@
+//! The round server as a process: reads its command line, wires the actors together, hears signals, and ends. SIGTERM
+//! is the notice to leave, SIGHUP has the configuration reread. It decides nothing, and must never end for a SIGHUP or
+//! a faulty file.
+
+use crate::config::Config;
+use crate::node::catalog::Catalog;
+use crate::node::core::{Core, Peers};
+use crate::node::front::{List, Shared};
+use crate::node::index::Index;
+use crate::node::messages::{ToCatalog, ToCore, ToIndex, ToList, ToPool};
+use crate::node::pool::Pool;
+use crate::node::wheel::{Clock, Wheel};
+use crate::operator::{LogFormat, LogLevel, Operator};
+use async_executor::LocalExecutor;
+use async_io::Async;
+use async_signal::{Signal, Signals};
+use clap::{Args, Parser, Subcommand};
+use futures_lite::StreamExt;
+use futures_lite::future::or;
+use slog::{Drain, Logger, info, o, warn};
+use std::cell::Cell;
+use std::ffi::OsString;
+use std::net::TcpListener;
+use std::path::PathBuf;
+use std::process::ExitCode;
+use std::rc::Rc;
+
+/// Before the stop, the module's time ends so much earlier, ms: its last answers still have to go out.
+const ANSWER_MARGIN_MS: f64 = 100.0;
+/// Connections end so long before the stop, ms, so that nothing is read too late to be answered.
+const CLOSING_MS: f64 = 600.0;
+/// The program ends so long before the stop at the latest, ms.
+const END_MARGIN_MS: f64 = 40.0;
+
+/// A round server: takes requests from client proxies, has the worker pool run them, and turns away what would come to
+/// nothing.
+#[derive(Parser)]
+#[command(name = "dunlinspread", version, about)]
+struct Cli {
+    #[command(subcommand)]
+    command: Option<Verb>,
+    #[command(flatten)]
+    files: Files,
+    /// The form of the log's lines; overrides the operator file.
+    #[arg(long, global = true, value_enum)]
+    log_format: Option<LogFormat>,
+}
+
+#[derive(Clone, Copy, Subcommand)]
+enum Verb {
+    /// Serve until SIGTERM; what the program does with no command.
+    Serve,
+    /// Read the platform file and the operator file, print what is in force, and end with 1 if one is faulty.
+    Check,
+}
+
+/// Where settings come from. They are read again on SIGHUP.
+#[derive(Args, Clone)]
+struct Files {
+    /// The platform's configuration, as JSON.
+    #[arg(long, global = true, env = "RELAY_CONFIG", value_name = "FILE")]
+    config: Option<PathBuf>,
+    /// The operator file, as HCL; without one, all that it could switch on is off.
+    #[arg(long, global = true, env = "DUNLINSPREAD_OPERATOR", value_name = "FILE")]
+    operator: Option<PathBuf>,
+}
+
+impl Files {
+    fn read(&self) -> Result<(Config, Operator), String> {
+        let path = self.config.as_ref().ok_or("`RELAY_CONFIG`: is not set")?;
+        let text = std::fs::read(path).map_err(|e| format!("`RELAY_CONFIG`: {}: {e}", path.display()))?;
+        let (name, listen) = (std::env::var("RELAY_NAME").ok(), std::env::var("RELAY_LISTEN").ok());
+        let config = Config::read(&text, name.as_deref(), listen.as_deref())
+            .map_err(|e| format!("{}: {e}", path.display()))?;
+        let operator = match &self.operator {
+            Some(path) => Operator::load(path).map_err(|e| e.to_string())?,
+            None => Operator::default(),
+        };
+        Ok((config, operator))
+    }
+}
+
+/// Runs the program with the arguments of a command line, the program's own name first.
+pub fn run(arguments: impl IntoIterator<Item = OsString>) -> ExitCode {
+    let cli = Cli::parse_from(arguments);
+    let (config, operator) = match cli.files.read() {
+        Ok(read) => read,
+        Err(e) => {
+            eprintln!("dunlinspread: configuration: {e}");
+            return ExitCode::FAILURE;
+        }
+    };
+    if let Some(Verb::Check) = cli.command {
+        print!("{config}\n{operator}");
+        return ExitCode::SUCCESS;
+    }
+    let format = cli.log_format.unwrap_or(operator.log.format);
+    let (drain, flush) = log_drain(format, config.bounds.log_lines);
+    let level = match operator.log.level {
+        LogLevel::Error => slog::Level::Error,
+        LogLevel::Warning => slog::Level::Warning,
+        LogLevel::Info => slog::Level::Info,
+    };
+    let log = Logger::root(drain.filter_level(level).fuse(), o!("name" => config.name.clone()));
+    let executor = Rc::new(LocalExecutor::new());
+    let result = async_io::block_on(executor.run(serve(cli.files, config, operator, executor.clone(), log)));
+    // Lines still on their way are written before the end.
+    drop(flush);
+    match result {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(e) => {
+            eprintln!("dunlinspread: {e}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+/// The log's writer. It has a thread of its own: a log that nobody reads never holds up serving.
+fn log_drain(format: LogFormat, lines: usize) -> (slog_async::Async, slog_async::AsyncGuard) {
+    let writer: Box<dyn Drain<Ok = (), Err = slog::Never> + Send> = match format {
+        LogFormat::Text => {
+            let decorator = slog_term::PlainSyncDecorator::new(std::io::stderr());
+            Box::new(slog_term::FullFormat::new(decorator).build().fuse())
+        }
+        LogFormat::Json => {
+            let json = slog_json::Json::new(std::io::stderr()).add_default_keys().set_flush(true).build();
+            Box::new(std::sync::Mutex::new(json).fuse())
+        }
+    };
+    slog_async::Async::new(writer)
+        .chan_size(lines)
+        .overflow_strategy(slog_async::OverflowStrategy::DropAndReport)
+        .build_with_guard()
+}
+
+/// The mailboxes of the actors whose peers can move.
+struct Links {
+    files: Files,
+    operator: Operator,
+    pool: async_channel::Sender<ToPool>,
+    index: Option<async_channel::Sender<ToIndex>>,
+    catalog: async_channel::Sender<ToCatalog>,
+}
+
+impl Links {
+    /// Rereads the configuration and moves the links whose addresses changed. A faulty file changes nothing, and
+    /// whatever else differs waits for the next start.
+    fn reread(&self, config: &mut Config, log: &Logger) {
+        let (new, operator) = match self.files.read() {
+            Ok(read) => read,
+            Err(e) => return warn!(log, "configuration is faulty, the running one stays"; "why" => e),
+        };
+        // The mailboxes have no bound and close only when the program ends.
+        if new.pool != config.pool {
+            let _ = self.pool.try_send(ToPool::Move(new.pool));
+        }
+        if new.directory != config.directory {
+            let _ = self.catalog.try_send(ToCatalog::Move(new.directory));
+        }
+        match (&self.index, new.index) {
+            (Some(index), Some(to)) if Some(to) != config.index => {
+                let _ = index.try_send(ToIndex::Move(to));
+            }
+            (Some(_), Some(_)) | (None, None) => {}
+            _ => warn!(log, "configuration: `index`: comes or goes only with a restart"),
+        }
+        if (&new.name, new.listen) != (&config.name, config.listen) {
+            warn!(log, "configuration: `name`, `listen`: change only with a restart");
+        }
+        if operator != self.operator {
+            warn!(log, "operator file: changes only with a restart");
+        }
+        (config.pool, config.directory) = (new.pool, new.directory);
+        config.index = config.index.and(new.index).or(config.index);
+        info!(log, "configuration reread"; "pool" => config.pool.to_string(),
+            "directory" => config.directory.to_string(),
+            "index" => config.index.map_or("none".to_owned(), |i| i.to_string()));
+    }
+
+    /// Hears signals until the notice to leave, for ever if none comes.
+    async fn hear(&self, signals: &mut Signals, config: &mut Config, log: &Logger) {
+        while let Some(signal) = signals.next().await {
+            match signal {
+                Ok(Signal::Hup) => self.reread(config, log),
+                Ok(_) => return,
+                Err(e) => warn!(log, "a signal can't be read"; "why" => e.to_string()),
+            }
+        }
+        futures_lite::future::pending().await
+    }
+}
+
+async fn serve(
+    files: Files,
+    mut config: Config,
+    operator: Operator,
+    executor: Rc<LocalExecutor<'static>>,
+    log: Logger,
+) -> Result<(), String> {
+    let clock = Clock::start();
+    let wheel = Wheel::new(clock, config.settings.tick_ms);
+    let mut signals =
+        Signals::new([Signal::Term, Signal::Int, Signal::Hup]).map_err(|e| format!("signals: {e}"))?;
+    let listener = TcpListener::bind(config.listen).and_then(Async::new);
+    let listener = listener.map_err(|e| format!("`listen`: {}: {e}", config.listen))?;
+
+    let listening = listener.get_ref().local_addr().unwrap_or(config.listen);
+
+    let (core_box, core_letters) = async_channel::bounded(config.bounds.core_mailbox);
+    let (pool_box, pool_letters) = async_channel::unbounded();
+    let (catalog_box, catalog_letters) = async_channel::unbounded();
+    let (list_box, list_letters) = async_channel::unbounded();
+
+    let index_box = config.index.map(|address| {
+        let (index_box, letters) = async_channel::unbounded();
+        let (core, own, exe) = (core_box.clone(), index_box.clone(), executor.clone());
+        let index =
+            Index::new(address, config.bounds.calls, core, own, exe, clock, wheel.clone(), log.clone());
+        executor.spawn(index.run(letters)).detach();
+        index_box
+    });
+    let (classes, wheel_for) = (config.classes.clone(), wheel.clone());
+    let pool = Pool::new(config.pool, classes, core_box.clone(), wheel_for, log.clone());
+    executor.spawn(pool.run(pool_letters)).detach();
+    let catalog = Catalog {
+        address: config.directory,
+        name: config.name.clone(),
+        wheel: wheel.clone(),
+        log: log.clone(),
+    };
+    executor.spawn(catalog.run(catalog_letters)).detach();
+    let links = Links {
+        files,
+        operator,
+        pool: pool_box.clone(),
+        index: index_box.clone(),
+        catalog: catalog_box.clone(),
+    };
+    let peers = Peers { pool: pool_box, index: index_box, catalog: catalog_box, list: list_box.clone() };
+    let (own, exe) = (core_box.clone(), executor.clone());
+    let core = Core::new(&config, clock, wheel.clone(), exe, own, peers, log.clone());
+    executor.spawn(core.run(core_letters)).detach();
+    executor.spawn(wheel.clone().turn()).detach();
+    let shared = Rc::new(Shared {
+        classes: config.classes.iter().cloned().zip(config.settings.classes.iter().cloned()).collect(),
+        clock,
+        wheel: wheel.clone(),
+        core: core_box.clone(),
+        log: log.clone(),
+        last_id: Cell::new(0),
+        complaints: Cell::new((0.0, 0)),
+    });
+    let list = List {
+        shared,
+        listener,
+        own: list_box.clone(),
+        executor: executor.clone(),
+        most: config.bounds.clients,
+    };
+    let list = executor.spawn(list.run(list_letters));
+    info!(log, "serving"; "listen" => listening.to_string(), "classes" => config.classes.len());
+
+    links.hear(&mut signals, &mut config, &log).await;
+    let (stop_ms, notice) = (config.stop.as_secs_f64() * 1000.0, clock.now());
+    info!(log, "notice to leave"; "stop_ms" => stop_ms);
+    let stop_at = notice + (stop_ms - ANSWER_MARGIN_MS).max(0.0);
+    core_box.send(ToCore::Drain { stop_at }).await.map_err(|e| e.to_string())?;
+    let leave = async {
+        wheel.sleep((stop_ms - CLOSING_MS).max(0.0)).await;
+        // The list's mailbox is open as long as the list runs.
+        let _ = list_box.send(ToList::Leave).await;
+        list.await;
+    };
+    let hearing = async {
+        loop {
+            links.hear(&mut signals, &mut config, &log).await;
+        }
+    };
+    or(or(leave, wheel.sleep((stop_ms - END_MARGIN_MS).max(0.0))), hearing).await;
+    info!(log, "leaving");
+    Ok(())
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -23,6 +23,7 @@
 
 pub mod codec;
 pub mod config;
+pub mod daemon;
 pub mod interface;
 pub mod node;
 pub mod operator;
