Add the ledger's state machines: lines, book, totals, batches, delivery; checked as a model

Need: use by society has to be exact to the request through crashes, closed in periods, and handed on exactly once. What settles that is kept apart from what does it.

crates/ledger, no I/O: account names (bounded, checked); lines as prost messages; the sum of lines of constant size, which refuses a line that contradicts those before it; the book, which takes each final answer, says whether it may leave or waits for its line, groups lines by what the store has time for, closes periods after a grace or late after a time down, keeps its time from going back, and bears a disk that is full or failing by refusing or by counting; totals in bounded memory by passes in the order of names, the same order in any memory; batches with digests that chain; sender and collector as state machines. crates/store gains reading a range of records beside the writer.

--- /dev/null
+++ b/crates/ledger/src/table.rs
@@ -0,0 +1,252 @@
+//! Open aggregates: amounts by period, society, class and outcome, in bounded memory. Societies' names come from
+//! outside, so the hash is keyed by chance.
+//!
+//! Names lie once, one behind the other; cells name them by position. `docs/measurements/ledger.md` has this against the
+//! maps of the standard library.
+
+use crate::line::{Amount, Outcome};
+use std::hash::{BuildHasher, Hasher, RandomState};
+
+/// A key as its owner sees it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Key<'a> {
+    /// The period, by its first ms.
+    pub period: u64,
+    /// The society.
+    pub society: &'a str,
+    /// The class, by position.
+    pub class: u16,
+    /// The outcome.
+    pub outcome: Outcome,
+}
+
+#[derive(Clone, Copy)]
+struct Cell {
+    period: u64,
+    name: u32,
+    class: u16,
+    outcome: Outcome,
+    amount: Amount,
+}
+
+/// Where a name lies.
+#[derive(Clone, Copy)]
+struct Span {
+    at: u32,
+    len: u32,
+}
+
+/// The table.
+pub struct Table {
+    chance: RandomState,
+    names: String,
+    spans: Vec<Span>,
+    /// Positions in `spans`, plus one; 0 is free. Open addressing, at most three quarters full.
+    name_slots: Vec<u32>,
+    cells: Vec<Cell>,
+    cell_slots: Vec<u32>,
+    most: usize,
+}
+
+impl std::fmt::Debug for Table {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        write!(f, "Table of {} cells", self.cells.len())
+    }
+}
+
+impl Table {
+    /// An empty one for at most that many cells.
+    pub fn new(most: usize) -> Table {
+        Table {
+            chance: RandomState::new(),
+            names: String::new(),
+            spans: Vec::new(),
+            name_slots: vec![0; 16],
+            cells: Vec::new(),
+            cell_slots: vec![0; 16],
+            most: most.clamp(1, 1 << 28),
+        }
+    }
+
+    /// Adds to a cell; false, and nothing is added, if it would be a new one and the table is full.
+    pub fn add(&mut self, key: Key<'_>, amount: &Amount) -> bool {
+        let name = self.find_name(key.society);
+        if let Some(at) = name.and_then(|name| self.find_cell(&key, name)) {
+            self.cells[at].amount.add(amount);
+            return true;
+        }
+        if self.cells.len() >= self.most {
+            return false;
+        }
+        let name = name.unwrap_or_else(|| self.new_name(key.society));
+        let Key { period, class, outcome, .. } = key;
+        self.cells.push(Cell { period, name, class, outcome, amount: *amount });
+        if self.cells.len() * 4 > self.cell_slots.len() * 3 {
+            self.cell_slots = vec![0; self.cell_slots.len() * 2];
+            (0..self.cells.len()).for_each(|at| self.place_cell(at));
+        } else {
+            self.place_cell(self.cells.len() - 1);
+        }
+        true
+    }
+
+    /// Cells.
+    pub fn len(&self) -> usize {
+        self.cells.len()
+    }
+
+    /// No cells.
+    pub fn is_empty(&self) -> bool {
+        self.cells.is_empty()
+    }
+
+    /// Bytes that it holds.
+    pub fn bytes(&self) -> usize {
+        self.names.capacity()
+            + self.spans.capacity() * size_of::<Span>()
+            + (self.name_slots.capacity() + self.cell_slots.capacity()) * size_of::<u32>()
+            + self.cells.capacity() * size_of::<Cell>()
+    }
+
+    /// All cells in the order of their keys; the table is empty afterwards and keeps no more memory than `keep` cells
+    /// need.
+    pub fn drain(&mut self, keep: usize, mut take: impl FnMut(Key<'_>, &Amount)) {
+        let mut order: Vec<u32> = (0..self.cells.len() as u32).collect();
+        order.sort_unstable_by_key(|at| self.key(*at as usize));
+        for at in order {
+            take(self.key(at as usize), &self.cells[at as usize].amount);
+        }
+        self.cells.clear();
+        self.spans.clear();
+        self.names.clear();
+        if self.cells.capacity() > keep.max(16) {
+            let most = self.most;
+            *self = Table { chance: self.chance.clone(), ..Table::new(most) };
+        } else {
+            self.name_slots.fill(0);
+            self.cell_slots.fill(0);
+        }
+    }
+
+    fn key(&self, at: usize) -> Key<'_> {
+        let Cell { period, name, class, outcome, .. } = self.cells[at];
+        Key { period, society: self.name(name), class, outcome }
+    }
+
+    fn name(&self, name: u32) -> &str {
+        let Span { at, len } = self.spans[name as usize];
+        &self.names[at as usize..(at + len) as usize]
+    }
+
+    fn find_name(&self, society: &str) -> Option<u32> {
+        let mask = self.name_slots.len() - 1;
+        let mut slot = self.chance.hash_one(society) as usize & mask;
+        loop {
+            match self.name_slots[slot] {
+                0 => return None,
+                found if self.name(found - 1) == society => return Some(found - 1),
+                _ => slot = (slot + 1) & mask,
+            }
+        }
+    }
+
+    fn new_name(&mut self, society: &str) -> u32 {
+        self.spans.push(Span { at: self.names.len() as u32, len: society.len() as u32 });
+        self.names.push_str(society);
+        let name = self.spans.len() as u32 - 1;
+        if self.spans.len() * 4 > self.name_slots.len() * 3 {
+            self.name_slots = vec![0; self.name_slots.len() * 2];
+            (0..=name).for_each(|name| self.place_name(name));
+        } else {
+            self.place_name(name);
+        }
+        name
+    }
+
+    fn place_name(&mut self, name: u32) {
+        let mask = self.name_slots.len() - 1;
+        let mut slot = self.chance.hash_one(self.name(name)) as usize & mask;
+        while self.name_slots[slot] != 0 {
+            slot = (slot + 1) & mask;
+        }
+        self.name_slots[slot] = name + 1;
+    }
+
+    fn cell_hash(&self, period: u64, name: u32, class: u16, outcome: Outcome) -> usize {
+        let mut hasher = self.chance.build_hasher();
+        hasher.write_u64(period);
+        hasher.write_u64(u64::from(name) << 32 | u64::from(class) << 8 | outcome as u64);
+        hasher.finish() as usize
+    }
+
+    fn find_cell(&self, key: &Key<'_>, name: u32) -> Option<usize> {
+        let mask = self.cell_slots.len() - 1;
+        let mut slot = self.cell_hash(key.period, name, key.class, key.outcome) & mask;
+        loop {
+            match self.cell_slots[slot] {
+                0 => return None,
+                found => {
+                    let c = &self.cells[found as usize - 1];
+                    if (c.period, c.name, c.class, c.outcome) == (key.period, name, key.class, key.outcome) {
+                        return Some(found as usize - 1);
+                    }
+                }
+            }
+            slot = (slot + 1) & mask;
+        }
+    }
+
+    fn place_cell(&mut self, at: usize) {
+        let Cell { period, name, class, outcome, .. } = self.cells[at];
+        let mask = self.cell_slots.len() - 1;
+        let mut slot = self.cell_hash(period, name, class, outcome) & mask;
+        while self.cell_slots[slot] != 0 {
+            slot = (slot + 1) & mask;
+        }
+        self.cell_slots[slot] = at as u32 + 1;
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use proptest::prelude::*;
+    use std::collections::BTreeMap;
+
+    proptest! {
+        #![proptest_config(ProptestConfig { failure_persistence: None, ..ProptestConfig::default() })]
+
+        /// It counts as a map does, and what does not fit changes nothing.
+        #[test]
+        fn it_counts_as_a_map(
+            adds in proptest::collection::vec((0u64..3, 0u32..40, 0u16..4, 0usize..6, 1u64..100), 0..400),
+            most in 1usize..200,
+        ) {
+            let (mut table, mut map) = (Table::new(most), BTreeMap::new());
+            for (period, society, class, outcome, requests) in adds {
+                let society = format!("s{society}");
+                let outcome = Outcome::ALL[outcome];
+                let amount = Amount { requests, pool_us: requests * 3, bytes_in: 1, bytes_out: 2 };
+                let fits = table.add(Key { period, society: &society, class, outcome }, &amount);
+                let full = map.len() >= most;
+                let entry = map.entry((period, society, class, outcome));
+                let known = matches!(entry, std::collections::btree_map::Entry::Occupied(_));
+                prop_assert_eq!(fits, known || !full);
+                if fits {
+                    entry.or_insert_with(Amount::default).add(&amount);
+                }
+            }
+            prop_assert_eq!(table.len(), map.len());
+            for again in 0..2 {
+                let mut seen = Vec::new();
+                table.drain(again * 1000, |k, a| seen.push(((k.period, k.society.to_owned(), k.class, k.outcome), *a)));
+                prop_assert_eq!(&seen, &map.clone().into_iter().collect::<Vec<_>>());
+                prop_assert!(table.is_empty());
+                for ((period, society, class, outcome), amount) in &map {
+                    let key = Key { period: *period, society, class: *class, outcome: *outcome };
+                    prop_assert!(table.add(key, amount));
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/ledger/src/totals.rs
@@ -0,0 +1,166 @@
+//! Adding up lines in bounded memory, whatever the number of societies: the lines are walked as often as it takes, each
+//! time for the societies that come next in the order of names. So the order of the result follows from the lines alone,
+//! and a batch made a second time is the same to the byte.
+
+use crate::line::{Amount, Correction, Kind, Line, Outcome};
+use dunlinspread_store::StoreError;
+use std::collections::BTreeMap;
+
+/// Amounts that can go below what was billed: use less what was corrected.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Net {
+    /// Requests.
+    pub requests: i128,
+    /// Time in the worker pool, µs.
+    pub pool_us: i128,
+    /// Bytes of bodies.
+    pub bytes_in: i128,
+    /// Bytes of results.
+    pub bytes_out: i128,
+}
+
+impl Net {
+    /// Adds use.
+    pub fn add(&mut self, amount: &Amount) {
+        self.requests += i128::from(amount.requests);
+        self.pool_us += i128::from(amount.pool_us);
+        self.bytes_in += i128::from(amount.bytes_in);
+        self.bytes_out += i128::from(amount.bytes_out);
+    }
+
+    /// Adds a correction.
+    pub fn correct(&mut self, correction: &Correction) {
+        self.requests += i128::from(correction.requests);
+        self.pool_us += i128::from(correction.pool_us);
+    }
+}
+
+/// What is added up by.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Sum {
+    /// The society.
+    pub society: String,
+    /// The period, by its first ms.
+    pub period: u64,
+    /// The period it was used in, if that was closed before.
+    pub of: Option<u64>,
+    /// The class.
+    pub class: String,
+    /// The outcome.
+    pub outcome: Outcome,
+}
+
+/// Adds up the usage in the lines that `walk` shows, in order and with their numbers, for periods that `which` picks.
+/// `take` is given each sum once, in order. About `cells` sums are held at a time, more only if one society alone has
+/// more.
+///
+/// `walk` is called once or more; it has to show the same each time.
+///
+/// # Errors
+/// Of `walk`.
+pub fn totals(
+    classes: &[String],
+    cells: usize,
+    mut walk: impl FnMut(&mut dyn FnMut(u64, &Line)) -> Result<(), StoreError>,
+    which: impl Fn(u64) -> bool,
+    mut take: impl FnMut(Sum, Net),
+) -> Result<(), StoreError> {
+    let mut after: Option<String> = None;
+    loop {
+        // The first societies in order of names, as many as fit: for one too many the last goes, and all behind it.
+        let mut sums: BTreeMap<Sum, Net> = BTreeMap::new();
+        let (mut before, mut names): (Option<String>, _) = (None, classes.to_vec());
+        walk(&mut |_, line| match &line.kind {
+            Some(Kind::Start(start)) => names.clone_from(&start.classes),
+            Some(Kind::Usage(usage)) if which(usage.period) => {
+                for entry in &usage.entries {
+                    let society = entry.society.as_str();
+                    let done = after.as_deref().is_some_and(|a| society <= a);
+                    if done || before.as_deref().is_some_and(|b| society >= b) {
+                        continue;
+                    }
+                    let sum = Sum {
+                        society: entry.society.clone(),
+                        period: usage.period,
+                        of: usage.of,
+                        class: names.get(entry.class as usize).cloned().unwrap_or_default(),
+                        outcome: Outcome::try_from(entry.outcome).unwrap_or(Outcome::Unknown),
+                    };
+                    sums.entry(sum).or_default().add(&entry.amount);
+                    if sums.len() > cells {
+                        drop_last(&mut sums, &mut before);
+                    }
+                }
+            }
+            _ => {}
+        })?;
+        after = sums.last_key_value().map(|(sum, _)| sum.society.clone());
+        sums.into_iter().for_each(|(sum, net)| take(sum, net));
+        if before.is_none() {
+            return Ok(());
+        }
+    }
+}
+
+/// Takes out the last society, unless it is the only one.
+fn drop_last(sums: &mut BTreeMap<Sum, Net>, before: &mut Option<String>) {
+    let Some(last) = sums.last_key_value().map(|(sum, _)| sum.society.clone()) else { return };
+    if sums.first_key_value().is_some_and(|(first, _)| first.society == last) {
+        return;
+    }
+    while sums.last_key_value().is_some_and(|(sum, _)| sum.society == last) {
+        sums.pop_last();
+    }
+    *before = Some(last);
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::line::{Entry, Usage};
+    use proptest::prelude::*;
+
+    fn lines(uses: &[(u64, u32, u32, u64)]) -> Vec<Line> {
+        let line = |(period, society, class, requests): &(u64, u32, u32, u64)| {
+            let amount = Amount { requests: *requests, pool_us: 1, bytes_in: 2, bytes_out: 3 };
+            let entry = Entry { society: format!("s{society}"), class: *class, outcome: 1, amount };
+            let usage = Usage { period: *period, entries: vec![entry], of: None };
+            Line { at_ms: 0, kind: Some(Kind::Usage(usage)) }
+        };
+        uses.iter().map(line).collect()
+    }
+
+    proptest! {
+        #![proptest_config(ProptestConfig { failure_persistence: None, ..ProptestConfig::default() })]
+
+        /// However little fits at a time, each sum comes once and is right, and the order is the same each time.
+        #[test]
+        fn sums_are_exact_in_any_memory(
+            uses in proptest::collection::vec((0u64..3, 0u32..50, 0u32..2, 1u64..9), 0..200),
+            cells in 1usize..40,
+        ) {
+            let (lines, classes) = (lines(&uses), ["a".to_owned(), "b".to_owned()]);
+            let mut expected = BTreeMap::new();
+            for (period, society, class, requests) in uses.iter().filter(|u| u.0 != 1) {
+                let key = (*period, format!("s{society}"), classes[*class as usize].clone());
+                *expected.entry(key).or_insert(0) += i128::from(*requests);
+            }
+            let run = |cells| {
+                let mut sums = Vec::new();
+                let walk = |show: &mut dyn FnMut(u64, &Line)| {
+                    lines.iter().zip(1..).for_each(|(line, n)| show(n, line));
+                    Ok(())
+                };
+                totals(&classes, cells, walk, |p| p != 1, |sum, net| sums.push((sum, net))).expect("it walks");
+                sums
+            };
+            let sums = run(cells);
+            prop_assert_eq!(&sums, &run(usize::MAX), "the order depends on the memory");
+            let mut seen = BTreeMap::new();
+            for (sum, net) in sums {
+                prop_assert!(seen.insert((sum.period, sum.society, sum.class), net.requests).is_none(), "twice");
+            }
+            prop_assert_eq!(seen, expected);
+        }
+    }
+}
--- a/crates/store/src/log.rs
+++ b/crates/store/src/log.rs
@@ -4,7 +4,7 @@
 use crate::disk::{Disk, DiskFile, read_up_to, write_all};
 use crate::error::StoreError;
 use crate::frame::{self, FRAME, Frame, HEADER, Header, Kind};
-use crate::recover::{Cut, Found, Last, walk};
+use crate::recover::{Cut, Found, Last, range, walk};
 use std::ops::Range;
 use std::sync::Arc;
 
@@ -174,6 +174,23 @@
         })
     }
 
+    /// Shows the visitor the records with these numbers, all of which were reported durable. The store may be open and
+    /// written to meanwhile, by this process or another.
+    ///
+    /// # Errors
+    /// If they are not all there, or the visitor rejects one.
+    pub fn range(
+        disk: &dyn Disk,
+        owner: &str,
+        records: Range<u64>,
+        mut visit: impl FnMut(u64, &[u8]) -> Result<(), String>,
+    ) -> Result<(), StoreError> {
+        range(disk, owner, records, &mut |visited| match visited {
+            Visit::Record(number, bytes) => visit(number, bytes),
+            Visit::Snapshot(..) => Ok(()),
+        })
+    }
+
     /// The number that the next record gets.
     pub fn next(&self) -> u64 {
         self.next
--- a/crates/store/src/recover.rs
+++ b/crates/store/src/recover.rs
@@ -181,6 +181,49 @@
     Ok(found)
 }
 
+/// Shows the visitor the records from one number up to another, which have to be durable and still there. The store may
+/// be open and written to meanwhile.
+pub(crate) fn range(
+    disk: &dyn Disk,
+    owner: &str,
+    records: std::ops::Range<u64>,
+    visit: &mut Visitor<'_>,
+) -> Result<(), StoreError> {
+    let names = disk.list().map_err(StoreError::io("listing", &disk.name()))?;
+    let named = names.into_iter().filter_map(|name| match frame::read_name(&name) {
+        Some((Kind::Segment, base)) if base < records.end => Some((base, name)),
+        _ => None,
+    });
+    let mut segments: Vec<(u64, String)> = named.collect();
+    segments.sort_unstable();
+    let first = segments.partition_point(|(base, _)| *base <= records.start).saturating_sub(1);
+    // One that begins after the first record asked for shows as a gap at once.
+    let mut next = segments.get(first).map_or(records.start, |(base, _)| (*base).min(records.start));
+    let mut file = disk.name();
+    for (base, name) in segments.drain(first..) {
+        if base != next {
+            return Err(StoreError::Gap { file: name, expected: next, found: base });
+        }
+        let bytes = whole(disk, &name)?;
+        let header = header(&bytes, &name, Kind::Segment, base, owner)?;
+        let mut scan = Scan { at: HEADER, next: base, closed: false, salt: header.salt };
+        let mut within = |visited: Visit<'_>| match visited {
+            Visit::Record(number, _) if !records.contains(&number) => Ok(()),
+            visited => visit(visited),
+        };
+        let fault = scan.run(&bytes, &name, records.start, &mut 0, &mut within)?;
+        if let Some((offset, what)) = fault.filter(|_| scan.next < records.end) {
+            // A frame that is being written just now lies behind what was asked for.
+            return Err(damaged(&name, offset as u64, what));
+        }
+        (next, file) = (scan.next, name);
+    }
+    if next < records.end || records.start < records.end && next <= records.start {
+        return Err(StoreError::Gap { file, expected: next, found: records.end });
+    }
+    Ok(())
+}
+
 /// The walk over one segment's bytes.
 struct Scan {
     /// The end of the good part.
--- a/crates/store/tests/crash.rs
+++ b/crates/store/tests/crash.rs
@@ -261,3 +261,32 @@
     }
     assert!(full > 1000, "{full}");
 }
+
+/// Any range of what is there can be read while the store is open; what is not there is an error.
+#[test]
+fn ranges_are_read_beside_the_writer() {
+    let disk = SimDisk::new(1);
+    let mut model = Model::default();
+    let mut log = model.open(&disk, "new").expect("opens");
+    for count in 1..12 {
+        model.commit(&mut log, count).expect("commits");
+    }
+    let next = model.next();
+    let read = |from: u64, to: u64| {
+        let mut seen = Vec::new();
+        Log::range(&disk, "n3", from..to, |number, bytes| {
+            assert_eq!(number, from + seen.len() as u64);
+            seen.push(bytes.to_vec());
+            Ok(())
+        })?;
+        Ok::<_, StoreError>(seen)
+    };
+    for (from, to) in (1..next).flat_map(|from| (from..=next).map(move |to| (from, to))) {
+        let expected = &model.acked[from as usize - 1..to as usize - 1];
+        assert_eq!(read(from, to).expect("it is there"), expected, "{from}..{to}");
+    }
+    assert!(matches!(read(1, next + 1), Err(StoreError::Gap { .. })));
+    model.snapshot(&mut log, next - 3).expect("a snapshot");
+    assert!(matches!(read(1, next), Err(StoreError::Gap { .. })), "the first are gone");
+    assert_eq!(read(next - 3, next).expect("the last are there").len(), 3);
+}
