Add the collector's folder: batches taken once, in order, never overwritten

Need: the collecting side has to be a library that others can use, and a folder is the simplest place to export to.

Inbox stands on the Collector state machine and a Disk: a batch is placed whole under its number before the reply leaves; what a killed process renamed and never synced is synced at the opening.

--- a/crates/ledger/src/book.rs
+++ b/crates/ledger/src/book.rs
@@ -58,6 +58,8 @@
 /// A final answer, as it is billed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Use<'a> {
+    /// 1 for an answer; 0 for what an answer billed before still used.
+    pub requests: u64,
     /// The society.
     pub account: Account<'a>,
     /// The class, by position.
@@ -173,8 +175,6 @@
     rules: Rules,
     state: State,
     table: Table,
-    /// Requests in the table.
-    in_table: u64,
     /// Records from the oldest that is not durable on; the first `out` are with the store.
     queue: VecDeque<Record>,
     out: usize,
@@ -217,7 +217,6 @@
             rules,
             state,
             table,
-            in_table: 0,
             queue: VecDeque::new(),
             out: 0,
             next,
@@ -304,8 +303,12 @@
     pub fn bill(&mut self, now_ms: u64, used: &Use<'_>, out: &mut Vec<Action>) -> Verdict {
         let period = self.state.period(self.time(now_ms));
         let key = Key { period, society: used.account.as_str(), class: used.class, outcome: used.outcome };
-        let Use { pool_us, bytes_in, bytes_out, .. } = *used;
-        let amount = Amount { requests: 1, pool_us, bytes_in, bytes_out };
+        let Use { requests, pool_us, bytes_in, bytes_out, .. } = *used;
+        let amount = Amount { requests, pool_us, bytes_in, bytes_out };
+        if !self.serving && used.outcome == Outcome::Refused {
+            // Turned away since nothing can be billed: it is told so at once, and counted.
+            return self.unbilled(now_ms, requests);
+        }
         if !self.table.add(key, &amount) {
             // No room for another aggregate: all are written early, and merged when the period is closed.
             self.spills += 1;
@@ -318,29 +321,33 @@
             }
             if !self.table.add(key, &amount) {
                 // Only while the disk fails and serving goes on all the same.
-                self.lost_since = if self.lost == 0 { self.time(now_ms) } else { self.lost_since };
-                self.lost += 1;
-                self.unbilled += 1;
-                return Verdict::Send;
+                return self.unbilled(now_ms, requests);
             }
         }
-        self.in_table += 1;
-        self.at_risk += 1;
+        self.at_risk += requests;
         let waits = match self.rules.mode {
             Mode::Strict => true,
             Mode::Interval { at_risk, .. } => self.at_risk > at_risk.max(1),
         };
-        if self.failing.is_some() && self.rules.on_failure == OnFailure::Continue || !waits {
+        if self.failing.is_some() && self.rules.on_failure == OnFailure::Continue || !waits || requests == 0 {
             return Verdict::Send;
         }
         self.marks += 1;
         Verdict::Hold(self.marks)
     }
 
+    /// Counts requests that will be in no line.
+    fn unbilled(&mut self, now_ms: u64, requests: u64) -> Verdict {
+        self.lost_since = if self.lost == 0 { self.time(now_ms) } else { self.lost_since };
+        self.lost += requests;
+        self.unbilled += requests;
+        Verdict::Send
+    }
+
     /// After one or more answers were billed: has the store work, if it has none. In interval mode only what is due or
     /// waited for is written.
     pub fn turn(&mut self, now_ms: u64, out: &mut Vec<Action>) {
-        if self.in_table == 0 || self.out > 0 || self.failing.is_some() {
+        if self.table.is_empty() || self.out > 0 || self.failing.is_some() {
             return;
         }
         let due = match self.rules.mode {
@@ -502,7 +509,6 @@
                 _ => lines.push((key.period, vec![entry])),
             }
         });
-        self.in_table = 0;
         for (used_in, entries) in lines {
             let requests = entries.iter().map(|e| e.amount.requests).sum();
             // What was used in a period that has been closed since is a correction in the open one.
--- a/crates/ledger/src/lib.rs
+++ b/crates/ledger/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod batch;
 mod book;
 pub mod deliver;
+mod inbox;
 mod line;
 mod state;
 mod table;
@@ -16,6 +17,7 @@
 
 pub use account::{Account, MAX_NAME, NotAName, UNATTRIBUTED};
 pub use book::{Action, Book, Figures, Mode, Note, OnFailure, Rules, Use, Verdict};
+pub use inbox::{Inbox, InboxError};
 pub use line::{
     Amount, BadLine, Close, Correction, Entry, Export, Kind, Line, LineId, LineIdText, Outcome, Start,
     Unbilled, Usage,
--- a/crates/ledger/tests/book.rs
+++ b/crates/ledger/tests/book.rs
@@ -92,7 +92,7 @@
         let (name, mut actions) = (format!("s{society}"), Vec::new());
         let account = Account::named(&name).expect("a name");
         let outcome = Outcome::ALL[outcome];
-        let used = Use { account, class, outcome, pool_us: 10, bytes_in: 1, bytes_out: 2 };
+        let used = Use { requests: 1, account, class, outcome, pool_us: 10, bytes_in: 1, bytes_out: 2 };
         match self.book.bill(self.now, &used, &mut actions) {
             Verdict::Send => self.out += 1,
             Verdict::Hold(mark) => self.held.push(mark),
--- a/crates/store/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -37,6 +37,6 @@
 
 pub use disk::{Disk, DiskFile, RealDisk};
 pub use error::StoreError;
-pub use log::{Log, Options, Recovery, Visit};
+pub use log::{Log, Options, Recovery, Visit, place};
 pub use recover::Cut;
 pub use writer::{Failure, Gauges, Progress, Writer, WriterOptions};
--- a/crates/store/src/log.rs
+++ b/crates/store/src/log.rs
@@ -367,8 +367,12 @@
     }
 }
 
-/// Writes a new file under a name for the time being, makes it durable, and only then gives it its name.
-fn place(disk: &dyn Disk, name: &str, parts: &[&[u8]]) -> Result<Box<dyn DiskFile>, StoreError> {
+/// Writes a new file under a name for the time being, makes it durable, and only then gives it its name, durably: after a
+/// crash it is there whole or not at all.
+///
+/// # Errors
+/// Of the disk. After any but [`StoreError::NoSpace`] it is unknown whether it is there.
+pub fn place(disk: &dyn Disk, name: &str, parts: &[&[u8]]) -> Result<Box<dyn DiskFile>, StoreError> {
     let making = format!("{name}.tmp");
     let write = || -> Result<Box<dyn DiskFile>, StoreError> {
         let mut file = disk.create(&making).map_err(StoreError::io("making", &making))?;
