Bill every final answer by society: the ledger in the daemon, its exports, and the drill

Need: each society pays for its share, which so far was estimated after the fact.

- src/node/ledger.rs: the book on the serving thread, the store on its own; answers that may not leave yet wait there.
All final answers pass one place in core.rs (finally); withdrawn requests and what a run used after its answer are billed too.
With lines that can't be written, new requests are turned away with a time to come back and health is bad (or serving goes on, as set).
Opened before anything is served, closed in good order after the last answer.
- src/node/export.rs: a thread that makes batches of closed periods, enters them as prepared, sends them to a folder or an HTTP collector until they are acknowledged, and enters that.
- The field org of a request, read only with a ledger; what can't be an account's name is an error for that request.
- The block ledger of the operator file, checked key by key.
- dunlinspreadctl ledger show, verify, drill; a collector with faults among the played parties.
A party's tasks no longer keep themselves alive (they held their executor), seen when the collector's folder stayed locked.

--- /dev/null
+++ b/crates/ctl/src/ledger.rs
@@ -0,0 +1,291 @@
+//! `dunlinspreadctl ledger`: the operators' commands over ledgers and their exports.
+
+use crate::drill::Drill;
+use crate::table::table;
+use anyhow::{Context as _, Result, bail};
+use clap::{Args, Subcommand};
+use dunlinspread_ledger::{Kind, Line, Net, Outcome, State, Sum, totals};
+use dunlinspread_store::{Disk as _, Log, RealDisk, Visit};
+use indicatif::ProgressBar;
+use serde_json::json;
+use std::collections::BTreeMap;
+use std::path::{Path, PathBuf};
+use std::process::ExitCode;
+
+/// Sums held at a time by commands.
+const CELLS: usize = 1_000_000;
+
+/// The commands.
+#[derive(Subcommand)]
+pub enum Command {
+    /// Show what was used, by society, class and outcome. The ledger may be in use.
+    Show(Show),
+    /// Walk over a whole store and check every line against those before it.
+    Verify(Verify),
+    /// Kill round servers under load and interrupt their exports, then hold every count against the proxies' own.
+    Drill(Drill),
+}
+
+impl Command {
+    /// Runs it.
+    pub fn run(&self) -> Result<ExitCode> {
+        match self {
+            Command::Show(show) => show.run(),
+            Command::Verify(verify) => verify.run(),
+            Command::Drill(drill) => drill.run(),
+        }
+    }
+}
+
+/// Where a ledger lies.
+#[derive(Args)]
+pub struct Place {
+    /// The ledger's directory.
+    pub directory: PathBuf,
+    /// The server it belongs to; found out from the files without it.
+    #[arg(long)]
+    pub server: Option<String>,
+}
+
+impl Place {
+    /// The disk and the server's name.
+    pub fn open(&self) -> Result<(RealDisk, String)> {
+        if !self.directory.is_dir() {
+            bail!("{} is no directory", self.directory.display());
+        }
+        let disk = RealDisk::new(&self.directory)?;
+        let server = match &self.server {
+            Some(server) => server.clone(),
+            None => owner(&disk, &self.directory)?,
+        };
+        Ok((disk, server))
+    }
+}
+
+/// Whose store it is, by the header of one of its files.
+fn owner(disk: &RealDisk, directory: &Path) -> Result<String> {
+    let names = disk.list().with_context(|| format!("listing {}", directory.display()))?;
+    let name = names.iter().find(|n| dunlinspread_store::frame::read_name(n).is_some());
+    let name = name.with_context(|| format!("{} holds no ledger", directory.display()))?;
+    let bytes = std::fs::read(directory.join(name)).with_context(|| format!("reading {name}"))?;
+    match dunlinspread_store::frame::Header::decode(&bytes) {
+        Ok(header) => Ok(header.owner),
+        Err(e) => bail!("{name}: {e:?}"),
+    }
+}
+
+/// What a walk over a store found.
+#[derive(Default)]
+pub struct Walked {
+    /// The sum of all lines.
+    pub state: State,
+    /// Lines by kind.
+    pub lines: BTreeMap<&'static str, u64>,
+    /// Requests that lines say are in none, and those that may be.
+    pub unbilled: (u64, u64),
+}
+
+/// Walks over all lines, checking each against those before it.
+pub fn walk(disk: &RealDisk, server: &str, mut show: impl FnMut(u64, &Line)) -> Result<Walked> {
+    let mut walked = Walked::default();
+    Log::read(disk, server, |visit| {
+        match visit {
+            Visit::Snapshot(_, bytes) => {
+                walked.state =
+                    prost::Message::decode(bytes).map_err(|e: prost::DecodeError| e.to_string())?;
+            }
+            Visit::Record(number, bytes) => {
+                let line = Line::read(bytes).map_err(|e| e.to_string())?;
+                walked.state.apply(number, &line).map_err(|e| e.to_string())?;
+                let word = match &line.kind {
+                    Some(Kind::Start(_)) => "start",
+                    Some(Kind::Usage(_)) => "usage",
+                    Some(Kind::Correction(_)) => "correction",
+                    Some(Kind::Close(_)) => "close",
+                    Some(Kind::Export(_)) => "export",
+                    Some(Kind::Unbilled(u)) => {
+                        walked.unbilled.0 += u.requests;
+                        walked.unbilled.1 += u.at_most;
+                        "unbilled"
+                    }
+                    None => "unknown",
+                };
+                *walked.lines.entry(word).or_default() += 1;
+                show(number, &line);
+            }
+        }
+        Ok(())
+    })?;
+    Ok(walked)
+}
+
+/// Settings of `show`.
+#[derive(Args)]
+pub struct Show {
+    #[command(flatten)]
+    place: Place,
+    /// Only this society.
+    #[arg(long)]
+    society: Option<String>,
+    /// Only periods from this time on, Unix ms.
+    #[arg(long, default_value_t = 0)]
+    from: u64,
+    /// Only periods before this time, Unix ms.
+    #[arg(long, default_value_t = u64::MAX)]
+    to: u64,
+    /// One JSON object a sum.
+    #[arg(long)]
+    json: bool,
+}
+
+impl Show {
+    fn run(&self) -> Result<ExitCode> {
+        let (disk, server) = self.place.open()?;
+        // The last line that is there now: a ledger in use goes on growing.
+        let mut end = 0;
+        walk(&disk, &server, |number, _| end = number)?;
+        let mut rows =
+            table(&["society", "period", "class", "outcome", "requests", "pool s", "kB in", "kB out"]);
+        let mut all = Net::default();
+        let mut first = None;
+        Log::read(&disk, &server, |visit| {
+            if let Visit::Record(number, _) = visit {
+                first.get_or_insert(number);
+            }
+            Ok(())
+        })?;
+        let range = first.unwrap_or(1)..end + 1;
+        totals(
+            &[],
+            CELLS,
+            |show| {
+                Log::range(&disk, &server, range.clone(), |number, bytes| {
+                    show(number, &Line::read(bytes).map_err(|e| e.to_string())?);
+                    Ok(())
+                })
+            },
+            |period| period >= self.from && period < self.to,
+            |sum, net| {
+                if self.society.as_ref().is_some_and(|s| *s != sum.society) {
+                    return;
+                }
+                all.requests += net.requests;
+                all.pool_us += net.pool_us;
+                if self.json {
+                    println!("{}", sum_json(&sum, &net));
+                } else {
+                    rows.add_row([
+                        sum.society.clone(),
+                        period_text(sum.period),
+                        sum.class.clone(),
+                        sum.outcome.word().to_owned(),
+                        net.requests.to_string(),
+                        format!("{:.3}", net.pool_us as f64 / 1e6),
+                        format!("{:.1}", net.bytes_in as f64 / 1e3),
+                        format!("{:.1}", net.bytes_out as f64 / 1e3),
+                    ]);
+                }
+            },
+        )?;
+        if !self.json {
+            println!(
+                "{rows}\n{} requests, {:.3} s in the worker pool",
+                all.requests,
+                all.pool_us as f64 / 1e6
+            );
+        }
+        Ok(ExitCode::SUCCESS)
+    }
+}
+
+fn sum_json(sum: &Sum, net: &Net) -> serde_json::Value {
+    json!({
+        "society": sum.society, "period_ms": sum.period, "of_ms": sum.of, "class": sum.class,
+        "outcome": sum.outcome.word(), "requests": net.requests as i64, "pool_us": net.pool_us as i64,
+        "bytes_in": net.bytes_in as i64, "bytes_out": net.bytes_out as i64,
+    })
+}
+
+/// A period's first ms as UTC.
+fn period_text(ms: u64) -> String {
+    let time = std::time::UNIX_EPOCH + std::time::Duration::from_millis(ms);
+    humantime::format_rfc3339_millis(time).to_string()
+}
+
+/// Settings of `verify`.
+#[derive(Args)]
+pub struct Verify {
+    #[command(flatten)]
+    place: Place,
+    /// One JSON object.
+    #[arg(long)]
+    json: bool,
+}
+
+impl Verify {
+    fn run(&self) -> Result<ExitCode> {
+        let (disk, server) = self.place.open()?;
+        let bar = ProgressBar::new_spinner();
+        let mut seen = 0u64;
+        let walked = walk(&disk, &server, |_, _| {
+            seen += 1;
+            if seen % 10_000 == 0 {
+                bar.set_message(format!("{seen} lines"));
+                bar.tick();
+            }
+        });
+        bar.finish_and_clear();
+        let walked = match walked {
+            Ok(walked) => walked,
+            Err(e) => {
+                if self.json {
+                    println!("{}", json!({"ok": false, "server": server, "fault": format!("{e:#}")}));
+                }
+                return Err(e.context("the ledger is not in order"));
+            }
+        };
+        let state = &walked.state;
+        if self.json {
+            println!(
+                "{}",
+                json!({
+                    "ok": true, "server": server, "born": state.born, "lines": walked.lines,
+                    "closed_to_ms": state.closed_to, "batches": state.batches,
+                    "acknowledged": state.batches - u64::from(state.prepared.is_some()),
+                    "unbilled": walked.unbilled.0, "unbilled_at_most": walked.unbilled.1,
+                })
+            );
+        } else {
+            let mut rows = table(&["lines", "count"]);
+            for (word, count) in &walked.lines {
+                rows.add_row([(*word).to_owned(), count.to_string()]);
+            }
+            println!("{rows}\nserver {server}: in order; closed to {}", period_text(state.closed_to));
+            println!(
+                "batches prepared {}, acknowledged {}; requests known to be in no line {}, possibly up to {} more",
+                state.batches,
+                state.batches - u64::from(state.prepared.is_some()),
+                walked.unbilled.0,
+                walked.unbilled.1
+            );
+        }
+        Ok(ExitCode::SUCCESS)
+    }
+}
+
+/// Requests by society and outcome.
+pub type BySociety = BTreeMap<(String, Outcome), u64>;
+
+/// Requests in the lines of a ledger.
+pub fn by_society(disk: &RealDisk, server: &str) -> Result<(BySociety, Walked)> {
+    let mut sums = BTreeMap::new();
+    let walked = walk(disk, server, |_, line| {
+        if let Some(Kind::Usage(usage)) = &line.kind {
+            for entry in &usage.entries {
+                let outcome = Outcome::try_from(entry.outcome).unwrap_or(Outcome::Unknown);
+                *sums.entry((entry.society.clone(), outcome)).or_insert(0) += entry.amount.requests;
+            }
+        }
+    })?;
+    Ok((sums, walked))
+}
--- a/crates/ctl/src/main.rs
+++ b/crates/ctl/src/main.rs
@@ -1,7 +1,9 @@
 //! The operators' command line: trying the program out, and the subsystems' own commands.
 #![forbid(unsafe_code)]
 
+mod drill;
 mod fleet;
+mod ledger;
 mod table;
 mod trial;
 
@@ -20,6 +22,9 @@
 enum Command {
     /// Start a round server among played parties, send it a mixed load for some seconds, and show what came of it.
     Try(trial::Trial),
+    /// The ledger of use by society: look at it, check it, drill it.
+    #[command(subcommand)]
+    Ledger(ledger::Command),
     /// Run the round server itself; `try` and the drills start it so.
     #[command(hide = true, disable_help_flag = true)]
     Serve {
@@ -32,6 +37,7 @@
 fn main() -> ExitCode {
     let result = match Cli::parse().command {
         Command::Try(trial) => trial.run(),
+        Command::Ledger(command) => command.run(),
         Command::Serve { arguments } => {
             let program = ["dunlinspread", "serve"].map(Into::into);
             return dunlinspread::daemon::run(program.into_iter().chain(arguments));
--- a/crates/ledger/src/account.rs
+++ b/crates/ledger/src/account.rs
@@ -31,6 +31,13 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct Account<'a>(&'a str);
 
+impl Account<'static> {
+    /// The account of those who name none.
+    pub fn unattributed() -> Account<'static> {
+        Account(UNATTRIBUTED)
+    }
+}
+
 impl<'a> Account<'a> {
     /// Checks a name that someone states.
     ///
@@ -48,11 +55,6 @@
         }
     }
 
-    /// The account of those who name none.
-    pub fn unattributed() -> Account<'static> {
-        Account(UNATTRIBUTED)
-    }
-
     /// The name.
     pub fn as_str(&self) -> &'a str {
         self.0
--- a/crates/standin/src/http.rs
+++ b/crates/standin/src/http.rs
@@ -5,7 +5,7 @@
 use std::net::TcpStream;
 
 /// The largest request taken, in bytes.
-const MAX: usize = 64 * 1024;
+const MAX: usize = 16 << 20;
 
 /// A request.
 #[derive(Debug)]
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -14,6 +14,7 @@
 #![forbid(unsafe_code)]
 
 mod catalog;
+mod collector;
 mod http;
 mod index;
 mod party;
@@ -22,6 +23,7 @@
 mod site;
 
 pub use catalog::Catalog;
+pub use collector::{Collector, CollectorCounts};
 pub use index::{Index, IndexFaults};
 pub use pool::{Pool, PoolFaults};
 pub use proxy::{Count, Habits, Load, Outcome, Progress, Proxies, Tally};
--- a/crates/standin/src/party.rs
+++ b/crates/standin/src/party.rs
@@ -6,11 +6,21 @@
 use std::future::Future;
 use std::io;
 use std::net::{SocketAddr, TcpListener, TcpStream};
-use std::rc::Rc;
+use std::rc::{Rc, Weak};
 use std::thread::JoinHandle;
 
-/// The tasks of one party.
-pub(crate) type Tasks = Rc<LocalExecutor<'static>>;
+/// The tasks of one party. Tasks may hold this: it does not keep them alive.
+#[derive(Clone)]
+pub(crate) struct Tasks(Weak<LocalExecutor<'static>>);
+
+impl Tasks {
+    /// Runs a task, until the party ends.
+    pub fn spawn(&self, task: impl Future<Output = ()> + 'static) {
+        if let Some(tasks) = self.0.upgrade() {
+            tasks.spawn(task).detach();
+        }
+    }
+}
 
 /// A running thread. Dropping it ends its tasks, closes its sockets and waits for it.
 pub(crate) struct Party {
@@ -23,9 +33,9 @@
     pub fn start(name: &str, begin: impl FnOnce(&Tasks) + Send + 'static) -> io::Result<Party> {
         let (stop, stopped) = async_channel::bounded::<()>(1);
         let thread = std::thread::Builder::new().name(name.to_owned()).spawn(move || {
-            let tasks: Tasks = Rc::new(LocalExecutor::new());
-            begin(&tasks);
-            async_io::block_on(tasks.run(async {
+            let executor = Rc::new(LocalExecutor::new());
+            begin(&Tasks(Rc::downgrade(&executor)));
+            async_io::block_on(executor.run(async {
                 // An error is what is awaited: the other end is gone.
                 let _ = stopped.recv().await;
             }));
@@ -51,10 +61,10 @@
                 let Ok(listener) = Async::new(listener) else { return };
                 while let Ok((stream, _)) = listener.accept().await {
                     let _ = stream.get_ref().set_nodelay(true);
-                    inner.spawn(serve(stream)).detach();
+                    inner.spawn(serve(stream));
                 }
             };
-            tasks.spawn(accepting).detach();
+            tasks.spawn(accepting);
         })?;
         Ok((party, address))
     }
--- a/crates/standin/src/pool.rs
+++ b/crates/standin/src/pool.rs
@@ -105,7 +105,7 @@
                 links: 0,
                 ran: shared,
             }));
-            tasks.spawn(by_hand(machine.clone(), hands)).detach();
+            tasks.spawn(by_hand(machine.clone(), hands));
             let tasks = tasks.clone();
             move |stream| serve(machine.clone(), tasks.clone(), stream)
         })?;
@@ -359,7 +359,7 @@
             Timer::after(Duration::from_secs_f64(ms / 1000.0)).await;
             machine.borrow_mut().due(&id, generation);
         };
-        tasks.spawn(due).detach();
+        tasks.spawn(due);
         true
     }
 
--- a/crates/standin/src/proxy.rs
+++ b/crates/standin/src/proxy.rs
@@ -27,6 +27,8 @@
 const OPEN: usize = 32;
 /// The longest latency that is told from longer ones, µs.
 const MAX_US: u64 = 600_000_000;
+/// A withdrawal is taken for read after this long on a connection that stands.
+const SURELY_READ: Duration = Duration::from_secs(1);
 /// A request that crosses a close within this long of its sending is sent again, once.
 const CROSSED: Duration = Duration::from_millis(50);
 
@@ -162,13 +164,11 @@
                 tasks: tasks.clone(),
                 progress: seen,
             });
-            tasks
-                .spawn(async move {
-                    send_all(&all, &load).await;
-                    let tally = Tally { doubled: all.doubled.get(), ..all.tally.take() };
-                    let _ = done.send(tally).await;
-                })
-                .detach();
+            tasks.spawn(async move {
+                send_all(&all, &load).await;
+                let tally = Tally { doubled: all.doubled.get(), ..all.tally.take() };
+                let _ = done.send(tally).await;
+            });
         })?;
         Ok(Proxies { party, progress, tally })
     }
@@ -211,6 +211,8 @@
     /// It said `shutdown`, or ended.
     closing: Cell<bool>,
     ended: Cell<bool>,
+    /// It ended after it said `shutdown`, with nothing open.
+    left: Cell<bool>,
 }
 
 /// One request, the same in all its tries.
@@ -261,7 +263,7 @@
             inner.progress[1].fetch_add(1, Ordering::Relaxed);
             drop(over);
         };
-        all.tasks.spawn(request).detach();
+        all.tasks.spawn(request);
     }
     drop(over);
     // Nothing is ever sent on it: it closes when the last request is over.
@@ -323,7 +325,10 @@
                 None => {
                     connection.waiting.borrow_mut().remove(&id);
                     let _ = connection.outbox.try_send(forget(id));
-                    return Outcome::Withdrawn;
+                    // If the connection ends before that was surely read, nobody knows what the round server made of it.
+                    Timer::after(SURELY_READ).await;
+                    let cut = connection.ended.get() && !connection.left.get();
+                    return if cut { Outcome::Cut } else { Outcome::Withdrawn };
                 }
                 Some(Ok(message)) => return self.judge(wish, &message, since, plan.aim_ms),
                 Some(Err(_)) if again && connection.closing.get() && sent.elapsed() < CROSSED => {}
@@ -371,19 +376,21 @@
             ids: Cell::new(0),
             closing: Cell::new(false),
             ended: Cell::new(false),
+            left: Cell::new(false),
         });
         target.connections.borrow_mut().push(connection.clone());
         let inner = connection.clone();
         let doubled = self.doubled.clone();
         let serve = async move {
             inner.serve(&stream, letters, &doubled).await;
+            inner.left.set(inner.closing.get() && inner.waiting.borrow().is_empty());
             inner.closing.set(true);
             inner.ended.set(true);
             // Whoever waits learns that no answer comes.
             inner.waiting.borrow_mut().clear();
             inner.outbox.close();
         };
-        self.tasks.spawn(serve).detach();
+        self.tasks.spawn(serve);
         Some(connection)
     }
 }
--- a/deploy/operator.example.hcl
+++ b/deploy/operator.example.hcl
@@ -8,3 +8,24 @@
   # The least important lines written: "error", "warning" or "info".
   level = "info"
 }
+
+# The ledger of use by society. Off without this block; it needs storage that survives. See docs/operators/ledger.md.
+ledger "rounds" {
+  # Where its store lies: a directory of its own, for one server, made if it is not there.
+  directory = "/var/lib/dunlinspread/ledger"
+  # The length of periods, aligned to Unix time (100ms to 31d), and how long after its end one is closed.
+  period = "15m"
+  grace  = "5s"
+  # "strict": no answer leaves before its line is durable. "interval": lines are made durable every `interval`, and at
+  # most `at_risk` answers are out before theirs is; a start after an unclean end states that number in a line.
+  mode = "strict"
+  # While the disk is full or fails. "refuse": take on nothing new, health is bad. "continue": serve on, count what is
+  # not billed, and say so in a line once the disk is back.
+  on_failure = "refuse"
+  # Lines in one exported batch at most.
+  batch_lines = 10000
+  # Where closed periods go: a folder, or `collector = "ADDRESS:PORT"`. Without it they stay in the store.
+  export {
+    folder = "/var/lib/dunlinspread/exports"
+  }
+}
--- a/src/config.rs
+++ b/src/config.rs
@@ -220,6 +220,8 @@
     pub core_mailbox: usize,
     /// Log lines that wait for the writer; further ones are dropped and counted.
     pub log_lines: usize,
+    /// Aggregates that a ledger holds open, if there is one.
+    pub ledger_cells: usize,
 }
 
 impl Bounds {
@@ -229,6 +231,7 @@
     const REQUEST: usize = 5 << 10;
     const KEY: usize = 400;
     const LOG_LINE: usize = 1 << 10;
+    const LEDGER_CELL: usize = 160;
     /// Descriptors that are neither a client's nor a call's: some fifteen, and room.
     const OTHER_DESCRIPTORS: usize = 24;
 
@@ -244,6 +247,7 @@
             result_bytes: memory_bytes / 5,
             core_mailbox: (memory_bytes / 32 / Self::REQUEST).clamp(64, 1024),
             log_lines: (memory_bytes / 64 / Self::LOG_LINE).clamp(64, 1024),
+            ledger_cells: memory_bytes / 32 / Self::LEDGER_CELL,
         }
     }
 }
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -5,16 +5,19 @@
 use crate::config::Config;
 use crate::node::catalog::Catalog;
 use crate::node::core::{Core, Peers};
+use crate::node::export::Export;
 use crate::node::front::{List, Shared};
 use crate::node::index::Index;
+use crate::node::ledger::{Billing, FromLedger, Store};
 use crate::node::messages::{ToCatalog, ToCore, ToIndex, ToList, ToPool};
 use crate::node::pool::Pool;
 use crate::node::wheel::{Clock, Wheel};
-use crate::operator::{LogFormat, LogLevel, Operator};
+use crate::operator::{LedgerSettings, LogFormat, LogLevel, Operator};
 use async_executor::LocalExecutor;
 use async_io::Async;
 use async_signal::{Signal, Signals};
 use clap::{Args, Parser, Subcommand};
+use dunlinspread_ledger::Mode;
 use futures_lite::StreamExt;
 use futures_lite::future::or;
 use slog::{Drain, Logger, info, o, warn};
@@ -25,6 +28,10 @@
 use std::process::ExitCode;
 use std::rc::Rc;
 
+/// How often time passes for the ledger, ms, if its interval is not shorter.
+const LEDGER_TICK_MS: f64 = 100.0;
+/// Messages of the ledger's threads that wait for the core.
+const FROM_THREADS: usize = 1024;
 /// Before the stop, the module's time ends so much earlier, ms: its last answers still have to go out.
 const ANSWER_MARGIN_MS: f64 = 100.0;
 /// Connections end so long before the stop, ms, so that nothing is read too late to be answered.
@@ -238,7 +245,15 @@
     };
     let peers = Peers { pool: pool_box, index: index_box, catalog: catalog_box, list: list_box.clone() };
     let (own, exe) = (core_box.clone(), executor.clone());
-    let core = Core::new(&config, clock, wheel.clone(), exe, own, peers, log.clone());
+    let mut core = Core::new(&config, clock, wheel.clone(), exe, own, peers, log.clone());
+    if let Some(settings) = &links.operator.ledger {
+        let ledger = ledger(settings, &config, clock, core_box.clone(), &executor, &log)?;
+        let tick_ms = match settings.mode {
+            Mode::Strict => LEDGER_TICK_MS,
+            Mode::Interval { every_ms, .. } => LEDGER_TICK_MS.min(every_ms as f64),
+        };
+        core.bill_by(ledger, tick_ms);
+    }
     executor.spawn(core.run(core_letters)).detach();
     executor.spawn(wheel.clone().turn()).detach();
     let shared = Rc::new(Shared {
@@ -247,6 +262,7 @@
         wheel: wheel.clone(),
         core: core_box.clone(),
         log: log.clone(),
+        accounts: links.operator.ledger.is_some(),
         last_id: Cell::new(0),
         complaints: Cell::new((0.0, 0)),
     });
@@ -277,6 +293,77 @@
         }
     };
     or(or(leave, wheel.sleep((stop_ms - END_MARGIN_MS).max(0.0))), hearing).await;
+    if links.operator.ledger.is_some() {
+        end_ledger(&core_box, &log).await;
+    }
     info!(log, "leaving");
     Ok(())
 }
+
+/// Opens the ledger, which waits for the disk, and starts its threads. Nothing is served before: an answer that can't be
+/// billed may not be given.
+fn ledger(
+    settings: &LedgerSettings,
+    config: &Config,
+    clock: Clock,
+    core: async_channel::Sender<ToCore>,
+    executor: &LocalExecutor<'static>,
+    log: &Logger,
+) -> Result<Billing, String> {
+    let now_ms = clock.now() as u64;
+    let store = Store::open(settings, &config.name, now_ms, log)?;
+    let opened = store.opened.clone();
+    let (from_threads, heard) = async_channel::bounded(FROM_THREADS);
+    let progress = from_threads.clone();
+    let mut billing = Billing::start(
+        store,
+        settings,
+        &config.classes,
+        config.bounds.ledger_cells,
+        now_ms,
+        // This thread may wait for the core; the core never waits for it.
+        move |told| drop(progress.send_blocking(FromLedger::Progress(told))),
+        log.clone(),
+    )?;
+    let forwarding = async move {
+        while let Ok(from) = heard.recv().await {
+            if core.send(ToCore::Ledger(Box::new(from))).await.is_err() {
+                return;
+            }
+        }
+    };
+    executor.spawn(forwarding).detach();
+    let Some(to) = &settings.export else { return Ok(billing) };
+    let (tell, inbox) = std::sync::mpsc::channel();
+    billing.exports_to(tell);
+    let export = Export {
+        server: config.name.clone(),
+        directory: settings.directory.clone(),
+        to: to.clone(),
+        batch_lines: settings.batch_lines,
+        cells: config.bounds.ledger_cells,
+        opened,
+        inbox,
+        core: from_threads,
+        log: log.clone(),
+    };
+    // It is left to itself at the end: a collector that does not answer must not hold that up, and what is under way goes
+    // out at the next start.
+    let spawned = std::thread::Builder::new().name("export".to_owned()).spawn(move || export.run());
+    spawned.map_err(|e| format!("ledger: {e}"))?;
+    Ok(billing)
+}
+
+/// Writes what waits and closes the store in good order. All is answered by now, so this may wait for the disk.
+async fn end_ledger(core: &async_channel::Sender<ToCore>, log: &Logger) {
+    let (to, writer) = async_channel::bounded(1);
+    if core.send(ToCore::LedgerEnd(to)).await.is_err() {
+        return;
+    }
+    if let Ok(writer) = writer.recv().await {
+        match writer.close() {
+            Ok(()) => info!(log, "ledger is closed"),
+            Err(e) => warn!(log, "ledger could not be closed in good order"; "why" => e.to_string()),
+        }
+    }
+}
--- a/src/node/core.rs
+++ b/src/node/core.rs
@@ -3,6 +3,7 @@
 //! out what the module answers. It alone gives final answers, exactly one for each request, whatever races. It must
 //! never wait for a peer, never run a keyed request again within its window, and never speak a protocol's words.
 
+use super::ledger::{Billing, FromLedger, Used};
 use super::messages::*;
 use super::wheel::{Clock, Wheel};
 use crate::config::{Bounds, Config};
@@ -10,6 +11,7 @@
 use crate::policy::Policy;
 use async_channel::{Receiver, Sender};
 use async_executor::LocalExecutor;
+use dunlinspread_ledger::Outcome as Billed;
 use futures_lite::StreamExt;
 use slog::{Logger, info, warn};
 use std::collections::{BTreeMap, HashMap, VecDeque};
@@ -28,6 +30,9 @@
 const SWEEP_MS: f64 = 1000.0;
 /// The furthest that a stamp may lie ahead of the clock, ms. One far ahead would hold its key's entry for as long.
 const AHEAD_MS: f64 = 1000.0;
+/// Callers turned away since nothing can be billed are told to come back after this long, ms: the disk is tried again
+/// several times in that time.
+const UNBILLED_RETRY_MS: f64 = 1000.0;
 /// The most log lines of one kind between two sweeps: the module's notes, and commands not carried out.
 const MAX_NOTES: u32 = 5;
 
@@ -50,6 +55,11 @@
     key: Option<Rc<[u8]>>,
     reached: f64,
     body: Rc<[u8]>,
+    account: Option<Rc<str>>,
+    /// It runs without a call that belongs to it.
+    poorer: bool,
+    /// How it was billed, once it was.
+    billed: Option<Billed>,
     /// Where the one final answer goes; taken when it is given, or no longer owed.
     handle: Option<Handle>,
     stage: Stage,
@@ -117,6 +127,9 @@
     said: Option<f64>,
     notes: u32,
     not_done: u32,
+    ledger: Option<Box<Billing>>,
+    /// How often time passes for the ledger, ms.
+    ledger_tick_ms: f64,
 }
 
 impl Core {
@@ -155,15 +168,28 @@
             said: None,
             notes: 0,
             not_done: 0,
+            ledger: None,
+            ledger_tick_ms: 0.0,
         }
     }
 
+    /// Bills every final answer from now on; `tick_ms` is how often time passes for the ledger.
+    pub fn bill_by(&mut self, ledger: Billing, tick_ms: f64) {
+        (self.ledger, self.ledger_tick_ms) = (Some(Box::new(ledger)), tick_ms);
+    }
+
     /// Reads the mailbox until it closes.
     pub async fn run(mut self, inbox: Receiver<ToCore>) {
         self.later(SWEEP_MS, ToCore::Sweep);
+        if self.ledger.is_some() {
+            self.later(self.ledger_tick_ms, ToCore::LedgerTick);
+        }
         let mut inbox = pin!(inbox);
         while let Some(message) = inbox.next().await {
             self.take(message);
+            if self.ledger.is_some() {
+                self.turn_ledger();
+            }
         }
     }
 
@@ -171,7 +197,7 @@
         match message {
             ToCore::Arrive(incoming) => self.on_arrive(*incoming),
             ToCore::Invalid(handle) => self.send(handle, Answer::Invalid),
-            ToCore::Check(handle) => self.send(handle, Answer::Health(self.healthy)),
+            ToCore::Check(handle) => self.send(handle, Answer::Health(self.health())),
             ToCore::Gone(id) => self.on_gone(id),
             ToCore::Pool(report) => self.on_report(report),
             ToCore::CallEnded { id, outcome, body, took_ms } => {
@@ -184,6 +210,19 @@
                 self.tell(Event::Drain { stop_at });
             }
             ToCore::Sweep => self.on_sweep(),
+            ToCore::Ledger(from) => self.on_ledger(*from),
+            ToCore::LedgerTick => {
+                self.later(self.ledger_tick_ms, ToCore::LedgerTick);
+                let now = self.clock.now();
+                self.with_ledger(|ledger| ledger.tick(now));
+            }
+            ToCore::LedgerEnd(to) => {
+                let now = self.clock.now();
+                if let Some(ledger) = self.ledger.take() {
+                    // Whoever asked waits for it.
+                    let _ = to.try_send(ledger.end(now));
+                }
+            }
         }
     }
 
@@ -239,11 +278,89 @@
     fn answer(&mut self, id: RequestId, answer: Answer) {
         let Some(request) = self.requests.get_mut(&id) else { return };
         if let Some(handle) = request.handle.take() {
-            self.send(handle, answer);
+            self.finally(id, handle, answer, 0.0);
             self.stop_call(id);
         }
     }
 
+    /// Sends the final answer, by way of the ledger if there is one.
+    fn finally(&mut self, id: RequestId, handle: Handle, answer: Answer, pool_ms: f64) {
+        if self.ledger.is_none() {
+            return self.send(handle, answer);
+        }
+        let now = self.clock.now();
+        let Some(request) = self.requests.get_mut(&id) else { return self.send(handle, answer) };
+        let late = now - request.reached > self.set.classes[request.class].aim_ms;
+        let (outcome, bytes_out) = match &answer {
+            Answer::Served(body) if request.poorer => (Billed::Poorer, body.len()),
+            Answer::Served(body) if late => (Billed::Late, body.len()),
+            Answer::Served(body) => (Billed::Served, body.len()),
+            Answer::Refused { .. } => (Billed::Refused, 0),
+            Answer::Failed | Answer::Invalid | Answer::Health(_) => (Billed::Failed, 0),
+        };
+        request.billed = Some(outcome);
+        let used = Used { class: request.class, outcome, pool_ms, bytes_in: request.body.len(), bytes_out };
+        let account = request.account.clone();
+        self.bill(account.as_ref(), &used, handle, answer);
+    }
+
+    /// Sends an answer once it is billed, if answers are.
+    fn bill(&mut self, account: Option<&Rc<str>>, used: &Used, handle: Handle, answer: Answer) {
+        let now = self.clock.now();
+        let free = match &mut self.ledger {
+            Some(ledger) => ledger.bill(now, account, used, handle, answer),
+            None => Some((handle, answer)),
+        };
+        if let Some((handle, answer)) = free {
+            self.send(handle, answer);
+        }
+    }
+
+    /// Bills what has no answer: a request that was withdrawn, or with none what its run used after it was billed.
+    fn bill_silent(&mut self, id: RequestId, withdrawn: bool, pool_ms: f64) {
+        let (now, Some(ledger)) = (self.clock.now(), &mut self.ledger) else { return };
+        let Some(request) = self.requests.get_mut(&id) else { return };
+        let outcome = if withdrawn { Billed::Withdrawn } else { request.billed.unwrap_or(Billed::Withdrawn) };
+        request.billed = Some(outcome);
+        let bytes_in = if withdrawn { request.body.len() } else { 0 };
+        let used = Used { class: request.class, outcome, pool_ms, bytes_in, bytes_out: 0 };
+        ledger.bill_silent(now, request.account.as_ref(), &used, u64::from(withdrawn));
+    }
+
+    fn on_ledger(&mut self, from: FromLedger) {
+        let now = self.clock.now();
+        self.with_ledger(|ledger| match from {
+            FromLedger::Progress(progress) => ledger.progress(now, progress),
+            FromLedger::Enter { kind, tag } => ledger.enter(now, kind, tag),
+        });
+    }
+
+    /// Does something with the ledger; health follows if it no longer takes lines, or does again.
+    fn with_ledger(&mut self, act: impl FnOnce(&mut Billing)) {
+        let Some(ledger) = &mut self.ledger else { return };
+        let before = ledger.serving();
+        act(ledger);
+        if ledger.serving() != before {
+            let health = self.health();
+            let _ = self.peers.catalog.try_send(ToCatalog::Health(health));
+        }
+    }
+
+    /// After each event: what was billed goes to the store if that has nothing to do, and what the store has let go
+    /// leaves.
+    fn turn_ledger(&mut self) {
+        let (now, Some(ledger)) = (self.clock.now(), &mut self.ledger) else { return };
+        ledger.turn(now);
+        let free: Vec<(Handle, Answer)> = ledger.free().collect();
+        for (handle, answer) in free {
+            self.send(handle, answer);
+        }
+    }
+
+    fn health(&self) -> bool {
+        self.healthy && self.ledger.as_ref().is_none_or(|l| l.serving())
+    }
+
     /// A call for a request that is over is of no use: what lies below hears so.
     fn stop_call(&mut self, id: RequestId) {
         if let (Some(Request { stage: Stage::Calling(..), .. }), Some(index)) =
@@ -276,7 +393,8 @@
     fn on_arrive(&mut self, incoming: Incoming) {
         self.start(None);
         let now = self.clock.now();
-        let Incoming { id, call, class, reached, held_kb, rank, key, subject, body, handle } = incoming;
+        let Incoming { id, call, class, reached, held_kb, rank, key, account, subject, body, handle } =
+            incoming;
         let reached = reached.min(now + AHEAD_MS);
         // A try's name is new with every try; the same name again can't be told apart in the worker pool.
         if self.calls.contains_key(&call) {
@@ -284,8 +402,16 @@
         }
         let key: Option<Rc<[u8]>> = key.map(Rc::from);
         let new_key = key.as_ref().is_some_and(|k| !self.entries.contains_key(k));
-        if self.requests.len() >= self.bounds.requests || new_key && self.entries.len() >= self.bounds.keys {
-            return self.send(handle, Answer::Refused { retry_after_ms: 0.0, last: false });
+        let full =
+            self.requests.len() >= self.bounds.requests || new_key && self.entries.len() >= self.bounds.keys;
+        let billable = self.ledger.as_ref().is_none_or(|l| l.serving());
+        if full || !billable {
+            let again = if billable || !self.set.retry_after { 0.0 } else { UNBILLED_RETRY_MS };
+            let retry_after_ms = again.min(self.set.max_retry_after_ms);
+            let used =
+                Used { class, outcome: Billed::Refused, pool_ms: 0.0, bytes_in: body.len(), bytes_out: 0 };
+            let answer = Answer::Refused { retry_after_ms, last: false };
+            return self.bill(account.as_ref(), &used, handle, answer);
         }
         let prior = key.as_ref().and_then(|k| self.prior(k, reached));
         let print = self.prints.hash_one(&body);
@@ -306,6 +432,9 @@
             key,
             reached,
             body: body.into(),
+            account,
+            poorer: false,
+            billed: None,
             handle: Some(handle),
             stage: Stage::Held,
             asked: Vec::new(),
@@ -350,6 +479,9 @@
         if request.handle.take().is_none() {
             return;
         }
+        if self.ledger.is_some() {
+            self.bill_silent(id, true, 0.0);
+        }
         self.stop_call(id);
         self.drop_idle(id);
         self.tell(Event::Gone(id));
@@ -457,8 +589,10 @@
             (None, End::Cut) => (Outcome::Cancelled, Answer::Failed),
             (None, _) => (Outcome::Error, Answer::Failed),
         };
-        if let Some(handle) = handle {
-            self.send(handle, answer);
+        match handle {
+            Some(handle) => self.finally(id, handle, answer, took_ms),
+            None if self.ledger.is_some() => self.bill_silent(id, false, took_ms),
+            None => {}
         }
         let key = self.requests.get(&id).and_then(|r| r.key.clone());
         if let Some(entry) = key.as_ref().and_then(|k| self.entries.get_mut(k)) {
@@ -604,6 +738,7 @@
                 if let Stage::AtCall(seq, _) = request.stage {
                     let call = request.call;
                     request.stage = Stage::Running;
+                    request.poorer = true;
                     self.ask(id, Command::Pass { call, seq });
                 }
             }
@@ -613,7 +748,8 @@
                     info!(self.log, "health changed"; "good" => good);
                 }
                 self.healthy = good;
-                let _ = self.peers.catalog.try_send(ToCatalog::Health(good));
+                let health = self.health();
+                let _ = self.peers.catalog.try_send(ToCatalog::Health(health));
             }
             Action::IdleLimit(ms) => drop(self.peers.list.try_send(ToList::IdleLimit(ms))),
             Action::Timer { token, delay_ms } => self.later(delay_ms, ToCore::Timer(token)),
--- a/src/node/front.rs
+++ b/src/node/front.rs
@@ -10,6 +10,7 @@
 use async_channel::{Receiver, Sender};
 use async_executor::LocalExecutor;
 use async_io::Async;
+use dunlinspread_ledger::Account;
 use futures_lite::future::or;
 use futures_lite::{AsyncReadExt, AsyncWriteExt, StreamExt};
 use slog::{Logger, info, warn};
@@ -67,6 +68,8 @@
     pub core: Sender<ToCore>,
     /// The log.
     pub log: Logger,
+    /// Requests name the account that they are billed to.
+    pub accounts: bool,
     /// The number of the last request read on any connection.
     pub last_id: Cell<RequestId>,
     /// Since when lines about faulty connections are counted, and how many there were.
@@ -390,6 +393,12 @@
         if body.len() > MAX_BODY || self.open.borrow().len() >= MAX_OPEN || keyed && key.is_none() {
             return None;
         }
+        let named = if shared.accounts {
+            fields.iter().any(|(k, _)| matches!(k, Value::Str(k) if k == b"org"))
+        } else {
+            false
+        };
+        let account = if named { Some(Account::named(field("org")?).ok()?) } else { None };
         let id = shared.last_id.get() + 1;
         let incoming = Incoming {
             id,
@@ -400,6 +409,7 @@
             rank: number("crit").filter(|r| (0.0..1.0).contains(r))?,
             // The class is part of the key: two classes' tries are never tries of one request.
             key: key.filter(|_| keyed).map(|k| [&[class as u8], k.as_bytes()].concat()),
+            account: account.map(|a| Rc::from(a.as_str())),
             subject: field("row").is_some(),
             body: body.clone(),
             handle: self.handle(tag),
--- a/src/node/messages.rs
+++ b/src/node/messages.rs
@@ -2,8 +2,10 @@
 //! one can be replaced, or a second front set beside the first, without touching the rest. It holds no behaviour, and
 //! must never come to name a protocol's words.
 
+use super::ledger::FromLedger;
 use crate::interface::{Outcome, RequestId};
 use async_channel::Sender;
+use dunlinspread_store::Writer;
 use std::net::SocketAddr;
 use std::rc::Rc;
 
@@ -69,6 +71,8 @@
     pub rank: f64,
     /// What all tries of one keyed request share.
     pub key: Option<Vec<u8>>,
+    /// The account that it is billed to; a good name.
+    pub account: Option<Rc<str>>,
     /// It names what it reads.
     pub subject: bool,
     /// The body, unchanged.
@@ -112,6 +116,12 @@
     },
     /// Time to sweep.
     Sweep,
+    /// From the ledger's threads.
+    Ledger(Box<FromLedger>),
+    /// Time passes for the ledger.
+    LedgerTick,
+    /// The program ends: give up the ledger's writer, if there is one.
+    LedgerEnd(Sender<Writer>),
 }
 
 /// A command, in the core's words.
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -4,8 +4,10 @@
 
 pub mod catalog;
 pub mod core;
+pub mod export;
 pub mod front;
 pub mod index;
+pub mod ledger;
 pub mod messages;
 pub mod pool;
 pub mod wheel;
--- a/src/operator.rs
+++ b/src/operator.rs
@@ -2,13 +2,16 @@
 //! subsystem. Without a file everything is off and the daemon behaves as its platform file says. A faulty file must
 //! never half apply: it is read and checked whole, and the fault names file, line, block and key.
 
+use dunlinspread_ledger::{Mode, OnFailure};
 use hcl_edit::Span as _;
 use hcl_edit::structure::{Block, Body};
 use serde::Deserialize;
 use serde::de::DeserializeOwned;
 use std::fmt;
+use std::net::SocketAddr;
 use std::ops::Range;
 use std::path::Path;
+use std::time::Duration;
 
 /// What is wrong in an operator file, and where.
 #[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
@@ -75,15 +78,195 @@
     pub level: LogLevel,
 }
 
+/// Where closed periods are exported to.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum ExportTo {
+    /// A folder.
+    Folder(String),
+    /// A collector that listens there.
+    Collector(SocketAddr),
+}
+
+/// The block `ledger`.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct LedgerSettings {
+    /// The block's label.
+    pub name: String,
+    /// Where its store lies.
+    pub directory: String,
+    /// The length of a period, ms.
+    pub period_ms: u64,
+    /// How long after its end a period is closed, ms.
+    pub grace_ms: u64,
+    /// When answers may leave.
+    pub mode: Mode,
+    /// What happens while the disk fails.
+    pub on_failure: OnFailure,
+    /// Where closed periods go; they stay in the store without one.
+    pub export: Option<ExportTo>,
+    /// Lines in one batch at most.
+    pub batch_lines: usize,
+}
+
+/// The block `ledger` as it stands in the file.
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct RawLedger {
+    directory: String,
+    #[serde(default, with = "humantime_text")]
+    period: Option<Duration>,
+    #[serde(default, with = "humantime_text")]
+    grace: Option<Duration>,
+    #[serde(default)]
+    mode: RawMode,
+    #[serde(default, with = "humantime_text")]
+    interval: Option<Duration>,
+    at_risk: Option<u64>,
+    #[serde(default)]
+    on_failure: RawOnFailure,
+    batch_lines: Option<u64>,
+    export: Option<RawExport>,
+}
+
+#[derive(Default, Deserialize)]
+#[serde(rename_all = "lowercase")]
+enum RawMode {
+    #[default]
+    Strict,
+    Interval,
+}
+
+#[derive(Default, Deserialize)]
+#[serde(rename_all = "lowercase")]
+enum RawOnFailure {
+    #[default]
+    Refuse,
+    Continue,
+}
+
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct RawExport {
+    folder: Option<String>,
+    collector: Option<SocketAddr>,
+}
+
+/// Lengths of time as text: `50ms`, `15m`, `1h 30m`.
+mod humantime_text {
+    use serde::{Deserialize, Deserializer, de::Error};
+    use std::time::Duration;
+
+    pub fn deserialize<'de, D: Deserializer<'de>>(from: D) -> Result<Option<Duration>, D::Error> {
+        let text = String::deserialize(from)?;
+        let read = humantime::parse_duration(&text);
+        read.map(Some)
+            .map_err(|e| D::Error::custom(format!("`{text}` is no length of time such as 50ms or 15m: {e}")))
+    }
+}
+
+impl RawLedger {
+    /// The settings, or the key that is faulty and why.
+    fn check(self, name: &str) -> Result<LedgerSettings, (&'static str, String)> {
+        let span = |key, value: Option<Duration>, default: u64, least: u64, most: u64| {
+            let ms = value.map_or(default, |d| d.as_millis().min(u128::from(u64::MAX)) as u64);
+            let text = |ms| humantime::format_duration(Duration::from_millis(ms)).to_string();
+            if (least..=most).contains(&ms) {
+                Ok(ms)
+            } else {
+                Err((key, format!("{} is not within {} and {}", text(ms), text(least), text(most))))
+            }
+        };
+        let period_ms = span("period", self.period, 900_000, 100, 31 * 86_400_000)?;
+        let grace_ms = span("grace", self.grace, period_ms.min(5000), 0, period_ms)?;
+        let mode = match self.mode {
+            RawMode::Strict if self.interval.is_some() => {
+                return Err(("interval", "belongs to mode \"interval\"".to_owned()));
+            }
+            RawMode::Strict if self.at_risk.is_some() => {
+                return Err(("at_risk", "belongs to mode \"interval\"".to_owned()));
+            }
+            RawMode::Strict => Mode::Strict,
+            RawMode::Interval => {
+                let every_ms = span("interval", self.interval, 50, 1, 60_000)?;
+                let at_risk = self.at_risk.unwrap_or(1000);
+                if at_risk == 0 {
+                    return Err((
+                        "at_risk",
+                        "with 0 no answer could leave; mode \"strict\" is that".to_owned(),
+                    ));
+                }
+                Mode::Interval { every_ms, at_risk }
+            }
+        };
+        let export = match self.export.map(|e| (e.folder, e.collector)) {
+            None => None,
+            Some((Some(folder), None)) => Some(ExportTo::Folder(folder)),
+            Some((None, Some(address))) => Some(ExportTo::Collector(address)),
+            Some(_) => return Err(("export", "takes either `folder` or `collector`".to_owned())),
+        };
+        let batch_lines = self.batch_lines.unwrap_or(10_000);
+        if !(1..=100_000).contains(&batch_lines) {
+            return Err(("batch_lines", format!("{batch_lines} is not within 1 and 100000")));
+        }
+        if self.directory.is_empty() {
+            return Err(("directory", "is empty".to_owned()));
+        }
+        Ok(LedgerSettings {
+            name: name.to_owned(),
+            directory: self.directory,
+            period_ms,
+            grace_ms,
+            mode,
+            on_failure: match self.on_failure {
+                RawOnFailure::Refuse => OnFailure::Refuse,
+                RawOnFailure::Continue => OnFailure::Continue,
+            },
+            export,
+            batch_lines: batch_lines as usize,
+        })
+    }
+}
+
+impl fmt::Display for LedgerSettings {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let text = |ms| humantime::format_duration(Duration::from_millis(ms)).to_string();
+        writeln!(f, "ledger \"{}\" {{\n  directory   = {:?}", self.name, self.directory)?;
+        writeln!(
+            f,
+            "  period      = \"{}\"\n  grace       = \"{}\"",
+            text(self.period_ms),
+            text(self.grace_ms)
+        )?;
+        match self.mode {
+            Mode::Strict => writeln!(f, "  mode        = \"strict\"")?,
+            Mode::Interval { every_ms, at_risk } => writeln!(
+                f,
+                "  mode        = \"interval\"\n  interval    = \"{}\"\n  at_risk     = {at_risk}",
+                text(every_ms)
+            )?,
+        }
+        let on_failure = if self.on_failure == OnFailure::Refuse { "refuse" } else { "continue" };
+        writeln!(f, "  on_failure  = \"{on_failure}\"\n  batch_lines = {}", self.batch_lines)?;
+        match &self.export {
+            None => {}
+            Some(ExportTo::Folder(folder)) => writeln!(f, "  export {{\n    folder = {folder:?}\n  }}")?,
+            Some(ExportTo::Collector(at)) => writeln!(f, "  export {{\n    collector = \"{at}\"\n  }}")?,
+        }
+        writeln!(f, "}}")
+    }
+}
+
 /// All that an operator file sets. [`Operator::default`] is what holds without one.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Operator {
     /// The daemon's log.
     pub log: LogSettings,
+    /// The ledger; off without one.
+    pub ledger: Option<LedgerSettings>,
 }
 
 /// The blocks there are, for the message about one that isn't.
-const BLOCKS: &str = "log";
+const BLOCKS: &str = "log, ledger";
 
 impl Operator {
     /// Reads the file at `path`.
@@ -133,7 +316,29 @@
             }
             seen.push(name);
             match name {
-                "log" => operator.log = source.block(block, Label::Without)?,
+                "log" => {
+                    if !block.labels.is_empty() {
+                        return Err(source.fault(
+                            block.span(),
+                            Some(block),
+                            None,
+                            "takes no label".to_owned(),
+                        ));
+                    }
+                    operator.log = source.block(block)?;
+                }
+                "ledger" => {
+                    let [label] = &block.labels[..] else {
+                        let what = "takes one label, its name: ledger \"rounds\" {".to_owned();
+                        return Err(source.fault(block.span(), Some(block), None, what));
+                    };
+                    let raw: RawLedger = source.block(block)?;
+                    let settings = raw.check(label.as_str()).map_err(|(key, what)| {
+                        let span = key_span(&block.body, key).or_else(|| block.span());
+                        source.fault(span, Some(block), Some(key), what)
+                    })?;
+                    operator.ledger = Some(settings);
+                }
                 _ => {
                     let what = format!("is no block; the blocks are: {BLOCKS}");
                     return Err(source.fault(block.span(), Some(block), None, what));
@@ -149,16 +354,11 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         let (format, level) = (self.log.format, self.log.level);
         let word = |w: &dyn fmt::Debug| format!("{w:?}").to_lowercase();
-        writeln!(f, "log {{\n  format = \"{}\"\n  level  = \"{}\"\n}}", word(&format), word(&level))
+        writeln!(f, "log {{\n  format = \"{}\"\n  level  = \"{}\"\n}}", word(&format), word(&level))?;
+        self.ledger.iter().try_for_each(|ledger| write!(f, "\n{ledger}"))
     }
 }
 
-/// Whether a block bears a name of its own.
-#[derive(Clone, Copy, PartialEq, Eq)]
-enum Label {
-    Without,
-}
-
 /// The text that faults are found in.
 struct Source<'a> {
     text: &'a str,
@@ -187,12 +387,8 @@
         }
     }
 
-    /// A block's settings. Keys that don't belong, values of another kind and labels too many or too few are faults.
-    fn block<T: DeserializeOwned>(&self, block: &Block, label: Label) -> Result<T, OperatorFault> {
-        let Label::Without = label;
-        if !block.labels.is_empty() {
-            return Err(self.fault(block.span(), Some(block), None, "takes no label".to_owned()));
-        }
+    /// A block's settings. Keys that don't belong and values of another kind are faults.
+    fn block<T: DeserializeOwned>(&self, block: &Block) -> Result<T, OperatorFault> {
         let body = hcl::Body::from(block.body.clone());
         let de = hcl::de::Deserializer::from_body(body);
         serde_path_to_error::deserialize(de).map_err(|e| {
@@ -241,6 +437,17 @@
         assert_eq!(Operator::read(&operator.to_string(), "printed"), Ok(operator));
     }
 
+    #[test]
+    fn a_ledger_reads_back() {
+        let text = "ledger \"rounds\" {\n  directory = \"/var/lib/x\"\n  period = \"1h\"\n  mode = \"interval\"\n  \
+                    export {\n    collector = \"127.0.0.1:9000\"\n  }\n}\n";
+        let operator = Operator::read(text, "op.hcl").expect("good");
+        let ledger = operator.ledger.as_ref().expect("a ledger");
+        assert_eq!((ledger.period_ms, ledger.grace_ms), (3_600_000, 5000));
+        assert_eq!(ledger.mode, Mode::Interval { every_ms: 50, at_risk: 1000 });
+        assert_eq!(Operator::read(&operator.to_string(), "printed"), Ok(operator));
+    }
+
     #[test]
     fn faults_name_file_line_block_and_key() {
         assert_eq!(
@@ -251,10 +458,27 @@
         assert!(other.starts_with("op.hcl:2: log: `level`: unknown variant `loud`"), "{other}");
         let other = fault("log {\n\n  format = 7\n}\n");
         assert!(other.starts_with("op.hcl:3: log: `format`: "), "{other}");
-        assert_eq!(fault("lag {}\n"), "op.hcl:1: lag: is no block; the blocks are: log");
-        assert_eq!(fault("a = 1\n"), "op.hcl:1: `a`: settings stand in blocks; the blocks are: log");
+        assert_eq!(fault("lag {}\n"), "op.hcl:1: lag: is no block; the blocks are: log, ledger");
+        assert_eq!(fault("a = 1\n"), "op.hcl:1: `a`: settings stand in blocks; the blocks are: log, ledger");
         assert_eq!(fault("log {}\n\nlog {}\n"), "op.hcl:3: log: stands here a second time");
         assert_eq!(fault("log \"x\" {}\n"), "op.hcl:1: log \"x\": takes no label");
+        assert_eq!(
+            fault("ledger \"r\" {\n  directory = \"/x\"\n  interval = \"50ms\"\n}\n"),
+            "op.hcl:3: ledger \"r\": `interval`: belongs to mode \"interval\""
+        );
+        assert_eq!(
+            fault("ledger \"r\" {\n  directory = \"/x\"\n  grace = \"1h\"\n}\n"),
+            "op.hcl:3: ledger \"r\": `grace`: 1h is not within 0s and 15m"
+        );
+        let other = fault("ledger \"r\" {\n  directory = \"/x\"\n  period = \"soon\"\n}\n");
+        assert!(
+            other.starts_with("op.hcl:3: ledger \"r\": `period`: `soon` is no length of time"),
+            "{other}"
+        );
+        let other = fault("ledger \"r\" {\n  directory = \"/x\"\n  export {\n    folders = \"/y\"\n  }\n}\n");
+        assert!(other.starts_with("op.hcl:4: ledger \"r\": `export.folders`: unknown field"), "{other}");
+        assert!(fault("ledger {\n}\n").starts_with("op.hcl:1: ledger: takes one label"));
+        assert!(fault("ledger \"r\" {\n}\n").contains("missing field `directory`"));
         assert!(fault("log {\n").starts_with("op.hcl:"), "{}", fault("log {\n"));
     }
 }
