Add the operators' commands over ledgers: correct, close, export, reconcile, and the clerk

Need: corrections only by new lines, entered once, also while a round server has the ledger open; sums as files; several servers held together.

- src/node/clerk.rs: the thread that exports also takes what operators leave in the ledger's folder of requests, answers beside it, and looks a correction's token up in the ledger before it enters it.
- crates/ledger/reconcile: what adds up, who is awaited, what disagrees by which lines.

Found by the test: a correction asked for again with its token was entered a second time by the process that had entered the first; only requests found at a start were looked up.

Tested: all commands against a running round server and against what it leaves; Parquet read back; a damaged segment named.

--- a/crates/ctl/src/ledger.rs
+++ b/crates/ctl/src/ledger.rs
@@ -1,10 +1,13 @@
 //! `dunlinspreadctl ledger`: the operators' commands over ledgers and their exports.
 
+use crate::ask::{CloseNow, Correct};
 use crate::drill::Drill;
+use crate::export::{Export, Reconcile};
 use crate::table::table;
 use anyhow::{Context as _, Result, bail};
 use clap::{Args, Subcommand};
-use dunlinspread_ledger::{Kind, Line, Net, Outcome, State, Sum, totals};
+use dunlinspread_ledger::batch::hex;
+use dunlinspread_ledger::{Kind, Line, LineId, LineIdText, Net, Outcome, State, Sum, totals};
 use dunlinspread_store::{Disk as _, Log, RealDisk, Visit};
 use indicatif::ProgressBar;
 use serde_json::json;
@@ -22,6 +25,14 @@
     Show(Show),
     /// Walk over a whole store and check every line against those before it.
     Verify(Verify),
+    /// Enter a correction: a new line that names the one it corrects. The ledger may be in use.
+    Correct(Correct),
+    /// Close all periods up to now before their time. The ledger may be in use.
+    Close(CloseNow),
+    /// Write what was used in closed periods to a file, from a ledger or from a folder of exports.
+    Export(Export),
+    /// Add up what several servers exported, and say who is awaited and what disagrees.
+    Reconcile(Reconcile),
     /// Kill round servers under load and interrupt their exports, then hold every count against the proxies' own.
     Drill(Drill),
 }
@@ -32,6 +43,10 @@
         match self {
             Command::Show(show) => show.run(),
             Command::Verify(verify) => verify.run(),
+            Command::Correct(correct) => correct.run(),
+            Command::Close(close) => close.run(),
+            Command::Export(export) => export.run(),
+            Command::Reconcile(reconcile) => reconcile.run(),
             Command::Drill(drill) => drill.run(),
         }
     }
@@ -133,7 +148,10 @@
     /// Only periods before this time, Unix ms.
     #[arg(long, default_value_t = u64::MAX)]
     to: u64,
-    /// One JSON object a sum.
+    /// The lines themselves, each with its id, instead of sums.
+    #[arg(long)]
+    lines: bool,
+    /// One JSON object a sum or line.
     #[arg(long)]
     json: bool,
 }
@@ -141,6 +159,9 @@
 impl Show {
     fn run(&self) -> Result<ExitCode> {
         let (disk, server) = self.place.open()?;
+        if self.lines {
+            return self.show_lines(&disk, &server);
+        }
         // The last line that is there now: a ledger in use goes on growing.
         let mut end = 0;
         walk(&disk, &server, |number, _| end = number)?;
@@ -198,7 +219,7 @@
     }
 }
 
-fn sum_json(sum: &Sum, net: &Net) -> serde_json::Value {
+pub fn sum_json(sum: &Sum, net: &Net) -> serde_json::Value {
     json!({
         "society": sum.society, "period_ms": sum.period, "of_ms": sum.of, "class": sum.class,
         "outcome": sum.outcome.word(), "requests": net.requests as i64, "pool_us": net.pool_us as i64,
@@ -206,8 +227,70 @@
     })
 }
 
+impl Show {
+    /// The lines as they stand, one a row.
+    fn show_lines(&self, disk: &RealDisk, server: &str) -> Result<ExitCode> {
+        let (mut start, mut classes) = (0, Vec::new());
+        walk(disk, server, |number, line| {
+            if let Some(Kind::Start(s)) = &line.kind {
+                (start, classes) = (s.start, s.classes.clone());
+            }
+            if line.at_ms < self.from || line.at_ms >= self.to {
+                return;
+            }
+            let id = LineId { server: server.to_owned(), start, number };
+            let Some(what) = self.describe(line, &classes) else { return };
+            if self.json {
+                let id = LineIdText(&id).to_string();
+                println!("{}", json!({"id": id, "at_ms": line.at_ms, "line": what}));
+            } else {
+                println!("{} {} {what}", LineIdText(&id), period_text(line.at_ms));
+            }
+        })?;
+        Ok(ExitCode::SUCCESS)
+    }
+
+    /// A line's content; none if it is not of the society that is looked for.
+    fn describe(&self, line: &Line, classes: &[String]) -> Option<serde_json::Value> {
+        let class = |at: u32| classes.get(at as usize).map_or("?", String::as_str);
+        let outcome = |o: i32| Outcome::try_from(o).unwrap_or(Outcome::Unknown).word();
+        let wanted = |society: &str| self.society.as_ref().is_none_or(|s| s == society);
+        let what = match line.kind.as_ref()? {
+            Kind::Start(s) => json!({"start": s.start, "period_ms": s.period_ms, "classes": s.classes,
+                "at_risk": s.at_risk, "serves_on": s.serves_on}),
+            Kind::Usage(usage) => {
+                let entries: Vec<_> = usage
+                    .entries
+                    .iter()
+                    .filter(|e| wanted(&e.society))
+                    .map(|e| {
+                        json!({"society": e.society, "class": class(e.class), "outcome": outcome(e.outcome),
+                            "requests": e.amount.requests, "pool_us": e.amount.pool_us})
+                    })
+                    .collect();
+                if entries.is_empty() {
+                    return None;
+                }
+                json!({"usage": entries, "period_ms": usage.period, "of_ms": usage.of})
+            }
+            Kind::Correction(c) if !wanted(&c.society) => return None,
+            Kind::Correction(c) => json!({"correction": {"corrects": LineIdText(&c.corrects).to_string(),
+                "society": c.society, "class": c.class, "outcome": outcome(c.outcome), "requests": c.requests,
+                "pool_us": c.pool_us, "reason": c.reason, "token": c.token}, "period_ms": c.period}),
+            Kind::Close(c) => json!({"close": {"from_ms": c.from, "to_ms": c.to, "late": c.late}}),
+            Kind::Export(e) => {
+                json!({"export": {"batch": e.batch, "digest": hex(&e.digest), "close": e.close,
+                "last": e.last, "acknowledged": e.acknowledged}})
+            }
+            Kind::Unbilled(u) => json!({"unbilled": {"requests": u.requests, "at_most": u.at_most,
+                "unbounded": u.unbounded, "from_ms": u.from_ms, "to_ms": u.to_ms, "why": u.why}}),
+        };
+        Some(what)
+    }
+}
+
 /// A period's first ms as UTC.
-fn period_text(ms: u64) -> String {
+pub fn period_text(ms: u64) -> String {
     let time = std::time::UNIX_EPOCH + std::time::Duration::from_millis(ms);
     humantime::format_rfc3339_millis(time).to_string()
 }
--- a/crates/ctl/src/main.rs
+++ b/crates/ctl/src/main.rs
@@ -1,7 +1,9 @@
 //! The operators' command line: trying the program out, and the subsystems' own commands.
 #![forbid(unsafe_code)]
 
+mod ask;
 mod drill;
+mod export;
 mod fleet;
 mod ledger;
 mod table;
--- /dev/null
+++ b/crates/ctl/tests/ledger.rs
@@ -0,0 +1,191 @@
+//! The operators' commands over the ledger of a round server that runs, and of one that does not.
+
+use dunlinspread_standin::{Catalog, Habits, Load, Pool, PoolFaults, Proxies, Site};
+use parquet::file::reader::{FileReader, SerializedFileReader};
+use parquet::record::RowAccessor;
+use serde_json::Value;
+use std::io::{BufRead, BufReader};
+use std::path::Path;
+use std::process::{Child, Command, Stdio};
+
+const CTL: &str = env!("CARGO_BIN_EXE_dunlinspreadctl");
+
+/// A round server with a ledger, and its machine.
+struct Running {
+    child: Child,
+    address: std::net::SocketAddr,
+    _parties: (Pool, Catalog),
+}
+
+impl Drop for Running {
+    /// A test that fails must not leave it behind.
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+fn start(site: &Site, folder: &Path) -> Running {
+    let pool = Pool::start(site, 1, PoolFaults::default()).expect("a pool");
+    let catalog = Catalog::start().expect("a catalog");
+    let operator = format!(
+        "ledger \"test\" {{\n  directory = {:?}\n  period = \"1h\"\n  export {{\n    folder = {:?}\n  }}\n}}\n",
+        folder.join("ledger").display().to_string(),
+        folder.join("exports").display().to_string()
+    );
+    std::fs::write(folder.join("operator.hcl"), operator).expect("written");
+    let config = site.config("n1", "127.0.0.1:0", pool.address(), catalog.address(), None);
+    std::fs::write(folder.join("config.json"), config).expect("written");
+    let mut child = Command::new(CTL)
+        .arg("serve")
+        .args(["--log-format", "json", "--config"])
+        .arg(folder.join("config.json"))
+        .arg("--operator")
+        .arg(folder.join("operator.hcl"))
+        .stdout(Stdio::null())
+        .stderr(Stdio::piped())
+        .spawn()
+        .expect("it starts");
+    let mut lines = BufReader::new(child.stderr.take().expect("a log")).lines().map_while(Result::ok);
+    let serving = lines.find(|l| l.contains("\"serving\"")).expect("it serves");
+    let said: Value = serde_json::from_str(&serving).expect("JSON");
+    std::thread::spawn(move || lines.for_each(drop));
+    let address = said["listen"].as_str().and_then(|a| a.parse().ok()).expect("an address");
+    Running { child, address, _parties: (pool, catalog) }
+}
+
+/// A command's exit, and its JSON lines.
+fn ctl(args: &[&str]) -> (bool, Vec<Value>, String) {
+    let out = Command::new(CTL).args(args).output().expect("it runs");
+    let (text, said) =
+        (String::from_utf8_lossy(&out.stdout), String::from_utf8_lossy(&out.stderr).into_owned());
+    (out.status.success(), text.lines().filter_map(|l| serde_json::from_str(l).ok()).collect(), said)
+}
+
+fn requests(rows: &[Value], society: &str) -> i64 {
+    let own = rows.iter().filter(|r| r["society"] == society);
+    own.filter_map(|r| r["requests"].as_i64()).sum()
+}
+
+#[test]
+fn operators_look_correct_close_export_and_reconcile() {
+    let (site, folder) = (Site::rounds(8), tempfile::tempdir().expect("a folder"));
+    let (ledger, exports) = (folder.path().join("ledger"), folder.path().join("exports"));
+    let (ledger, exports) = (ledger.to_str().expect("text"), exports.to_str().expect("text"));
+    let mut running = start(&site, folder.path());
+    let societies = vec![Some("aluva".to_owned()), None];
+    let load = Load { rate: 100.0, requests: 100, societies, seed: 5 };
+    let tally =
+        Proxies::start(&site, vec![running.address], load, Habits::default()).expect("proxies").finish();
+    let of = |society: Option<&str>| tally.sum(|_, s| s == society).iter().sum::<u64>() as i64;
+
+    // While it runs: look, correct, close.
+    let (good, rows, _) = ctl(&["ledger", "show", ledger, "--json"]);
+    assert!(good);
+    assert_eq!((requests(&rows, "aluva"), requests(&rows, "unattributed")), (of(Some("aluva")), of(None)));
+    let (_, lines, _) = ctl(&["ledger", "show", ledger, "--lines", "--json", "--society", "aluva"]);
+    let used = lines.iter().find(|l| l["line"]["usage"].is_array()).expect("a line of use");
+    let (id, entry) = (used["id"].as_str().expect("an id"), &used["line"]["usage"][0]);
+    let (class, outcome) =
+        (entry["class"].as_str().expect("a class"), entry["outcome"].as_str().expect("an outcome"));
+    let correct = |line: &str, reason: &str, token: &str| {
+        ctl(&[
+            "ledger",
+            "correct",
+            ledger,
+            "--line",
+            line,
+            "--society",
+            "aluva",
+            "--class",
+            class,
+            "--outcome",
+            outcome,
+            "--requests",
+            "-1",
+            "--reason",
+            reason,
+            "--token",
+            token,
+            "--json",
+        ])
+    };
+    let (good, answer, said) = correct(id, "billed twice by mistake", "first");
+    assert!(good, "{answer:?} {said}");
+    let (good, again, _) = correct(id, "billed twice by mistake", "first");
+    assert!(good, "{again:?}");
+    assert_eq!(again, answer, "asked twice, entered once");
+    assert!(!correct(id, " ", "second").0, "a correction needs a reason");
+    assert!(correct("n1/1/1", "x", "third").2.contains("there is no line n1/1/1"));
+    assert!(correct("n2/1/1", "x", "third").2.contains("this ledger is n1's"));
+    let (good, answer, said) = ctl(&["ledger", "close", ledger, "--json"]);
+    assert!(good, "{answer:?} {said}");
+
+    // It ends in good order; the same commands work on what it leaves.
+    let sent =
+        Command::new("kill").args(["-s", "TERM", &running.child.id().to_string()]).status().expect("kill");
+    assert!(sent.success());
+    assert!(running.child.wait().expect("it ends").success());
+    let (good, answer, said) = correct(id, "and once more", "fourth");
+    assert!(good, "{answer:?} {said}");
+    let (_, again, _) = correct(id, "and once more", "fourth");
+    assert_eq!(again, answer, "asked twice, entered once");
+    let (good, found, said) = ctl(&["ledger", "verify", ledger, "--json"]);
+    assert!(good, "{said}");
+    assert_eq!((&found[0]["lines"]["start"], &found[0]["ok"]), (&2.into(), &true.into()));
+    assert_eq!(found[0]["lines"]["correction"].as_u64(), Some(2), "{found:?}");
+
+    // The exports have what was closed, the first correction in it.
+    let (good, sums, said) = ctl(&["ledger", "reconcile", exports, "--json"]);
+    assert!(good, "{sums:?} {said}");
+    let accounts = sums[0]["accounts"].as_array().expect("accounts");
+    assert_eq!(requests(accounts, "aluva"), of(Some("aluva")) - 1);
+    assert_eq!(requests(accounts, "unattributed"), of(None));
+    let record = folder.path().join("catalog.json");
+    std::fs::write(&record, r#"{"n1": [[1000, 2000]], "n9": [[1000, 2000]]}"#).expect("written");
+    let record = record.to_str().expect("text");
+    let (good, sums, _) = ctl(&["ledger", "reconcile", exports, "--catalog", record, "--json"]);
+    assert!(!good);
+    assert!(
+        sums[0]["awaited"][0]["servers"].as_array().is_some_and(|s| s.contains(&"n9".into())),
+        "{sums:?}"
+    );
+    assert!(sums[0]["disagreements"].to_string().contains("was not listed"), "{sums:?}");
+
+    // Parquet, read back.
+    let file = folder.path().join("usage.parquet");
+    for (place, more) in [(ledger, None), (exports, Some("--batches"))] {
+        let args = ["ledger", "export", place, "--parquet", file.to_str().expect("text")];
+        let args: Vec<&str> = args.into_iter().chain(more).collect();
+        assert!(ctl(&args).0);
+        let reader = SerializedFileReader::new(std::fs::File::open(&file).expect("a file")).expect("Parquet");
+        let mut sum = 0;
+        for row in reader.get_row_iter(None).expect("rows") {
+            let row = row.expect("a row");
+            if row.get_string(1).expect("a society") == "aluva" {
+                sum += row.get_long(6).expect("requests");
+            }
+        }
+        // A ledger's sums are of use; batches have corrections as well.
+        assert_eq!(sum, of(Some("aluva")) - i64::from(more.is_some()));
+    }
+
+    // A damaged store is named by its file.
+    let segment = std::fs::read_dir(ledger).expect("a folder").flatten().map(|e| e.path());
+    let segment = segment.into_iter().find(|p| p.extension().is_some_and(|e| e == "log")).expect("a segment");
+    let mut bytes = std::fs::read(&segment).expect("bytes");
+    bytes[300] ^= 1;
+    std::fs::write(&segment, bytes).expect("written");
+    let (good, found, _) = ctl(&["ledger", "verify", ledger, "--json"]);
+    assert!(!good);
+    let name = segment.file_name().and_then(|n| n.to_str()).expect("a name");
+    assert!(found[0]["fault"].as_str().is_some_and(|f| f.contains(name)), "{found:?}");
+}
+
+#[test]
+fn what_is_no_ledger_is_said_so() {
+    let folder = tempfile::tempdir().expect("a folder");
+    let place = folder.path().to_str().expect("text");
+    assert!(ctl(&["ledger", "verify", place]).2.contains("holds no ledger"));
+    assert!(ctl(&["ledger", "show", "/nowhere"]).2.contains("/nowhere is no directory"));
+}
--- a/crates/ledger/src/book.rs
+++ b/crates/ledger/src/book.rs
@@ -400,7 +400,11 @@
 
     /// Enters a line of another's making; `tag` comes back once it is durable. False, and nothing is entered, if it does
     /// not fit the lines before it or too much waits for the disk.
-    pub fn enter(&mut self, now_ms: u64, kind: Kind, tag: u64, out: &mut Vec<Action>) -> bool {
+    pub fn enter(&mut self, now_ms: u64, mut kind: Kind, tag: u64, out: &mut Vec<Action>) -> bool {
+        if let Kind::Correction(correction) = &mut kind {
+            // It is entered in whatever period is open when it comes.
+            correction.period = self.state.period(self.time(now_ms));
+        }
         let line = Line { at_ms: self.time(now_ms), kind: Some(kind) };
         let fits =
             self.state.clone().apply(self.next, &line).is_ok() && Line::read(&line.encode_to_vec()).is_ok();
--- a/crates/ledger/src/lib.rs
+++ b/crates/ledger/src/lib.rs
@@ -11,6 +11,8 @@
 pub mod deliver;
 mod inbox;
 mod line;
+pub mod reconcile;
+pub mod request;
 mod state;
 mod table;
 mod totals;
@@ -22,6 +24,7 @@
     Amount, BadLine, Close, Correction, Entry, Export, Kind, Line, LineId, LineIdText, Outcome, Start,
     Unbilled, Usage,
 };
+pub use request::{Request, Wish};
 pub use state::State;
 pub use table::{Key, Table};
 pub use totals::{Net, Sum, totals};
--- /dev/null
+++ b/crates/ledger/src/reconcile.rs
@@ -0,0 +1,350 @@
+//! Adding up what several servers exported, against a record of who was alive when: what adds up, who is still awaited,
+//! what disagrees and by which lines. Pure: batches are shown one after another, in any order of sources.
+
+use crate::batch::Batch;
+use crate::line::{LineId, LineIdText, Outcome};
+use std::collections::{BTreeMap, BTreeSet};
+
+/// Spans of Unix ms in which each server was listed as taking work; ends are the last report seen.
+pub type Alive = BTreeMap<String, Vec<(u64, u64)>>;
+
+/// Something that does not fit.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Disagreement {
+    /// A server began a new ledger: the one before was lost, or lies elsewhere.
+    NewLedger {
+        /// The server.
+        server: String,
+        /// The marks of its ledgers, oldest first.
+        born: Vec<u64>,
+    },
+    /// A server closed a period as one in which it was down when it ended, yet it was listed then.
+    ClosedLateWhileAlive {
+        /// The close line.
+        by: LineId,
+        /// The span closed, Unix ms.
+        span: (u64, u64),
+    },
+    /// Use in a period all through which the server was not listed.
+    UsedWhileNotListed {
+        /// The line that closed the period.
+        by: LineId,
+        /// The period.
+        period: u64,
+        /// Requests.
+        requests: i64,
+    },
+    /// Requests that are, or may be, in no line.
+    Unbilled {
+        /// The line that closed the span they fall in.
+        by: LineId,
+        /// Known to be in none.
+        requests: u64,
+        /// Possibly in none, beyond those; none if nothing bounds them.
+        at_most: Option<u64>,
+    },
+    /// A correction takes more than there was.
+    BelowZero {
+        /// The society.
+        society: String,
+        /// The period it was corrected in.
+        period: u64,
+        /// What is left.
+        requests: i64,
+    },
+    /// A correction names a server of which nothing was exported.
+    CorrectsUnknown {
+        /// The correction.
+        line: LineId,
+        /// What it names.
+        corrects: LineId,
+    },
+    /// Two closes of one server cover the same time, or leave a gap.
+    SpansDoNotMeet {
+        /// The later close line.
+        by: LineId,
+        /// Where the one before ended.
+        before_to: u64,
+        /// Where this one begins.
+        from: u64,
+    },
+}
+
+impl std::fmt::Display for Disagreement {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        let id = LineIdText;
+        match self {
+            Disagreement::NewLedger { server, born } => {
+                write!(
+                    f,
+                    "{server} has {} ledgers, begun at {born:?}: account for what the older ones held",
+                    born.len()
+                )
+            }
+            Disagreement::ClosedLateWhileAlive { by, span: (from, to) } => {
+                write!(f, "line {} closed {from} to {to} late, yet the server was listed then", id(by))
+            }
+            Disagreement::UsedWhileNotListed { by, period, requests } => {
+                write!(
+                    f,
+                    "line {} has {requests} requests in period {period}, in which the server was not listed",
+                    id(by)
+                )
+            }
+            Disagreement::Unbilled { by, requests, at_most } => {
+                let more = at_most.map_or("any number".to_owned(), |n| n.to_string());
+                write!(
+                    f,
+                    "before line {}: {requests} requests are in no line, and possibly {more} more",
+                    id(by)
+                )
+            }
+            Disagreement::BelowZero { society, period, requests } => {
+                write!(f, "{society} comes to {requests} requests in period {period}")
+            }
+            Disagreement::CorrectsUnknown { line, corrects } => {
+                write!(f, "line {} corrects {}, of whose ledger nothing is here", id(line), id(corrects))
+            }
+            Disagreement::SpansDoNotMeet { by, before_to, from } => {
+                write!(f, "line {} closes from {from} on, the close before ended at {before_to}", id(by))
+            }
+        }
+    }
+}
+
+/// The sum for one society in one period over all servers.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Account {
+    /// Requests by outcome.
+    pub requests: BTreeMap<Outcome, i64>,
+    /// Time in the worker pool, µs.
+    pub pool_us: i64,
+    /// Requests that each server contributes.
+    pub servers: BTreeMap<String, i64>,
+}
+
+impl Account {
+    /// All requests.
+    pub fn total(&self) -> i64 {
+        self.requests.values().sum()
+    }
+}
+
+/// What came of it.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Report {
+    /// By period and society.
+    pub accounts: BTreeMap<(u64, String), Account>,
+    /// Servers that were listed in a period and have not closed it yet, by period.
+    pub awaited: BTreeMap<u64, BTreeSet<String>>,
+    /// What does not fit.
+    pub disagreements: Vec<Disagreement>,
+}
+
+/// Takes batches and makes a report of them.
+pub struct Reconciler<'a> {
+    alive: &'a Alive,
+    report: Report,
+    /// The spans that each ledger closed, in order.
+    covered: BTreeMap<(String, u64), Vec<(u64, u64)>>,
+    corrections: Vec<(LineId, LineId)>,
+}
+
+/// A server is taken for alive so long after its last report, ms: its entry lapses only then.
+const LAPSE_MS: u64 = 3000;
+
+impl<'a> Reconciler<'a> {
+    /// A reconciler for servers that were listed then.
+    pub fn new(alive: &'a Alive) -> Reconciler<'a> {
+        Reconciler { alive, report: Report::default(), covered: BTreeMap::new(), corrections: Vec::new() }
+    }
+
+    fn listed(&self, server: &str, from: u64, to: u64) -> bool {
+        let spans = self.alive.get(server).map_or(&[][..], Vec::as_slice);
+        spans.iter().any(|(a, b)| *a < to && b + LAPSE_MS >= from)
+    }
+
+    /// Takes a batch. Those of one ledger come in the order of their numbers.
+    pub fn take(&mut self, batch: &Batch) {
+        let Batch { server, born, close, closed_by, .. } = batch;
+        // A start's mark is the time at which it began; the line's own is not in the batch, the ledger's is.
+        let by = LineId { server: server.clone(), start: *born, number: *closed_by };
+        let key = (server.clone(), *born);
+        let before = self.covered.get(&key).and_then(|spans| spans.last().copied());
+        if before.is_none_or(|span| span != (close.from, close.to)) {
+            if let Some((_, to)) = before.filter(|(_, to)| *to != close.from) {
+                let (before_to, from) = (to, close.from);
+                let by = by.clone();
+                self.report.disagreements.push(Disagreement::SpansDoNotMeet { by, before_to, from });
+            }
+            self.covered.entry(key).or_default().push((close.from, close.to));
+            let listed_at_end = self
+                .alive
+                .get(server)
+                .is_some_and(|spans| spans.iter().any(|(a, b)| *a < close.to && *b >= close.to));
+            if close.late && listed_at_end {
+                let (by, span) = (by.clone(), (close.from, close.to));
+                self.report.disagreements.push(Disagreement::ClosedLateWhileAlive { by, span });
+            }
+        }
+        let mut not_listed: BTreeMap<u64, i64> = BTreeMap::new();
+        for item in &batch.items {
+            let account = self.report.accounts.entry((item.period, item.society.clone())).or_default();
+            let outcome = Outcome::try_from(item.outcome).unwrap_or(Outcome::Unknown);
+            *account.requests.entry(outcome).or_default() += item.requests;
+            account.pool_us += item.pool_us;
+            *account.servers.entry(server.clone()).or_default() += item.requests;
+            if !self.alive.is_empty() && !self.listed(server, item.period, close.to) {
+                *not_listed.entry(item.period).or_default() += item.requests;
+            }
+        }
+        for (period, requests) in not_listed {
+            let by = by.clone();
+            self.report.disagreements.push(Disagreement::UsedWhileNotListed { by, period, requests });
+        }
+        for correction in &batch.corrections {
+            let item = &correction.item;
+            let account = self.report.accounts.entry((item.period, item.society.clone())).or_default();
+            let outcome = Outcome::try_from(item.outcome).unwrap_or(Outcome::Unknown);
+            *account.requests.entry(outcome).or_default() += item.requests;
+            account.pool_us += item.pool_us;
+            *account.servers.entry(server.clone()).or_default() += item.requests;
+            self.corrections.push((correction.line.clone(), correction.corrects.clone()));
+        }
+        for unbilled in &batch.unbilled {
+            let at_most = (!unbilled.unbounded).then_some(unbilled.at_most);
+            let (by, requests) = (by.clone(), unbilled.requests);
+            self.report.disagreements.push(Disagreement::Unbilled { by, requests, at_most });
+        }
+    }
+
+    /// All batches were taken; `period_ms` is the length in which awaited servers are told.
+    pub fn finish(mut self, period_ms: u64, now_ms: u64) -> Report {
+        let mut born: BTreeMap<&str, Vec<u64>> = BTreeMap::new();
+        for (server, mark) in self.covered.keys() {
+            born.entry(server).or_default().push(*mark);
+        }
+        for (server, born) in born.into_iter().filter(|(_, marks)| marks.len() > 1) {
+            self.report.disagreements.push(Disagreement::NewLedger { server: server.to_owned(), born });
+        }
+        for (line, corrects) in std::mem::take(&mut self.corrections) {
+            if !self.covered.keys().any(|(server, _)| *server == corrects.server) {
+                self.report.disagreements.push(Disagreement::CorrectsUnknown { line, corrects });
+            }
+        }
+        for ((period, society), account) in &self.report.accounts {
+            let (requests, period) = (account.total(), *period);
+            if requests < 0 {
+                let society = society.clone();
+                self.report.disagreements.push(Disagreement::BelowZero { society, period, requests });
+            }
+        }
+        // A server is awaited in each period in which it was listed and up to which its closes do not reach.
+        let length = period_ms.max(1);
+        for (server, spans) in self.alive {
+            for (from, to) in spans {
+                let mut period = from - from % length;
+                while period <= *to && period + length <= now_ms {
+                    let covered = self.covered.iter().filter(|((s, _), _)| s == server).any(|(_, spans)| {
+                        let first = spans.first().map_or(u64::MAX, |(from, _)| *from);
+                        let reach = spans.last().map_or(0, |(_, to)| *to);
+                        first < period + length && reach >= period + length
+                    });
+                    if !covered {
+                        self.report.awaited.entry(period).or_default().insert(server.clone());
+                    }
+                    period += length;
+                }
+            }
+        }
+        self.report
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::batch::{CorrectionItem, Item};
+    use crate::line::{Close, Unbilled};
+
+    fn item(period: u64, society: &str, requests: i64) -> Item {
+        let (society, class, outcome) = (society.to_owned(), "a".to_owned(), Outcome::Served as i32);
+        Item { period, of: None, society, class, outcome, requests, pool_us: 5, bytes_in: 0, bytes_out: 0 }
+    }
+
+    fn batch(server: &str, born: u64, number: u64, span: (u64, u64), items: Vec<Item>) -> Batch {
+        Batch {
+            server: server.to_owned(),
+            born,
+            number,
+            previous: Vec::new(),
+            close: Close { from: span.0, to: span.1, late: false },
+            closed_by: number * 10,
+            last: true,
+            items,
+            corrections: Vec::new(),
+            unbilled: Vec::new(),
+        }
+    }
+
+    fn alive(spans: &[(&str, u64, u64)]) -> Alive {
+        let mut alive = Alive::new();
+        for (server, from, to) in spans {
+            alive.entry((*server).to_owned()).or_default().push((*from, *to));
+        }
+        alive
+    }
+
+    #[test]
+    fn servers_add_up_and_the_missing_one_is_awaited() {
+        let alive = alive(&[("n1", 10_000, 29_999), ("n2", 10_000, 29_999), ("n3", 21_000, 29_000)]);
+        let mut all = Reconciler::new(&alive);
+        all.take(&batch("n1", 1, 1, (10_000, 20_000), vec![item(10_000, "x", 3), item(10_000, "y", 1)]));
+        all.take(&batch("n1", 1, 2, (20_000, 30_000), vec![item(20_000, "x", 2)]));
+        all.take(&batch("n2", 2, 1, (10_000, 20_000), vec![item(10_000, "x", 4)]));
+        let report = all.finish(10_000, 100_000);
+        assert_eq!(report.disagreements, []);
+        let account = &report.accounts[&(10_000, "x".to_owned())];
+        assert_eq!((account.total(), account.servers["n1"], account.servers["n2"]), (7, 3, 4));
+        let awaited: Vec<_> = report.awaited.iter().collect();
+        let expected = BTreeSet::from(["n2".to_owned(), "n3".to_owned()]);
+        assert_eq!(awaited, [(&20_000, &expected)]);
+    }
+
+    #[test]
+    fn what_disagrees_is_named_by_its_line() {
+        let alive = alive(&[("n1", 10_000, 40_000), ("n2", 10_000, 12_000)]);
+        let mut all = Reconciler::new(&alive);
+        let mut late = batch("n1", 1, 1, (10_000, 20_000), vec![]);
+        late.close.late = true;
+        late.unbilled.push(Unbilled { requests: 4, at_most: 9, ..Unbilled::default() });
+        all.take(&late);
+        let mut gap = batch("n1", 1, 2, (25_000, 30_000), vec![item(25_000, "x", 1)]);
+        let id = |server: &str, number| LineId { server: server.to_owned(), start: 1, number };
+        gap.corrections.push(CorrectionItem {
+            line: id("n1", 15),
+            corrects: id("n9", 3),
+            item: item(25_000, "x", -2),
+            reason: "twice".to_owned(),
+        });
+        all.take(&gap);
+        all.take(&batch("n2", 2, 1, (10_000, 40_000), vec![item(30_000, "y", 5)]));
+        all.take(&batch("n2", 3, 1, (40_000, 50_000), vec![]));
+        let found = all.finish(10_000, 100_000).disagreements;
+        let by = |number| id("n1", number);
+        let n2 = LineId { server: "n2".to_owned(), start: 2, number: 10 };
+        for expected in [
+            Disagreement::ClosedLateWhileAlive { by: by(10), span: (10_000, 20_000) },
+            Disagreement::Unbilled { by: by(10), requests: 4, at_most: Some(9) },
+            Disagreement::SpansDoNotMeet { by: by(20), before_to: 20_000, from: 25_000 },
+            Disagreement::CorrectsUnknown { line: by(15), corrects: id("n9", 3) },
+            Disagreement::UsedWhileNotListed { by: n2, period: 30_000, requests: 5 },
+            Disagreement::NewLedger { server: "n2".to_owned(), born: vec![2, 3] },
+            Disagreement::BelowZero { society: "x".to_owned(), period: 25_000, requests: -1 },
+        ] {
+            assert!(found.contains(&expected), "{expected:?} in {found:#?}");
+            assert!(!expected.to_string().is_empty());
+        }
+        assert_eq!(found.len(), 7, "{found:#?}");
+    }
+}
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -4,8 +4,8 @@
 
 use crate::config::Config;
 use crate::node::catalog::Catalog;
+use crate::node::clerk::Clerk;
 use crate::node::core::{Core, Peers};
-use crate::node::export::Export;
 use crate::node::front::{List, Shared};
 use crate::node::index::Index;
 use crate::node::ledger::{Billing, FromLedger, Store};
@@ -333,13 +333,12 @@
         }
     };
     executor.spawn(forwarding).detach();
-    let Some(to) = &settings.export else { return Ok(billing) };
     let (tell, inbox) = std::sync::mpsc::channel();
-    billing.exports_to(tell);
-    let export = Export {
+    billing.clerk_is(tell);
+    let clerk = Clerk {
         server: config.name.clone(),
         directory: settings.directory.clone(),
-        to: to.clone(),
+        to: settings.export.clone(),
         batch_lines: settings.batch_lines,
         cells: config.bounds.ledger_cells,
         opened,
@@ -349,7 +348,7 @@
     };
     // It is left to itself at the end: a collector that does not answer must not hold that up, and what is under way goes
     // out at the next start.
-    let spawned = std::thread::Builder::new().name("export".to_owned()).spawn(move || export.run());
+    let spawned = std::thread::Builder::new().name("clerk".to_owned()).spawn(move || clerk.run());
     spawned.map_err(|e| format!("ledger: {e}"))?;
     Ok(billing)
 }
--- a/src/node/export.rs
+++ b/src/node/clerk.rs
@@ -1,20 +1,23 @@
-//! The export of closed periods, on a thread of its own: makes batches from the ledger's lines, has them entered as
-//! prepared before they are sent and as acknowledged before the next is made, and sends until they are acknowledged. What
-//! settles the order of that is `dunlinspread_ledger::deliver`. It must never send a batch that is not entered, never
-//! change one that is, and never hold up serving.
+//! The ledger's clerk, on a thread of its own: exports closed periods, and takes what operators ask of the ledger.
+//!
+//! It makes batches from the ledger's lines, has them entered as prepared before they are sent and as acknowledged before
+//! the next is made, and sends until they are acknowledged. What settles the order of that is
+//! `dunlinspread_ledger::deliver`. It must never send a batch that is not entered, never change one that is, never enter
+//! a request twice, and never hold up serving.
 
-use super::ledger::{FromLedger, Opened, ToExport};
+use super::ledger::{FromLedger, Opened, ToClerk};
 use crate::codec::http;
 use crate::operator::ExportTo;
 use async_channel::Sender as ToCore;
 use dunlinspread_ledger::batch::{self, Making, hex};
 use dunlinspread_ledger::deliver::{Next, Reply, Sender};
-use dunlinspread_ledger::{Export as ExportLine, Inbox, Kind, Line, State};
-use dunlinspread_store::{Log, RealDisk, StoreError};
+use dunlinspread_ledger::request::{self, Request, Wish};
+use dunlinspread_ledger::{Export as ExportLine, Inbox, Kind, Line, LineId, LineIdText, State};
+use dunlinspread_store::{Log, RealDisk, StoreError, Visit};
 use slog::{Logger, error, info, warn};
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpStream};
-use std::path::Path;
+use std::path::{Path, PathBuf};
 use std::sync::Arc;
 use std::sync::mpsc::{Receiver, RecvTimeoutError};
 use std::time::{Duration, Instant};
@@ -22,17 +25,21 @@
 /// Between tries: after the first that failed, doubled with each to the last.
 const RETRY: Duration = Duration::from_millis(100);
 const RETRY_MOST: Duration = Duration::from_secs(10);
+/// How often what operators ask is looked for.
+const LOOK: Duration = Duration::from_millis(300);
+/// The longest request of an operator, in bytes.
+const MAX_REQUEST: usize = 64 << 10;
 /// How long a collector may take to connect, to take a piece or to send one.
 const PATIENCE: Duration = Duration::from_secs(5);
 
 /// What the thread is made of.
-pub struct Export {
+pub struct Clerk {
     /// The server.
     pub server: String,
     /// Where the ledger's store lies.
     pub directory: String,
-    /// Where batches go.
-    pub to: ExportTo,
+    /// Where batches go, if anywhere.
+    pub to: Option<ExportTo>,
     /// Lines in a batch at most.
     pub batch_lines: usize,
     /// Sums held at a time.
@@ -40,7 +47,7 @@
     /// What opening the ledger found.
     pub opened: Opened,
     /// The core's words.
-    pub inbox: Receiver<ToExport>,
+    pub inbox: Receiver<ToClerk>,
     /// To the core.
     pub core: ToCore<FromLedger>,
     /// The log.
@@ -63,12 +70,13 @@
 
 /// The ways to a collector.
 enum Carrier {
+    Nowhere,
     Folder(Option<Inbox>, String),
     Collector(SocketAddr, Option<TcpStream>),
 }
 
 struct Work {
-    set: Export,
+    set: Clerk,
     disk: RealDisk,
     carrier: Carrier,
     sender: Sender,
@@ -83,9 +91,12 @@
     /// From this line on, with the sum of all before it, lines may belong to periods that are not exported.
     from: (u64, State),
     tags: u64,
+    /// The folder of what operators ask.
+    requests: PathBuf,
+    alarmed: bool,
 }
 
-impl Export {
+impl Clerk {
     /// Runs until the program ends.
     pub fn run(self) {
         let log = self.log.clone();
@@ -97,9 +108,12 @@
     fn work(self) -> Result<(), String> {
         let disk = RealDisk::new(Path::new(&self.directory)).map_err(|e| e.to_string())?;
         let carrier = match &self.to {
-            ExportTo::Folder(folder) => Carrier::Folder(None, folder.clone()),
-            ExportTo::Collector(address) => Carrier::Collector(*address, None),
+            None => Carrier::Nowhere,
+            Some(ExportTo::Folder(folder)) => Carrier::Folder(None, folder.clone()),
+            Some(ExportTo::Collector(address)) => Carrier::Collector(*address, None),
         };
+        let asked = Path::new(&self.directory).join(request::FOLDER);
+        std::fs::create_dir_all(&asked).map_err(|e| format!("{}: {e}", asked.display()))?;
         let state = &self.opened.state;
         let acknowledged = state.batches - u64::from(state.prepared.is_some());
         let digest = |p: &ExportLine| p.digest.clone().try_into().unwrap_or_default();
@@ -114,22 +128,28 @@
             prepared: state.prepared.clone(),
             from: (self.opened.first, self.opened.base.clone()),
             tags: 0,
+            requests: asked,
+            alarmed: false,
             set: self,
         };
         let (mut wait, mut asked, mut said) = (RETRY, false, false);
         loop {
-            let stepped = if asked { work.step() } else { work.ask().map(|()| asked = true).map(|()| true) };
+            let stepped = work.requests().and_then(|()| match work.carrier {
+                Carrier::Nowhere => Ok(false),
+                _ if asked => work.step(),
+                _ => work.ask().map(|()| asked = true).map(|()| true),
+            });
             match stepped {
                 Ok(true) => (wait, said) = (RETRY, false),
-                // Nothing to do until a period is closed.
-                Ok(false) => work.wait(None)?,
+                // Nothing to do until a period is closed or something is asked.
+                Ok(false) => work.wait(LOOK),
                 Err(Stop::End) => return Ok(()),
                 Err(Stop::Later(why)) => {
                     if !said {
                         warn!(work.set.log, "ledger: an export did not get through and is tried again"; "why" => why);
                     }
                     said = true;
-                    work.wait(Some(wait))?;
+                    work.wait(wait);
                     wait = (wait * 2).min(RETRY_MOST);
                 }
             }
@@ -145,48 +165,123 @@
         self.latest == u64::MAX
     }
 
-    /// Hears the core for that long, or until it says something.
-    fn wait(&mut self, time: Option<Duration>) -> Result<(), String> {
-        let until = time.map(|t| Instant::now() + t);
+    /// Hears the core for that long, or until a period is closed.
+    fn wait(&mut self, time: Duration) {
+        let until = Instant::now() + time;
         loop {
-            let heard = match until {
-                Some(until) => self.set.inbox.recv_timeout(until.saturating_duration_since(Instant::now())),
-                None => self.set.inbox.recv().map_err(|_| RecvTimeoutError::Disconnected),
-            };
-            match heard {
-                Ok(ToExport::Closed(number)) => {
-                    self.latest = number;
-                    if time.is_none() {
-                        return Ok(());
-                    }
-                }
-                Ok(ToExport::Entered { .. }) => {}
-                Ok(ToExport::Stop) | Err(RecvTimeoutError::Disconnected) => {
-                    self.latest = u64::MAX;
-                    return Ok(());
-                }
-                Err(RecvTimeoutError::Timeout) => return Ok(()),
+            match self.set.inbox.recv_timeout(until.saturating_duration_since(Instant::now())) {
+                Ok(ToClerk::Closed(number)) => return self.latest = number,
+                Ok(ToClerk::Entered { .. }) => {}
+                Ok(ToClerk::Stop) | Err(RecvTimeoutError::Disconnected) => return self.latest = u64::MAX,
+                Err(RecvTimeoutError::Timeout) => return,
             }
         }
     }
 
-    /// Has a line entered and waits until it is durable.
-    fn enter(&mut self, line: ExportLine) -> Step<()> {
+    /// Has a line entered and waits until it is durable; its start and number.
+    fn enter(&mut self, kind: Kind) -> Step<(u64, u64)> {
         self.tags += 1;
-        let entering = FromLedger::Enter { kind: Kind::Export(line), tag: self.tags };
+        let entering = FromLedger::Enter { kind, tag: self.tags };
         self.set.core.send_blocking(entering).map_err(|_| Stop::End)?;
         loop {
             match self.set.inbox.recv() {
-                Ok(ToExport::Entered { tag, number }) if tag == self.tags => {
-                    return number.map(drop).ok_or_else(|| later("the ledger takes no lines now"));
+                Ok(ToClerk::Entered { tag, line }) if tag == self.tags => {
+                    return line.ok_or_else(|| later("the ledger does not take this line now"));
                 }
-                Ok(ToExport::Entered { .. }) => {}
-                Ok(ToExport::Closed(number)) => self.latest = number,
-                Ok(ToExport::Stop) | Err(_) => return Err(Stop::End),
+                Ok(ToClerk::Entered { .. }) => {}
+                Ok(ToClerk::Closed(number)) => self.latest = number,
+                Ok(ToClerk::Stop) | Err(_) => return Err(Stop::End),
             }
         }
     }
 
+    /// Does what operators ask.
+    fn requests(&mut self) -> Step<()> {
+        let entries = std::fs::read_dir(&self.requests).map_err(later)?;
+        let names = entries.flatten().filter_map(|e| e.file_name().into_string().ok());
+        let mut tokens: Vec<String> = names.filter_map(|n| Request::token(&n).map(str::to_owned)).collect();
+        tokens.sort_unstable();
+        for token in tokens {
+            let (name, answer) = Request::names(&token);
+            let (path, answer) = (self.requests.join(name), self.requests.join(answer));
+            let said = match std::fs::read(&path).map_err(|e| e.to_string()).and_then(|bytes| {
+                if bytes.len() > MAX_REQUEST { Err("the request is too long".to_owned()) } else { Ok(bytes) }
+            }) {
+                Ok(bytes) => match Request::read(&bytes) {
+                    Ok(wish) => self.grant(wish, &token)?,
+                    Err(e) => format!("error: {e}"),
+                },
+                Err(e) => format!("error: {e}"),
+            };
+            info!(self.set.log, "ledger: an operator's request"; "token" => token.as_str(), "answer" => said.as_str());
+            // The answer is there before the request goes: asked again after a crash in between, it is found done.
+            let making = answer.with_extension("tmp");
+            let told = std::fs::write(&making, &said).and_then(|()| std::fs::rename(&making, &answer));
+            if let Err(e) = told {
+                warn!(self.set.log, "ledger: an operator can't be answered"; "why" => e.to_string());
+            }
+            std::fs::remove_file(&path).map_err(later)?;
+        }
+        Ok(())
+    }
+
+    /// Does one thing that is asked; the answer.
+    fn grant(&mut self, wish: Wish, token: &str) -> Step<String> {
+        let done = |line: LineId| format!("done {}", LineIdText(&line));
+        match wish {
+            Wish::Correct(mut correction) => {
+                token.clone_into(&mut correction.token);
+                // Corrections are seldom: a walk over the ledger for each is what entering one only once costs.
+                if let Some(line) = self.entered(token)? {
+                    return Ok(done(line));
+                }
+                match self.enter(Kind::Correction(correction)) {
+                    Ok((start, number)) => {
+                        Ok(done(LineId { server: self.set.server.clone(), start, number }))
+                    }
+                    Err(Stop::Later(why)) => Ok(format!("error: {why}")),
+                    Err(end) => Err(end),
+                }
+            }
+            Wish::Close(_) => {
+                self.tags += 1;
+                let closing = FromLedger::Close { tag: self.tags };
+                self.set.core.send_blocking(closing).map_err(|_| Stop::End)?;
+                loop {
+                    match self.set.inbox.recv() {
+                        Ok(ToClerk::Closed(number)) => {
+                            self.latest = number;
+                            return Ok(format!("done, closed by line {number}"));
+                        }
+                        Ok(ToClerk::Entered { tag, line: None }) if tag == self.tags => {
+                            return Ok("error: nothing can be closed now".to_owned());
+                        }
+                        Ok(ToClerk::Entered { .. }) => {}
+                        Ok(ToClerk::Stop) | Err(_) => return Err(Stop::End),
+                    }
+                }
+            }
+        }
+    }
+
+    /// The line of a correction that was entered before.
+    fn entered(&self, token: &str) -> Step<Option<LineId>> {
+        let (mut start, mut found) = (0, None);
+        let walked = Log::read(&self.disk, &self.set.server, |visit| {
+            let Visit::Record(number, bytes) = visit else { return Ok(()) };
+            match Line::read(bytes).map_err(|e| e.to_string())?.kind {
+                Some(Kind::Start(s)) => start = s.start,
+                Some(Kind::Correction(c)) if c.token == token => {
+                    found = Some(LineId { server: self.set.server.clone(), start, number });
+                }
+                _ => {}
+            }
+            Ok(())
+        });
+        walked.map_err(later)?;
+        Ok(found)
+    }
+
     /// Asks the collector how far it is.
     fn ask(&mut self) -> Step<()> {
         let (server, born) = (self.set.server.clone(), self.born());
@@ -225,7 +320,7 @@
             Next::Settle(number) => {
                 let Some(mut line) = self.prepared.clone() else { return Err(later("no batch is prepared")) };
                 line.acknowledged = true;
-                self.enter(line.clone())?;
+                self.enter(Kind::Export(line.clone()))?;
                 self.sender.settled();
                 (self.digest, self.prepared) = (line.digest, None);
                 self.part += 1;
@@ -237,7 +332,9 @@
                 Ok(true)
             }
             Next::Alarm(alarm) => {
-                error!(self.set.log, "ledger: ALARM, exports have stopped"; "why" => alarm.to_string());
+                if !std::mem::replace(&mut self.alarmed, true) {
+                    error!(self.set.log, "ledger: ALARM, exports have stopped"; "why" => alarm.to_string());
+                }
                 Ok(false)
             }
         }
@@ -257,7 +354,7 @@
             lines: self.set.batch_lines as u64,
             acknowledged: false,
         };
-        self.enter(line.clone())?;
+        self.enter(Kind::Export(line.clone()))?;
         self.sender.prepared(digest);
         self.prepared = Some(line);
         Ok(true)
@@ -345,6 +442,7 @@
     /// How far the collector is with this ledger.
     fn watermark(&mut self, server: &str, born: u64) -> Step<Reply> {
         match self {
+            Carrier::Nowhere => Err(later("nothing is exported")),
             Carrier::Folder(open, folder) => {
                 let reply = Carrier::inbox(open, folder)?.watermark(server, born);
                 // Others export into the same folder: it is held only for a moment.
@@ -361,6 +459,7 @@
     /// Offers a batch.
     fn offer(&mut self, bytes: &[u8], number: u64, born: u64, server: &str) -> Step<Reply> {
         match self {
+            Carrier::Nowhere => Err(later("nothing is exported")),
             Carrier::Folder(open, folder) => {
                 let offered = Carrier::inbox(open, folder)?.offer(bytes).map_err(later);
                 *open = None;
--- a/src/node/ledger.rs
+++ b/src/node/ledger.rs
@@ -42,32 +42,37 @@
 pub enum FromLedger {
     /// Progress of the store.
     Progress(Progress),
-    /// The thread that exports has a line to be entered.
+    /// The clerk has a line to be entered.
     Enter {
         /// The line.
         kind: Kind,
         /// Comes back once it is durable.
         tag: u64,
     },
+    /// All up to now is to be closed. If it is, that is told as [`ToClerk::Closed`], else under the tag.
+    Close {
+        /// The tag.
+        tag: u64,
+    },
 }
 
-/// What the thread that exports is told.
+/// What the clerk is told.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum ToExport {
+pub enum ToClerk {
     /// The close line with this number is durable.
     Closed(u64),
     /// The line it entered with this tag is durable, or could not be entered.
     Entered {
         /// The tag.
         tag: u64,
-        /// The line's number, none if it was not entered.
-        number: Option<u64>,
+        /// The line's start and number, none if it was not entered.
+        line: Option<(u64, u64)>,
     },
     /// The program ends.
     Stop,
 }
 
-/// What opening the ledger found, for the thread that exports.
+/// What opening the ledger found, for the clerk.
 #[derive(Clone, Debug)]
 pub struct Opened {
     /// The sum of all lines at the opening.
@@ -88,7 +93,7 @@
     held: VecDeque<(u64, Handle, Answer)>,
     free: Vec<(Handle, Answer)>,
     actions: Vec<Action>,
-    export: Option<std::sync::mpsc::Sender<ToExport>>,
+    clerk: Option<std::sync::mpsc::Sender<ToClerk>>,
     log: Logger,
     reported: bool,
     broken: bool,
@@ -178,7 +183,7 @@
             held: VecDeque::new(),
             free: Vec::new(),
             actions,
-            export: None,
+            clerk: None,
             log,
             reported: false,
             broken,
@@ -187,9 +192,9 @@
         Ok(billing)
     }
 
-    /// Where the thread that exports listens.
-    pub fn exports_to(&mut self, export: std::sync::mpsc::Sender<ToExport>) {
-        self.export = Some(export);
+    /// Where the clerk listens.
+    pub fn clerk_is(&mut self, clerk: std::sync::mpsc::Sender<ToClerk>) {
+        self.clerk = Some(clerk);
     }
 
     /// Bills an answer. It comes back if it may leave at once; else it waits for its line.
@@ -275,10 +280,18 @@
         self.carry_out();
     }
 
-    /// Enters a line for the thread that exports, which hears of it.
+    /// Enters a line for the clerk, which hears of it.
     pub fn enter(&mut self, now_ms: f64, kind: Kind, tag: u64) {
         if !self.book.enter(now_ms as u64, kind, tag, &mut self.actions) {
-            self.tell_export(ToExport::Entered { tag, number: None });
+            self.tell_clerk(ToClerk::Entered { tag, line: None });
+        }
+        self.carry_out();
+    }
+
+    /// Closes all up to now before its time, or tells the thread that it can't be.
+    pub fn close_early(&mut self, now_ms: f64, tag: u64) {
+        if !self.book.close_early(now_ms as u64, &mut self.actions) {
+            self.tell_clerk(ToClerk::Entered { tag, line: None });
         }
         self.carry_out();
     }
@@ -302,14 +315,14 @@
     pub fn end(mut self, now_ms: f64) -> Writer {
         self.book.finish(now_ms as u64, &mut self.actions);
         self.carry_out();
-        self.tell_export(ToExport::Stop);
+        self.tell_clerk(ToClerk::Stop);
         self.writer
     }
 
-    fn tell_export(&self, message: ToExport) {
-        if let Some(export) = &self.export {
+    fn tell_clerk(&self, message: ToClerk) {
+        if let Some(clerk) = &self.clerk {
             // Its thread ends before the program does only if it failed, which it says itself.
-            let _ = export.send(message);
+            let _ = clerk.send(message);
         }
     }
 
@@ -332,9 +345,10 @@
                     }
                 }
                 Action::Serving(good) => info!(self.log, "ledger: taking on new requests"; "good" => good),
-                Action::Closed(number) => self.tell_export(ToExport::Closed(number)),
+                Action::Closed(number) => self.tell_clerk(ToClerk::Closed(number)),
                 Action::Entered { tag, number } => {
-                    self.tell_export(ToExport::Entered { tag, number: Some(number) });
+                    let start = self.book.state().start.as_ref().map_or(0, |s| s.start);
+                    self.tell_clerk(ToClerk::Entered { tag, line: Some((start, number)) });
                 }
                 Action::Note(note) => self.say(&note),
             }
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -3,8 +3,8 @@
 //! and must never decide about one.
 
 pub mod catalog;
+pub mod clerk;
 pub mod core;
-pub mod export;
 pub mod front;
 pub mod index;
 pub mod ledger;
