--- a/crates/ctl/src/fleet.rs
+++ b/crates/ctl/src/fleet.rs
@@ -65,6 +65,8 @@
         if let Some(operator) = &self.operator {
             command.arg("--operator").arg(operator);
         }
+        // A build from before there were arguments passes them over and reads this.
+        command.env("RELAY_CONFIG", &self.config);
         command.stdin(Stdio::null()).stdout(Stdio::null()).stderr(Stdio::piped());
         let mut child = command.spawn().with_context(|| format!("starting {command:?}"))?;
         let lines = BufReader::new(child.stderr.take().context("its log")?).lines();
@@ -73,9 +75,8 @@
         let log = self.log.clone();
         std::thread::spawn(move || {
             for line in lines.map_while(Result::ok) {
-                let said = serde_json::from_str::<serde_json::Value>(&line).unwrap_or_default();
-                if said["msg"] == "serving" {
-                    let _ = tell.send(said["listen"].as_str().and_then(|a| a.parse().ok()));
+                if let Some(address) = serving_at(&line) {
+                    let _ = tell.send(address);
                 }
                 let mut log = log.lock().unwrap_or_else(PoisonError::into_inner);
                 if log.len() >= KEPT_LINES {
@@ -98,6 +99,17 @@
         self.log.lock().unwrap_or_else(PoisonError::into_inner).join("\n")
     }
 
+    /// The time on the processor that it has used, ms.
+    pub fn cpu_ms(&self) -> Option<f64> {
+        let pid = self.child.as_ref()?.id();
+        let stat = std::fs::read_to_string(format!("/proc/{pid}/stat")).ok()?;
+        // The name in brackets may hold anything; the times are the 12th and 13th fields after it.
+        let fields: Vec<&str> = stat.rsplit_once(')')?.1.split_whitespace().collect();
+        let ticks = fields.get(11)?.parse::<f64>().ok()? + fields.get(12)?.parse::<f64>().ok()?;
+        // The kernel counts them in hundredths of a second, whatever its own tick is.
+        Some(ticks * 10.0)
+    }
+
     /// Kills it outright.
     pub fn kill(&mut self) {
         if let Some(mut child) = self.child.take() {
@@ -124,6 +136,16 @@
     }
 }
 
+/// Where a log line, as JSON or as text, says that the round server listens.
+fn serving_at(line: &str) -> Option<Option<SocketAddr>> {
+    if let Ok(said) = serde_json::from_str::<serde_json::Value>(line) {
+        return (said["msg"] == "serving").then(|| said["listen"].as_str().and_then(|a| a.parse().ok()));
+    }
+    let rest = line.split_once(" serving")?.1;
+    let address = rest.split_once("listen: ").map(|(_, a)| a.split(',').next().unwrap_or(a));
+    Some(address.and_then(|a| a.parse().ok()))
+}
+
 impl Drop for Server {
     fn drop(&mut self) {
         self.kill();
--- a/crates/ctl/src/trial.rs
+++ b/crates/ctl/src/trial.rs
@@ -12,6 +12,19 @@
 use std::process::ExitCode;
 use std::time::Duration;
 
+/// Societies that send.
+const SOCIETIES: [&str; 9] = [
+    "aluva",
+    "angamaly",
+    "kakkanad",
+    "kalady",
+    "muvattupuzha",
+    "paravur",
+    "perumbavoor",
+    "piravom",
+    "thrissur",
+];
+
 /// Settings of a trial.
 #[derive(Args)]
 pub struct Trial {
@@ -30,11 +43,25 @@
     /// Have the worker pool's link and the calls go wrong now and then.
     #[arg(long)]
     faults: bool,
+    /// Bill what is answered to nine societies, in a ledger that is thrown away: off, interval or strict.
+    #[arg(long, value_enum, default_value_t = Billing::Off)]
+    ledger: Billing,
     /// Another build of the daemon to try.
     #[arg(long, value_name = "FILE")]
     daemon: Option<PathBuf>,
 }
 
+/// How answers are billed.
+#[derive(Clone, Copy, PartialEq, Eq, clap::ValueEnum)]
+enum Billing {
+    /// Not at all.
+    Off,
+    /// At once, made durable every 50 ms.
+    Interval,
+    /// Durable before the answer leaves.
+    Strict,
+}
+
 impl Trial {
     /// Plays it and prints what came of it.
     pub fn run(&self) -> Result<ExitCode> {
@@ -47,7 +74,15 @@
         let index = Index::start(8.0, self.seed, index_faults).context("starting the index")?;
         let catalog = Catalog::start().context("starting the catalog")?;
         let folder = tempfile::tempdir().context("making a folder")?;
-        let mut server = Server::new(folder.path(), "n1", self.daemon.as_deref(), None)?;
+        let mode = match self.ledger {
+            Billing::Off => None,
+            Billing::Interval => Some("interval"),
+            Billing::Strict => Some("strict"),
+        };
+        let directory = folder.path().join("ledger").display().to_string();
+        let operator = mode
+            .map(|mode| format!("ledger \"try\" {{\n  directory = {directory:?}\n  mode = \"{mode}\"\n}}\n"));
+        let mut server = Server::new(folder.path(), "n1", self.daemon.as_deref(), operator.as_deref())?;
         server.start(|listen| {
             site.config("n1", listen, pool.address(), catalog.address(), Some(index.address()))
         })?;
@@ -61,7 +96,13 @@
             self.seconds,
             self.load * 100.0
         );
-        let load = Load { rate, requests, societies: vec![None], seed: self.seed };
+        let load = Load {
+            rate,
+            requests,
+            societies: SOCIETIES.map(|s| Some(s.to_owned())).to_vec(),
+            seed: self.seed,
+        };
+        let before = server.cpu_ms().unwrap_or(0.0);
         let proxies = Proxies::start(&site, vec![address], load, Habits::default())?;
         let bar = ProgressBar::new(requests);
         bar.set_style(ProgressStyle::with_template("{bar:40} {pos}/{len} answered, {msg} open")?);
@@ -76,6 +117,12 @@
         }
         let tally = proxies.finish();
         println!("{}", show(&site, &tally));
+        if let Some(cpu) = server.cpu_ms() {
+            println!(
+                "the round server used {:.0} µs of processor a request",
+                (cpu - before) * 1000.0 / requests as f64
+            );
+        }
         if tally.behind_ms > 20.0 {
             println!(
                 "The load itself ran up to {:.0} ms behind: this machine was too busy.",
--- a/crates/ledger/src/table.rs
+++ b/crates/ledger/src/table.rs
@@ -1,7 +1,7 @@
 //! Open aggregates: amounts by period, society, class and outcome, in bounded memory. Societies' names come from
 //! outside, so the hash is keyed by chance.
 //!
-//! Names lie once, one behind the other; cells name them by position. `docs/measurements/ledger.md` has this against the
+//! Names lie once, one behind the other; cells say where. A cell is found by one hash of its whole key. `docs/measurements/ledger.md` has this against the
 //! maps of the standard library.
 
 use crate::line::{Amount, Outcome};
@@ -23,7 +23,7 @@
 #[derive(Clone, Copy)]
 struct Cell {
     period: u64,
-    name: u32,
+    name: Span,
     class: u16,
     outcome: Outcome,
     amount: Amount,
@@ -33,7 +33,7 @@
 #[derive(Clone, Copy)]
 struct Span {
     at: u32,
-    len: u32,
+    len: u16,
 }
 
 /// The table.
@@ -44,7 +44,8 @@
     /// Positions in `spans`, plus one; 0 is free. Open addressing, at most three quarters full.
     name_slots: Vec<u32>,
     cells: Vec<Cell>,
-    cell_slots: Vec<u32>,
+    /// Positions in `cells`, plus one, beside a part of the hash: a cell is looked at only if that fits.
+    cell_slots: Vec<(u32, u32)>,
     most: usize,
 }
 
@@ -63,29 +64,32 @@
             spans: Vec::new(),
             name_slots: vec![0; 16],
             cells: Vec::new(),
-            cell_slots: vec![0; 16],
+            cell_slots: vec![(0, 0); 16],
             most: most.clamp(1, 1 << 28),
         }
     }
 
     /// Adds to a cell; false, and nothing is added, if it would be a new one and the table is full.
     pub fn add(&mut self, key: Key<'_>, amount: &Amount) -> bool {
-        let name = self.find_name(key.society);
-        if let Some(at) = name.and_then(|name| self.find_cell(&key, name)) {
+        let hash = self.cell_hash(&key);
+        if let Some(at) = self.find_cell(&key, hash) {
             self.cells[at].amount.add(amount);
             return true;
         }
         if self.cells.len() >= self.most {
             return false;
         }
-        let name = name.unwrap_or_else(|| self.new_name(key.society));
+        let name = self.name_of(key.society);
         let Key { period, class, outcome, .. } = key;
         self.cells.push(Cell { period, name, class, outcome, amount: *amount });
         if self.cells.len() * 4 > self.cell_slots.len() * 3 {
-            self.cell_slots = vec![0; self.cell_slots.len() * 2];
-            (0..self.cells.len()).for_each(|at| self.place_cell(at));
+            self.cell_slots = vec![(0, 0); self.cell_slots.len() * 2];
+            for at in 0..self.cells.len() {
+                let hash = self.cell_hash(&self.key(at));
+                self.place_cell(at, hash);
+            }
         } else {
-            self.place_cell(self.cells.len() - 1);
+            self.place_cell(self.cells.len() - 1, hash);
         }
         true
     }
@@ -104,7 +108,8 @@
     pub fn bytes(&self) -> usize {
         self.names.capacity()
             + self.spans.capacity() * size_of::<Span>()
-            + (self.name_slots.capacity() + self.cell_slots.capacity()) * size_of::<u32>()
+            + self.name_slots.capacity() * size_of::<u32>()
+            + self.cell_slots.capacity() * size_of::<(u32, u32)>()
             + self.cells.capacity() * size_of::<Cell>()
     }
 
@@ -124,7 +129,7 @@
             *self = Table { chance: self.chance.clone(), ..Table::new(most) };
         } else {
             self.name_slots.fill(0);
-            self.cell_slots.fill(0);
+            self.cell_slots.fill((0, 0));
         }
     }
 
@@ -133,77 +138,70 @@
         Key { period, society: self.name(name), class, outcome }
     }
 
-    fn name(&self, name: u32) -> &str {
-        let Span { at, len } = self.spans[name as usize];
-        &self.names[at as usize..(at + len) as usize]
+    fn name(&self, Span { at, len }: Span) -> &str {
+        &self.names[at as usize..at as usize + len as usize]
     }
 
-    fn find_name(&self, society: &str) -> Option<u32> {
+    /// Where a name lies, put there if it is new.
+    fn name_of(&mut self, society: &str) -> Span {
         let mask = self.name_slots.len() - 1;
         let mut slot = self.chance.hash_one(society) as usize & mask;
-        loop {
-            match self.name_slots[slot] {
-                0 => return None,
-                found if self.name(found - 1) == society => return Some(found - 1),
-                _ => slot = (slot + 1) & mask,
+        while self.name_slots[slot] != 0 {
+            let span = self.spans[self.name_slots[slot] as usize - 1];
+            if self.name(span) == society {
+                return span;
             }
+            slot = (slot + 1) & mask;
         }
-    }
-
-    fn new_name(&mut self, society: &str) -> u32 {
-        self.spans.push(Span { at: self.names.len() as u32, len: society.len() as u32 });
+        let span = Span { at: self.names.len() as u32, len: society.len() as u16 };
+        self.spans.push(span);
         self.names.push_str(society);
-        let name = self.spans.len() as u32 - 1;
         if self.spans.len() * 4 > self.name_slots.len() * 3 {
             self.name_slots = vec![0; self.name_slots.len() * 2];
-            (0..=name).for_each(|name| self.place_name(name));
+            (0..self.spans.len()).for_each(|name| self.place_name(name));
         } else {
-            self.place_name(name);
+            self.place_name(self.spans.len() - 1);
         }
-        name
+        span
     }
 
-    fn place_name(&mut self, name: u32) {
+    fn place_name(&mut self, name: usize) {
         let mask = self.name_slots.len() - 1;
-        let mut slot = self.chance.hash_one(self.name(name)) as usize & mask;
+        let mut slot = self.chance.hash_one(self.name(self.spans[name])) as usize & mask;
         while self.name_slots[slot] != 0 {
             slot = (slot + 1) & mask;
         }
-        self.name_slots[slot] = name + 1;
+        self.name_slots[slot] = name as u32 + 1;
     }
 
-    fn cell_hash(&self, period: u64, name: u32, class: u16, outcome: Outcome) -> usize {
+    fn cell_hash(&self, key: &Key<'_>) -> u64 {
         let mut hasher = self.chance.build_hasher();
-        hasher.write_u64(period);
-        hasher.write_u64(u64::from(name) << 32 | u64::from(class) << 8 | outcome as u64);
-        hasher.finish() as usize
+        hasher.write(key.society.as_bytes());
+        hasher.write_u64(key.period << 24 ^ u64::from(key.class) << 8 ^ key.outcome as u64 ^ 1 << 63);
+        hasher.finish()
     }
 
-    fn find_cell(&self, key: &Key<'_>, name: u32) -> Option<usize> {
+    fn find_cell(&self, key: &Key<'_>, hash: u64) -> Option<usize> {
         let mask = self.cell_slots.len() - 1;
-        let mut slot = self.cell_hash(key.period, name, key.class, key.outcome) & mask;
+        let mut slot = hash as usize & mask;
         loop {
             match self.cell_slots[slot] {
-                0 => return None,
-                found => {
-                    let c = &self.cells[found as usize - 1];
-                    if (c.period, c.name, c.class, c.outcome) == (key.period, name, key.class, key.outcome) {
-                        return Some(found as usize - 1);
-                    }
+                (0, _) => return None,
+                (found, part) if part == (hash >> 32) as u32 && self.key(found as usize - 1) == *key => {
+                    return Some(found as usize - 1);
                 }
+                _ => slot = (slot + 1) & mask,
             }
-            slot = (slot + 1) & mask;
         }
     }
 
-    fn place_cell(&mut self, at: usize) {
-        let Cell { period, name, class, outcome, .. } = self.cells[at];
+    fn place_cell(&mut self, at: usize, hash: u64) {
         let mask = self.cell_slots.len() - 1;
-        let mut slot = self.cell_hash(period, name, class, outcome) & mask;
-        while self.cell_slots[slot] != 0 {
+        let mut slot = hash as usize & mask;
+        while self.cell_slots[slot].0 != 0 {
             slot = (slot + 1) & mask;
         }
-        self.cell_slots[slot] = at as u32 + 1;
+        self.cell_slots[slot] = (at as u32 + 1, (hash >> 32) as u32);
     }
 }
 
