Let lines of the ledger go once they are exported and old enough

Need: the store grew for ever.

Tested on a running server with keep at 1 s: lines go, the exports have them, and after SIGKILL the ledger goes on from the sum with the same mark.

--- a/crates/ctl/src/ledger.rs
+++ b/crates/ctl/src/ledger.rs
@@ -94,6 +94,8 @@
 pub struct Walked {
     /// The sum of all lines.
     pub state: State,
+    /// The number of the first line that is there.
+    pub first: u64,
     /// Lines by kind.
     pub lines: BTreeMap<&'static str, u64>,
     /// Requests that lines say are in none, and those that may be.
@@ -105,13 +107,15 @@
     let mut walked = Walked::default();
     Log::read(disk, server, |visit| {
         match visit {
-            Visit::Snapshot(_, bytes) => {
+            Visit::Snapshot(before, bytes) => {
+                walked.first = before;
                 walked.state =
                     prost::Message::decode(bytes).map_err(|e: prost::DecodeError| e.to_string())?;
             }
             Visit::Record(number, bytes) => {
                 let line = Line::read(bytes).map_err(|e| e.to_string())?;
                 walked.state.apply(number, &line).map_err(|e| e.to_string())?;
+                walked.first = if walked.first == 0 { number } else { walked.first };
                 let word = match &line.kind {
                     Some(Kind::Start(_)) => "start",
                     Some(Kind::Usage(_)) => "usage",
@@ -332,7 +336,7 @@
             println!(
                 "{}",
                 json!({
-                    "ok": true, "server": server, "born": state.born, "lines": walked.lines,
+                    "ok": true, "server": server, "born": state.born, "first": walked.first, "lines": walked.lines,
                     "closed_to_ms": state.closed_to, "batches": state.batches,
                     "acknowledged": state.batches - u64::from(state.prepared.is_some()),
                     "unbilled": walked.unbilled.0, "unbilled_at_most": walked.unbilled.1,
--- a/crates/ctl/tests/ledger.rs
+++ b/crates/ctl/tests/ledger.rs
@@ -25,11 +25,11 @@
     }
 }
 
-fn start(site: &Site, folder: &Path) -> Running {
+fn start(site: &Site, folder: &Path, more: &str) -> Running {
     let pool = Pool::start(site, 1, PoolFaults::default()).expect("a pool");
     let catalog = Catalog::start().expect("a catalog");
     let operator = format!(
-        "ledger \"test\" {{\n  directory = {:?}\n  period = \"1h\"\n  export {{\n    folder = {:?}\n  }}\n}}\n",
+        "ledger \"test\" {{\n  directory = {:?}\n  {more}\n  export {{\n    folder = {:?}\n  }}\n}}\n",
         folder.join("ledger").display().to_string(),
         folder.join("exports").display().to_string()
     );
@@ -72,7 +72,7 @@
     let (site, folder) = (Site::rounds(8), tempfile::tempdir().expect("a folder"));
     let (ledger, exports) = (folder.path().join("ledger"), folder.path().join("exports"));
     let (ledger, exports) = (ledger.to_str().expect("text"), exports.to_str().expect("text"));
-    let mut running = start(&site, folder.path());
+    let mut running = start(&site, folder.path(), "period = \"1h\"");
     let societies = vec![Some("aluva".to_owned()), None];
     let load = Load { rate: 100.0, requests: 100, societies, seed: 5 };
     let tally =
@@ -182,6 +182,42 @@
     assert!(found[0]["fault"].as_str().is_some_and(|f| f.contains(name)), "{found:?}");
 }
 
+/// Lines that are exported and old enough go; what they came to stays, across a kill as well.
+#[test]
+fn old_lines_go_and_the_ledger_goes_on() {
+    let (site, folder) = (Site::rounds(40), tempfile::tempdir().expect("a folder"));
+    let ledger = folder.path().join("ledger");
+    let ledger = ledger.to_str().expect("text");
+    let settings = "period = \"100ms\"\n  grace = \"0s\"\n  keep = \"1s\"";
+    let mut running = start(&site, folder.path(), settings);
+    let found = || ctl(&["ledger", "verify", ledger, "--json"]).1.pop().unwrap_or_default();
+    let mut sent = 0;
+    // Each round is a second of load; on a slow machine it takes a few more until enough lines are old.
+    for round in 0.. {
+        let load = Load { rate: 700.0, requests: 700, societies: vec![None], seed: round };
+        let tally =
+            Proxies::start(&site, vec![running.address], load, Habits::default()).expect("proxies").finish();
+        sent += tally.sum(|_, _| true).iter().sum::<u64>();
+        if found()["first"].as_u64().is_some_and(|n| n > 1000) {
+            break;
+        }
+        assert!(round < 30, "no line has gone: {}", found());
+    }
+    let before = found();
+    running.child.kill().expect("killed");
+    drop(running);
+    let running = start(&site, folder.path(), settings);
+    let after = found();
+    assert_eq!((&after["ok"], &after["born"]), (&true.into(), &before["born"]), "{after}");
+    assert!(after["first"].as_u64() >= before["first"].as_u64(), "{before} {after}");
+    drop(running);
+    // The exports have what the ledger has let go.
+    let exports = folder.path().join("exports");
+    let (_, sums, _) = ctl(&["ledger", "reconcile", exports.to_str().expect("text"), "--json"]);
+    let exported = requests(sums[0]["accounts"].as_array().expect("accounts"), "unattributed");
+    assert!(exported as u64 <= sent && exported > 700, "{exported} of {sent}");
+}
+
 #[test]
 fn what_is_no_ledger_is_said_so() {
     let folder = tempfile::tempdir().expect("a folder");
--- a/crates/store/benches/commit.rs
+++ b/crates/store/benches/commit.rs
@@ -106,7 +106,9 @@
     let folder = folder();
     let mut log = open(folder.path());
     let batch = vec![[7u8; 32]; 10_000];
-    (0..records / 10_000).for_each(|_| drop(log.commit(&batch).expect("commits")));
+    for _ in 0..records / 10_000 {
+        log.commit(&batch).expect("commits");
+    }
     drop(log);
     let (before, began, mut seen) = (memory_kb("VmRSS"), Instant::now(), 0u64);
     let disk = Arc::new(RealDisk::new(folder.path()).expect("a disk"));
--- a/deploy/operator.example.hcl
+++ b/deploy/operator.example.hcl
@@ -24,6 +24,8 @@
   on_failure = "refuse"
   # Lines in one exported batch at most.
   batch_lines = 10000
+  # How long lines are kept once they are exported (or closed, if nothing is exported).
+  keep = "400d"
   # Where closed periods go: a folder, or `collector = "ADDRESS:PORT"`. Without it they stay in the store.
   export {
     folder = "/var/lib/dunlinspread/exports"
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -340,6 +340,7 @@
         directory: settings.directory.clone(),
         to: settings.export.clone(),
         batch_lines: settings.batch_lines,
+        keep_ms: settings.keep_ms,
         cells: config.bounds.ledger_cells,
         opened,
         inbox,
--- a/src/node/clerk.rs
+++ b/src/node/clerk.rs
@@ -14,17 +14,21 @@
 use dunlinspread_ledger::request::{self, Request, Wish};
 use dunlinspread_ledger::{Export as ExportLine, Inbox, Kind, Line, LineId, LineIdText, State};
 use dunlinspread_store::{Log, RealDisk, StoreError, Visit};
+use prost::Message as _;
 use slog::{Logger, error, info, warn};
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpStream};
 use std::path::{Path, PathBuf};
 use std::sync::Arc;
 use std::sync::mpsc::{Receiver, RecvTimeoutError};
-use std::time::{Duration, Instant};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 /// Between tries: after the first that failed, doubled with each to the last.
 const RETRY: Duration = Duration::from_millis(100);
 const RETRY_MOST: Duration = Duration::from_secs(10);
+/// How often old lines are looked for at the least, and how many at a time go at the least: each time costs a file.
+const FORGET: Duration = Duration::from_secs(60);
+const FORGET_LINES: u64 = 1000;
 /// How often what operators ask is looked for.
 const LOOK: Duration = Duration::from_millis(300);
 /// The longest request of an operator, in bytes.
@@ -42,6 +46,8 @@
     pub to: Option<ExportTo>,
     /// Lines in a batch at most.
     pub batch_lines: usize,
+    /// How long lines are kept, ms.
+    pub keep_ms: u64,
     /// Sums held at a time.
     pub cells: usize,
     /// What opening the ledger found.
@@ -90,6 +96,12 @@
     prepared: Option<ExportLine>,
     /// From this line on, with the sum of all before it, lines may belong to periods that are not exported.
     from: (u64, State),
+    /// Lines before this one are older than they need to be kept, and their sum.
+    old: (u64, State),
+    /// The first line that the store was last told to keep.
+    kept_from: u64,
+    /// When old lines were last looked for.
+    looked: Instant,
     tags: u64,
     /// The folder of what operators ask.
     requests: PathBuf,
@@ -127,6 +139,9 @@
             digest: state.digest.clone(),
             prepared: state.prepared.clone(),
             from: (self.opened.first, self.opened.base.clone()),
+            old: (self.opened.first, self.opened.base.clone()),
+            kept_from: self.opened.first,
+            looked: Instant::now(),
             tags: 0,
             requests: asked,
             alarmed: false,
@@ -134,7 +149,7 @@
         };
         let (mut wait, mut asked, mut said) = (RETRY, false, false);
         loop {
-            let stepped = work.requests().and_then(|()| match work.carrier {
+            let stepped = work.requests().and_then(|()| work.forget()).and_then(|()| match work.carrier {
                 Carrier::Nowhere => Ok(false),
                 _ if asked => work.step(),
                 _ => work.ask().map(|()| asked = true).map(|()| true),
@@ -195,6 +210,44 @@
         }
     }
 
+    /// Lets lines go that are older than they need to be kept, if there are many. What is not exported stays, and
+    /// without an export what is not closed.
+    fn forget(&mut self) -> Step<()> {
+        let every = Duration::from_millis(self.set.keep_ms / 4).clamp(LOOK, FORGET);
+        if self.looked.elapsed() < every {
+            return Ok(());
+        }
+        self.looked = Instant::now();
+        let needed = match self.carrier {
+            Carrier::Nowhere => self.latest,
+            _ => self.from.0,
+        };
+        let (mut number, mut state) = self.old.clone();
+        if number >= needed {
+            return Ok(());
+        }
+        let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+        let before_ms = (since.as_millis() as u64).saturating_sub(self.set.keep_ms);
+        let mut done = false;
+        let walked = Log::range(&self.disk, &self.set.server, number..needed, |at, bytes| {
+            let line = Line::read(bytes).map_err(|e| e.to_string())?;
+            done |= line.at_ms >= before_ms;
+            if !done {
+                state.apply(at, &line).map_err(|e| e.to_string())?;
+                number = at + 1;
+            }
+            Ok(())
+        });
+        walked.map_err(later)?;
+        self.old = (number, state);
+        if number - self.kept_from >= FORGET_LINES {
+            self.kept_from = number;
+            let forgetting = FromLedger::Forget { before: number, sum: self.old.1.encode_to_vec() };
+            self.set.core.send_blocking(forgetting).map_err(|_| Stop::End)?;
+        }
+        Ok(())
+    }
+
     /// Does what operators ask.
     fn requests(&mut self) -> Step<()> {
         let entries = std::fs::read_dir(&self.requests).map_err(later)?;
--- a/src/node/core.rs
+++ b/src/node/core.rs
@@ -332,6 +332,7 @@
         self.with_ledger(|ledger| match from {
             FromLedger::Progress(progress) => ledger.progress(now, progress),
             FromLedger::Enter { kind, tag } => ledger.enter(now, kind, tag),
+            FromLedger::Forget { before, sum } => ledger.forget(before, sum),
             FromLedger::Close { tag } => ledger.close_early(now, tag),
         });
     }
--- a/src/node/ledger.rs
+++ b/src/node/ledger.rs
@@ -49,6 +49,13 @@
         /// Comes back once it is durable.
         tag: u64,
     },
+    /// The lines before that number may go; their sum stays.
+    Forget {
+        /// The first line that stays.
+        before: u64,
+        /// The sum of all before it.
+        sum: Vec<u8>,
+    },
     /// All up to now is to be closed. If it is, that is told as [`ToClerk::Closed`], else under the tag.
     Close {
         /// The tag.
@@ -275,7 +282,12 @@
                 }
                 self.book.failed(&why, count as usize, &mut self.actions);
             }
-            Progress::Snapshot { .. } => {}
+            Progress::Snapshot { before, failed: None } => {
+                info!(self.log, "ledger: old lines may go"; "before" => before);
+            }
+            Progress::Snapshot { before, failed: Some(why) } => {
+                warn!(self.log, "ledger: old lines can't go yet"; "before" => before, "why" => format!("{why:?}"));
+            }
         }
         self.carry_out();
     }
@@ -288,6 +300,13 @@
         self.carry_out();
     }
 
+    /// Lets old lines go.
+    pub fn forget(&mut self, before: u64, sum: Vec<u8>) {
+        if !self.writer.snapshot(before, sum) {
+            warn!(self.log, "ledger: old lines can't go yet"; "before" => before, "why" => "the store is busy");
+        }
+    }
+
     /// Closes all up to now before its time, or tells the thread that it can't be.
     pub fn close_early(&mut self, now_ms: f64, tag: u64) {
         if !self.book.close_early(now_ms as u64, &mut self.actions) {
--- a/src/operator.rs
+++ b/src/operator.rs
@@ -106,6 +106,8 @@
     pub export: Option<ExportTo>,
     /// Lines in one batch at most.
     pub batch_lines: usize,
+    /// How long lines are kept, ms, once they are exported (or closed, if nothing is).
+    pub keep_ms: u64,
 }
 
 /// The block `ledger` as it stands in the file.
@@ -125,6 +127,8 @@
     #[serde(default)]
     on_failure: RawOnFailure,
     batch_lines: Option<u64>,
+    #[serde(default, with = "humantime_text")]
+    keep: Option<Duration>,
     export: Option<RawExport>,
 }
 
@@ -178,6 +182,7 @@
         };
         let period_ms = span("period", self.period, 900_000, 100, 31 * 86_400_000)?;
         let grace_ms = span("grace", self.grace, period_ms.min(5000), 0, period_ms)?;
+        let keep_ms = span("keep", self.keep, 400 * 86_400_000, 1000, 20 * 366 * 86_400_000)?;
         let mode = match self.mode {
             RawMode::Strict if self.interval.is_some() => {
                 return Err(("interval", "belongs to mode \"interval\"".to_owned()));
@@ -223,6 +228,7 @@
             },
             export,
             batch_lines: batch_lines as usize,
+            keep_ms,
         })
     }
 }
@@ -247,6 +253,7 @@
         }
         let on_failure = if self.on_failure == OnFailure::Refuse { "refuse" } else { "continue" };
         writeln!(f, "  on_failure  = \"{on_failure}\"\n  batch_lines = {}", self.batch_lines)?;
+        writeln!(f, "  keep        = \"{}\"", text(self.keep_ms))?;
         match &self.export {
             None => {}
             Some(ExportTo::Folder(folder)) => writeln!(f, "  export {{\n    folder = {folder:?}\n  }}")?,
