Have round servers that may talk hold their exports together

Need: a ledger put back from an old copy, or run twice, goes on making batches that look right by themselves.

crates/ledger/witness: what each server knows of all batches, its own and others', bounded; a batch with two digests, a server that knows less of its own ledger than others do, and a second ledger of one server are told once each. node/witness.rs exchanges it, a connection an exchange, on threads of its own; off unless peers are named. Tested: a copy of a ledger put back is logged by what another server knew, and by the collector's watermark.

--- a/crates/ctl/tests/ledger.rs
+++ b/crates/ctl/tests/ledger.rs
@@ -1,12 +1,16 @@
 //! The operators' commands over the ledger of a round server that runs, and of one that does not.
 
+use dunlinspread_ledger::witness::Claims;
 use dunlinspread_standin::{Catalog, Habits, Load, Pool, PoolFaults, Proxies, Site};
 use parquet::file::reader::{FileReader, SerializedFileReader};
 use parquet::record::RowAccessor;
+use prost::Message;
 use serde_json::Value;
-use std::io::{BufRead, BufReader};
+use std::io::{BufRead, BufReader, Read, Write};
 use std::path::Path;
 use std::process::{Child, Command, Stdio};
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
 
 const CTL: &str = env!("CARGO_BIN_EXE_dunlinspreadctl");
 
@@ -14,9 +18,26 @@
 struct Running {
     child: Child,
     address: std::net::SocketAddr,
+    log: Arc<Mutex<Vec<String>>>,
     _parties: (Pool, Catalog),
 }
 
+impl Running {
+    /// Waits for a log line with these words.
+    fn logged(&self, words: &str) -> Value {
+        // Far beyond any delay of a working program.
+        let until = Instant::now() + Duration::from_secs(60);
+        loop {
+            let found = self.log.lock().expect("whole").iter().find(|l| l.contains(words)).cloned();
+            match found {
+                Some(line) => return serde_json::from_str(&line).expect("JSON"),
+                None if Instant::now() > until => panic!("not logged: {words}; {:?}", self.log),
+                None => std::thread::sleep(Duration::from_millis(20)),
+            }
+        }
+    }
+}
+
 impl Drop for Running {
     /// A test that fails must not leave it behind.
     fn drop(&mut self) {
@@ -26,6 +47,10 @@
 }
 
 fn start(site: &Site, folder: &Path, more: &str) -> Running {
+    start_named("n1", site, folder, more)
+}
+
+fn start_named(name: &str, site: &Site, folder: &Path, more: &str) -> Running {
     let pool = Pool::start(site, 1, PoolFaults::default()).expect("a pool");
     let catalog = Catalog::start().expect("a catalog");
     let operator = format!(
@@ -34,7 +59,7 @@
         folder.join("exports").display().to_string()
     );
     std::fs::write(folder.join("operator.hcl"), operator).expect("written");
-    let config = site.config("n1", "127.0.0.1:0", pool.address(), catalog.address(), None);
+    let config = site.config(name, "127.0.0.1:0", pool.address(), catalog.address(), None);
     std::fs::write(folder.join("config.json"), config).expect("written");
     let mut child = Command::new(CTL)
         .arg("serve")
@@ -46,12 +71,15 @@
         .stderr(Stdio::piped())
         .spawn()
         .expect("it starts");
-    let mut lines = BufReader::new(child.stderr.take().expect("a log")).lines().map_while(Result::ok);
-    let serving = lines.find(|l| l.contains("\"serving\"")).expect("it serves");
-    let said: Value = serde_json::from_str(&serving).expect("JSON");
-    std::thread::spawn(move || lines.for_each(drop));
-    let address = said["listen"].as_str().and_then(|a| a.parse().ok()).expect("an address");
-    Running { child, address, _parties: (pool, catalog) }
+    let lines = BufReader::new(child.stderr.take().expect("a log")).lines().map_while(Result::ok);
+    let log = Arc::new(Mutex::new(Vec::new()));
+    let kept = log.clone();
+    std::thread::spawn(move || lines.for_each(|line| kept.lock().expect("whole").push(line)));
+    let address = "127.0.0.1:0".parse().expect("an address");
+    let mut running = Running { child, address, log, _parties: (pool, catalog) };
+    let serving = running.logged("\"serving\"");
+    running.address = serving["listen"].as_str().and_then(|a| a.parse().ok()).expect("an address");
+    running
 }
 
 /// A command's exit, and its JSON lines.
@@ -218,6 +246,76 @@
     assert!(exported as u64 <= sent && exported > 700, "{exported} of {sent}");
 }
 
+/// The last batch of `n1` that the server which answers there knows.
+fn heard_of(peer: &str) -> u64 {
+    let mut stream = std::net::TcpStream::connect(peer).expect("it answers");
+    let ask = Claims { by: "test".to_owned(), claims: Vec::new() }.encode_to_vec();
+    let head = [&b"DLSPWIT1"[..], &(ask.len() as u32).to_le_bytes(), &ask].concat();
+    stream.write_all(&head).expect("it takes");
+    let mut all = Vec::new();
+    stream.read_to_end(&mut all).expect("it tells");
+    let told = Claims::decode(&all[12..]).expect("claims");
+    told.claims.iter().filter(|c| c.server == "n1").map(|c| c.batch).max().unwrap_or(0)
+}
+
+/// A ledger that is put back from an old copy: the server is told by another that knew it before.
+#[test]
+fn an_old_copy_of_a_ledger_is_noticed_by_the_others() {
+    let (site, folder) = (Site::rounds(8), tempfile::tempdir().expect("a folder"));
+    let place = |name: &str| {
+        let path = folder.path().join(name);
+        std::fs::create_dir_all(&path).expect("a folder");
+        path
+    };
+    let other = start_named(
+        "n2",
+        &site,
+        &place("n2"),
+        "period = \"1h\"\n  peers {\n    listen = \"127.0.0.1:0\"\n  }",
+    );
+    let peer = other.logged("answers other servers")["peers_at"].as_str().expect("an address").to_owned();
+    let settings = format!(
+        "period = \"300ms\"\n  grace = \"0s\"\n  peers {{\n    ask = [\"{peer}\"]\n    every = \"100ms\"\n  }}"
+    );
+    let end = |mut running: Running| {
+        let sent = Command::new("kill")
+            .args(["-s", "TERM", &running.child.id().to_string()])
+            .status()
+            .expect("kill");
+        assert!(sent.success() && running.child.wait().expect("it ends").success());
+    };
+    let folder = place("n1");
+    let running = start(&site, &folder, &settings);
+    running.logged("a batch is exported");
+    end(running);
+    let copy = |from: &Path, to: &Path| {
+        std::fs::create_dir_all(to).expect("a folder");
+        for file in std::fs::read_dir(from).expect("a folder").flatten().filter(|f| f.path().is_file()) {
+            std::fs::copy(file.path(), to.join(file.file_name())).expect("copied");
+        }
+    };
+    copy(&folder.join("ledger"), &folder.join("copy"));
+    let known = heard_of(&peer);
+    // It makes further batches, which the other hears of.
+    let running = start(&site, &folder, &settings);
+    running.logged("a batch is exported");
+    // Until the other knows of a batch that the copy does not.
+    while heard_of(&peer) <= known {
+        std::thread::sleep(Duration::from_millis(20));
+    }
+    end(running);
+    std::fs::remove_dir_all(folder.join("ledger")).expect("removed");
+    copy(&folder.join("copy"), &folder.join("ledger"));
+    let running = start(&site, &folder, &settings);
+    let said = running.logged("servers disagree about exports");
+    assert!(
+        said["what"].as_str().is_some_and(|w| w.contains("n2 knows batch") || w.contains("of n1 has one")),
+        "{said}"
+    );
+    // The collector notices as well, by its watermark or the content.
+    running.logged("ALARM");
+}
+
 #[test]
 fn what_is_no_ledger_is_said_so() {
     let folder = tempfile::tempdir().expect("a folder");
--- a/crates/ledger/src/lib.rs
+++ b/crates/ledger/src/lib.rs
@@ -16,6 +16,7 @@
 mod state;
 mod table;
 mod totals;
+pub mod witness;
 
 pub use account::{Account, MAX_NAME, NotAName, UNATTRIBUTED};
 pub use book::{Action, Book, Figures, Mode, Note, OnFailure, Rules, Use, Verdict};
--- a/deploy/operator.example.hcl
+++ b/deploy/operator.example.hcl
@@ -27,6 +27,12 @@
   # How long lines are kept once they are exported (or closed, if nothing is exported).
   keep = "400d"
   # Where closed periods go: a folder, or `collector = "ADDRESS:PORT"`. Without it they stay in the store.
+  # Other round servers, where they may talk: digests of exported batches are exchanged, and what disagrees is logged.
+  # peers {
+  #   listen = "10.0.0.4:7000"
+  #   ask    = ["10.0.0.5:7000", "10.0.0.6:7000"]
+  #   every  = "30s"
+  # }
   export {
     folder = "/var/lib/dunlinspread/exports"
   }
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -12,6 +12,7 @@
 use crate::node::messages::{ToCatalog, ToCore, ToIndex, ToList, ToPool};
 use crate::node::pool::Pool;
 use crate::node::wheel::{Clock, Wheel};
+use crate::node::witness::Shared as Witness;
 use crate::operator::{LedgerSettings, LogFormat, LogLevel, Operator};
 use async_executor::LocalExecutor;
 use async_io::Async;
@@ -335,7 +336,17 @@
     executor.spawn(forwarding).detach();
     let (tell, inbox) = std::sync::mpsc::channel();
     billing.clerk_is(tell);
+    let witness = match &settings.peers {
+        Some(peers) => {
+            let state = &opened.state;
+            let shared = Witness::new(&config.name, state.born, state.batches, log.clone());
+            shared.start(peers)?;
+            Some(shared)
+        }
+        None => None,
+    };
     let clerk = Clerk {
+        witness,
         server: config.name.clone(),
         directory: settings.directory.clone(),
         to: settings.export.clone(),
--- a/src/node/clerk.rs
+++ b/src/node/clerk.rs
@@ -6,6 +6,7 @@
 //! a request twice, and never hold up serving.
 
 use super::ledger::{FromLedger, Opened, ToClerk};
+use super::witness::Shared as Witness;
 use crate::codec::http;
 use crate::operator::ExportTo;
 use async_channel::Sender as ToCore;
@@ -52,6 +53,8 @@
     pub cells: usize,
     /// What opening the ledger found.
     pub opened: Opened,
+    /// Other servers, where they may talk.
+    pub witness: Option<Witness>,
     /// The core's words.
     pub inbox: Receiver<ToClerk>,
     /// To the core.
@@ -410,9 +413,17 @@
         self.enter(Kind::Export(line.clone()))?;
         self.sender.prepared(digest);
         self.prepared = Some(line);
+        self.bear_witness(&batch, &digest);
         Ok(true)
     }
 
+    /// Tells other servers of a batch that is entered.
+    fn bear_witness(&self, batch: &batch::Batch, digest: &[u8]) {
+        if let Some(witness) = &self.set.witness {
+            witness.made(batch.born, batch.number, digest, (batch.close.from, batch.close.to));
+        }
+    }
+
     /// Shows the lines from the first that may matter to the last close.
     fn walk(&self, show: &mut dyn FnMut(u64, &Line)) -> Result<(), StoreError> {
         Log::range(&self.disk, &self.set.server, self.from.0..self.latest + 1, |number, bytes| {
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -11,3 +11,4 @@
 pub mod messages;
 pub mod pool;
 pub mod wheel;
+pub mod witness;
--- a/src/operator.rs
+++ b/src/operator.rs
@@ -87,6 +87,17 @@
     Collector(SocketAddr),
 }
 
+/// The block `peers` of a ledger: other round servers that it may talk to.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct PeerSettings {
+    /// Where others may ask.
+    pub listen: Option<SocketAddr>,
+    /// Whom to ask.
+    pub ask: Vec<SocketAddr>,
+    /// How often, ms.
+    pub every_ms: u64,
+}
+
 /// The block `ledger`.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct LedgerSettings {
@@ -108,6 +119,8 @@
     pub batch_lines: usize,
     /// How long lines are kept, ms, once they are exported (or closed, if nothing is).
     pub keep_ms: u64,
+    /// Other round servers to exchange digests with; none on a platform where they may not talk.
+    pub peers: Option<PeerSettings>,
 }
 
 /// The block `ledger` as it stands in the file.
@@ -130,6 +143,7 @@
     #[serde(default, with = "humantime_text")]
     keep: Option<Duration>,
     export: Option<RawExport>,
+    peers: Option<RawPeers>,
 }
 
 #[derive(Default, Deserialize)]
@@ -155,6 +169,16 @@
     collector: Option<SocketAddr>,
 }
 
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct RawPeers {
+    listen: Option<SocketAddr>,
+    #[serde(default)]
+    ask: Vec<SocketAddr>,
+    #[serde(default, with = "humantime_text")]
+    every: Option<Duration>,
+}
+
 /// Lengths of time as text: `50ms`, `15m`, `1h 30m`.
 mod humantime_text {
     use serde::{Deserialize, Deserializer, de::Error};
@@ -209,6 +233,17 @@
             Some((None, Some(address))) => Some(ExportTo::Collector(address)),
             Some(_) => return Err(("export", "takes either `folder` or `collector`".to_owned())),
         };
+        let peers = match self.peers {
+            None => None,
+            Some(raw) if raw.listen.is_none() && raw.ask.is_empty() => {
+                return Err(("peers", "names neither `listen` nor whom to `ask`".to_owned()));
+            }
+            Some(raw) if raw.ask.len() > 64 => return Err(("peers", "asks more than 64".to_owned())),
+            Some(raw) => {
+                let every_ms = span("peers", raw.every, 30_000, 100, 86_400_000)?;
+                Some(PeerSettings { listen: raw.listen, ask: raw.ask, every_ms })
+            }
+        };
         let batch_lines = self.batch_lines.unwrap_or(10_000);
         if !(1..=100_000).contains(&batch_lines) {
             return Err(("batch_lines", format!("{batch_lines} is not within 1 and 100000")));
@@ -229,6 +264,7 @@
             export,
             batch_lines: batch_lines as usize,
             keep_ms,
+            peers,
         })
     }
 }
@@ -259,6 +295,17 @@
             Some(ExportTo::Folder(folder)) => writeln!(f, "  export {{\n    folder = {folder:?}\n  }}")?,
             Some(ExportTo::Collector(at)) => writeln!(f, "  export {{\n    collector = \"{at}\"\n  }}")?,
         }
+        if let Some(peers) = &self.peers {
+            writeln!(f, "  peers {{")?;
+            peers.listen.iter().try_for_each(|l| writeln!(f, "    listen = \"{l}\""))?;
+            let ask: Vec<String> = peers.ask.iter().map(|a| format!("\"{a}\"")).collect();
+            writeln!(
+                f,
+                "    ask    = [{}]\n    every  = \"{}\"\n  }}",
+                ask.join(", "),
+                text(peers.every_ms)
+            )?;
+        }
         writeln!(f, "}}")
     }
 }
@@ -447,7 +494,8 @@
     #[test]
     fn a_ledger_reads_back() {
         let text = "ledger \"rounds\" {\n  directory = \"/var/lib/x\"\n  period = \"1h\"\n  mode = \"interval\"\n  \
-                    export {\n    collector = \"127.0.0.1:9000\"\n  }\n}\n";
+                    export {\n    collector = \"127.0.0.1:9000\"\n  }\n  peers {\n    listen = \"127.0.0.1:9001\"\n    \
+                    ask = [\"127.0.0.1:9002\"]\n  }\n}\n";
         let operator = Operator::read(text, "op.hcl").expect("good");
         let ledger = operator.ledger.as_ref().expect("a ledger");
         assert_eq!((ledger.period_ms, ledger.grace_ms), (3_600_000, 5000));
