Bear a full disk in service: tested on a running daemon, both ways it may be set

A limit on the size of files, lifted in service, plays the disk that is full and comes back; such a limit now counts as no space (it closed the store for good before).

Seen: with refuse, health turns bad, new requests are turned away, answers wait, and all goes on by itself; billed and unbilled together are what the proxies sent. With continue nothing is refused and nothing is unbilled.

--- a/crates/ctl/src/export.rs
+++ b/crates/ctl/src/export.rs
@@ -1,12 +1,12 @@
 //! Sums of closed periods as files, and what several servers exported held together.
 
-use crate::ledger::{Place, period_text, sum_json};
+use crate::ledger::{Place, period_text, show_range, sum_json, walk};
 use crate::table::table;
 use anyhow::{Context as _, Result, bail, ensure};
 use clap::Args;
 use dunlinspread_ledger::reconcile::{Alive, Reconciler};
-use dunlinspread_ledger::{Inbox, Kind, Line, Net, Outcome, Sum, totals};
-use dunlinspread_store::{Log, RealDisk, Visit};
+use dunlinspread_ledger::{Inbox, Net, Outcome, Sum, totals};
+use dunlinspread_store::RealDisk;
 use indicatif::ProgressBar;
 use parquet::basic::{Compression, Repetition, Type as Physical};
 use parquet::data_type::{ByteArray, ByteArrayType, Int64Type};
@@ -126,30 +126,17 @@
 
     fn rows_of_ledger(&self, put: &mut impl FnMut(Row) -> Result<()>) -> Result<()> {
         let (disk, server) = self.place.open()?;
-        let (mut first, mut last, mut closed_to) = (None, 0, 0);
-        Log::read(&disk, &server, |visit| {
-            if let Visit::Record(number, bytes) = visit {
-                first.get_or_insert(number);
-                if let Some(Kind::Close(close)) = Line::read(bytes).map_err(|e| e.to_string())?.kind {
-                    (last, closed_to) = (number, close.to);
-                }
-            }
-            Ok(())
-        })?;
-        let range = first.unwrap_or(1)..last + 1;
-        if range.is_empty() {
+        let walked = walk(&disk, &server, |_, _| {})?;
+        let lines = walked.first.max(1)..walked.state.last_close + 1;
+        if lines.is_empty() {
             return Ok(());
         }
+        let closed_to = walked.state.closed_to;
         let mut failed = None;
         totals(
             &[],
             CELLS,
-            |show| {
-                Log::range(&disk, &server, range.clone(), |number, bytes| {
-                    show(number, &Line::read(bytes).map_err(|e| e.to_string())?);
-                    Ok(())
-                })
-            },
+            |show| show_range(&disk, &server, lines.clone(), show),
             |period| period < closed_to && self.picks(period),
             |sum, net| {
                 failed = failed.take().or_else(|| put(Row { server: server.clone(), sum, net }).err());
--- a/crates/ctl/src/ledger.rs
+++ b/crates/ctl/src/ledger.rs
@@ -8,10 +8,11 @@
 use clap::{Args, Subcommand};
 use dunlinspread_ledger::batch::hex;
 use dunlinspread_ledger::{Kind, Line, LineId, LineIdText, Net, Outcome, State, Sum, totals};
-use dunlinspread_store::{Disk as _, Log, RealDisk, Visit};
+use dunlinspread_store::{Disk as _, Log, RealDisk, StoreError, Visit};
 use indicatif::ProgressBar;
 use serde_json::json;
 use std::collections::BTreeMap;
+use std::ops::Range;
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 
@@ -138,6 +139,19 @@
     Ok(walked)
 }
 
+/// Shows the lines with these numbers; the ledger may be in use.
+pub fn show_range(
+    disk: &RealDisk,
+    server: &str,
+    lines: Range<u64>,
+    show: &mut dyn FnMut(u64, &Line),
+) -> Result<(), StoreError> {
+    Log::range(disk, server, lines, |number, bytes| {
+        show(number, &Line::read(bytes).map_err(|e| e.to_string())?);
+        Ok(())
+    })
+}
+
 /// Settings of `show`.
 #[derive(Args)]
 pub struct Show {
@@ -168,27 +182,14 @@
         }
         // The last line that is there now: a ledger in use goes on growing.
         let mut end = 0;
-        walk(&disk, &server, |number, _| end = number)?;
+        let first = walk(&disk, &server, |number, _| end = number)?.first.max(1);
         let mut rows =
             table(&["society", "period", "class", "outcome", "requests", "pool s", "kB in", "kB out"]);
         let mut all = Net::default();
-        let mut first = None;
-        Log::read(&disk, &server, |visit| {
-            if let Visit::Record(number, _) = visit {
-                first.get_or_insert(number);
-            }
-            Ok(())
-        })?;
-        let range = first.unwrap_or(1)..end + 1;
         totals(
             &[],
             CELLS,
-            |show| {
-                Log::range(&disk, &server, range.clone(), |number, bytes| {
-                    show(number, &Line::read(bytes).map_err(|e| e.to_string())?);
-                    Ok(())
-                })
-            },
+            |show| show_range(&disk, &server, first..end + 1, show),
             |period| period >= self.from && period < self.to,
             |sum, net| {
                 if self.society.as_ref().is_some_and(|s| *s != sum.society) {
--- a/crates/ctl/tests/ledger.rs
+++ b/crates/ctl/tests/ledger.rs
@@ -51,6 +51,11 @@
 }
 
 fn start_named(name: &str, site: &Site, folder: &Path, more: &str) -> Running {
+    start_limited(name, site, folder, more, "unlimited")
+}
+
+/// With files of at most so many blocks of 512 bytes.
+fn start_limited(name: &str, site: &Site, folder: &Path, more: &str, blocks: &str) -> Running {
     let pool = Pool::start(site, 1, PoolFaults::default()).expect("a pool");
     let catalog = Catalog::start().expect("a catalog");
     let operator = format!(
@@ -61,7 +66,8 @@
     std::fs::write(folder.join("operator.hcl"), operator).expect("written");
     let config = site.config(name, "127.0.0.1:0", pool.address(), catalog.address(), None);
     std::fs::write(folder.join("config.json"), config).expect("written");
-    let mut child = Command::new(CTL)
+    let mut child = Command::new("sh")
+        .args(["-c", "trap '' XFSZ; ulimit -S -f $0; exec \"$@\"", blocks, CTL])
         .arg("serve")
         .args(["--log-format", "json", "--config"])
         .arg(folder.join("config.json"))
@@ -246,6 +252,64 @@
     assert!(exported as u64 <= sent && exported > 700, "{exported} of {sent}");
 }
 
+/// What a health check is answered.
+fn is_well(address: std::net::SocketAddr) -> bool {
+    let mut stream = std::net::TcpStream::connect(address).expect("it listens");
+    stream.write_all(&[0x94, 0, 1, 0xa6, b'i', b's', b'W', b'e', b'l', b'l', 0x91, 0x80]).expect("it takes");
+    let mut head = [0; 5];
+    stream.read_exact(&mut head).expect("it answers");
+    // [1, 1, nil, [GOOD, ...
+    head[3] == 0xc0 && {
+        let mut rest = [0; 1];
+        stream.read_exact(&mut rest).expect("it answers");
+        rest[0] == 0xc3
+    }
+}
+
+/// The disk is full in service and comes back: nothing is taken on meanwhile or all of it, as set, and every answer is in
+/// a line or in the count of those that are in none.
+#[test]
+fn a_full_disk_is_borne_as_set() {
+    for (on_failure, refuses) in [("refuse", true), ("continue", false)] {
+        let (site, folder) = (Site::rounds(40), tempfile::tempdir().expect("a folder"));
+        let settings = format!("period = \"1h\"\n  on_failure = \"{on_failure}\"");
+        let mut running = start_limited("n1", &site, folder.path(), &settings, "40");
+        let send = |seed| {
+            let load = Load { rate: 300.0, requests: 300, societies: vec![None], seed };
+            Proxies::start(&site, vec![running.address], load, Habits::default()).expect("proxies").finish()
+        };
+        let mut tallies = Vec::new();
+        let full = || running.log.lock().expect("whole").iter().any(|l| l.contains("lines can't be written"));
+        while !full() {
+            assert!(tallies.len() < 30, "the disk is never full");
+            tallies.push(send(tallies.len() as u64));
+        }
+        assert_eq!(is_well(running.address), !refuses);
+        let tally = send(99);
+        let refused = tally.sum(|_, _| true)[2];
+        assert_eq!(refused > 0, refuses, "{on_failure}: {:?}", tally.sum(|_, _| true));
+        tallies.push(tally);
+        let pid = running.child.id().to_string();
+        let lifted =
+            Command::new("prlimit").args(["--pid", &pid, "--fsize=unlimited:"]).status().expect("prlimit");
+        assert!(lifted.success());
+        running.logged("lines are written again");
+        assert!(is_well(running.address));
+        tallies.push(send(100));
+        assert!(Command::new("kill").args(["-s", "TERM", &pid]).status().expect("kill").success());
+        assert!(running.child.wait().expect("it ends").success());
+        let ledger = folder.path().join("ledger");
+        let ledger = ledger.to_str().expect("text");
+        let (good, found, said) = ctl(&["ledger", "verify", ledger, "--json"]);
+        assert!(good, "{said}");
+        let unbilled = found[0]["unbilled"].as_u64().expect("a count");
+        let billed = requests(&ctl(&["ledger", "show", ledger, "--json"]).1, "unattributed") as u64;
+        let tries: u64 = tallies.iter().map(|t| t.sum(|_, _| true).iter().sum::<u64>()).sum();
+        assert_eq!(billed + unbilled, tries, "{on_failure}: {billed} billed, {unbilled} not");
+        assert_eq!(unbilled > 0, refuses, "{unbilled}");
+    }
+}
+
 /// The last batch of `n1` that the server which answers there knows.
 fn heard_of(peer: &str) -> u64 {
     let mut stream = std::net::TcpStream::connect(peer).expect("it answers");
--- a/crates/store/src/error.rs
+++ b/crates/store/src/error.rs
@@ -105,7 +105,10 @@
     pub(crate) fn io(what: &'static str, file: &str) -> impl FnOnce(io::Error) -> StoreError {
         let file = file.to_owned();
         move |source| match source.kind() {
-            io::ErrorKind::StorageFull | io::ErrorKind::QuotaExceeded => StoreError::NoSpace { file },
+            // A limit on the size of files is lifted as a full disk is emptied.
+            io::ErrorKind::StorageFull | io::ErrorKind::QuotaExceeded | io::ErrorKind::FileTooLarge => {
+                StoreError::NoSpace { file }
+            }
             _ => StoreError::Io { what, file, source },
         }
     }
--- a/crates/store/src/log.rs
+++ b/crates/store/src/log.rs
@@ -58,6 +58,19 @@
     pub cut: Option<Cut>,
 }
 
+impl Recovery {
+    fn of(found: &Found) -> Recovery {
+        Recovery {
+            next: found.next,
+            snapshot: found.snapshot.is_some().then_some(found.floor),
+            records: found.records,
+            bytes: found.bytes,
+            clean: found.last.as_ref().is_none_or(|l| l.closed),
+            cut: found.cut(),
+        }
+    }
+}
+
 /// A log of records in a directory.
 pub struct Log {
     disk: Arc<dyn Disk>,
@@ -110,14 +123,7 @@
         disk.lock()?;
         let mut locked = Locked(Some(&*disk));
         let mut found = walk(&*disk, &options.owner, &mut visit)?;
-        let recovery = Recovery {
-            next: found.next,
-            snapshot: found.snapshot.is_some().then_some(found.floor),
-            records: found.records,
-            bytes: found.bytes,
-            clean: found.last.as_ref().is_none_or(|l| l.closed),
-            cut: found.cut(),
-        };
+        let recovery = Recovery::of(&found);
         // A process that was killed may have renamed and never synced: before anything is removed because of a file that
         // is seen, that file's name has to be durable.
         disk.sync_dir().map_err(StoreError::io("syncing directory", &disk.name()))?;
@@ -164,14 +170,7 @@
         mut visit: impl FnMut(Visit<'_>) -> Result<(), String>,
     ) -> Result<Recovery, StoreError> {
         let found = walk(disk, owner, &mut visit)?;
-        Ok(Recovery {
-            next: found.next,
-            snapshot: found.snapshot.is_some().then_some(found.floor),
-            records: found.records,
-            bytes: found.bytes,
-            clean: found.last.as_ref().is_none_or(|l| l.closed),
-            cut: found.cut(),
-        })
+        Ok(Recovery::of(&found))
     }
 
     /// Shows the visitor the records with these numbers, all of which were reported durable. The store may be open and
