Know a ledger's mark from its start, and stop on a line that does not follow

Seen by reading the change again: a new ledger's mark was found late by a walk in clerk.rs and written into the sum of the lines before the first. The first start then counted as a second one, so that sum never learnt how far periods are closed, its closes did not follow, and advance passed over them in silence (is_ok). Exports did not use that part; retention has a sum of its own. Also, a new ledger asked its collector about mark 0.

The book knows the mark as soon as it has started: the clerk, the witness and the batches are given it, and the walk, the setter and the silent pass are gone. An error in advance now stops it. Reading a range of lines, written in the clerk and in ctl, is one function of the ledger's crate.

--- a/crates/ctl/src/export.rs
+++ b/crates/ctl/src/export.rs
@@ -1,11 +1,11 @@
 //! Sums of closed periods as files, and what several servers exported held together.
 
-use crate::ledger::{Place, period_text, show_range, sum_json, walk};
+use crate::ledger::{Place, period_text, sum_json, walk};
 use crate::table::table;
 use anyhow::{Context as _, Result, bail, ensure};
 use clap::Args;
 use dunlinspread_ledger::reconcile::{Alive, Reconciler};
-use dunlinspread_ledger::{Inbox, Net, Outcome, Sum, totals};
+use dunlinspread_ledger::{Inbox, Net, Outcome, Sum, read_lines, totals};
 use dunlinspread_store::RealDisk;
 use indicatif::ProgressBar;
 use parquet::basic::{Compression, Repetition, Type as Physical};
@@ -136,7 +136,7 @@
         totals(
             &[],
             CELLS,
-            |show| show_range(&disk, &server, lines.clone(), show),
+            |show| read_lines(&disk, &server, lines.clone(), show),
             |period| period < closed_to && self.picks(period),
             |sum, net| {
                 failed = failed.take().or_else(|| put(Row { server: server.clone(), sum, net }).err());
--- a/crates/ctl/src/ledger.rs
+++ b/crates/ctl/src/ledger.rs
@@ -7,12 +7,11 @@
 use anyhow::{Context as _, Result, bail};
 use clap::{Args, Subcommand};
 use dunlinspread_ledger::batch::hex;
-use dunlinspread_ledger::{Kind, Line, LineId, LineIdText, Net, Outcome, State, Sum, totals};
-use dunlinspread_store::{Disk as _, Log, RealDisk, StoreError, Visit};
+use dunlinspread_ledger::{Kind, Line, LineId, LineIdText, Net, Outcome, State, Sum, read_lines, totals};
+use dunlinspread_store::{Disk as _, Log, RealDisk, Visit};
 use indicatif::ProgressBar;
 use serde_json::json;
 use std::collections::BTreeMap;
-use std::ops::Range;
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 
@@ -139,19 +138,6 @@
     Ok(walked)
 }
 
-/// Shows the lines with these numbers; the ledger may be in use.
-pub fn show_range(
-    disk: &RealDisk,
-    server: &str,
-    lines: Range<u64>,
-    show: &mut dyn FnMut(u64, &Line),
-) -> Result<(), StoreError> {
-    Log::range(disk, server, lines, |number, bytes| {
-        show(number, &Line::read(bytes).map_err(|e| e.to_string())?);
-        Ok(())
-    })
-}
-
 /// Settings of `show`.
 #[derive(Args)]
 pub struct Show {
@@ -189,7 +175,7 @@
         totals(
             &[],
             CELLS,
-            |show| show_range(&disk, &server, first..end + 1, show),
+            |show| read_lines(&disk, &server, first..end + 1, show),
             |period| period >= self.from && period < self.to,
             |sum, net| {
                 if self.society.as_ref().is_some_and(|s| *s != sum.society) {
--- a/crates/ledger/src/batch.rs
+++ b/crates/ledger/src/batch.rs
@@ -153,6 +153,8 @@
 pub struct Making<'a> {
     /// The server.
     pub server: &'a str,
+    /// The mark of its ledger.
+    pub born: u64,
     /// The ledger's state before the first line that is walked.
     pub before: &'a State,
     /// The number of the close line.
@@ -246,7 +248,7 @@
     })?;
     Ok(Some(Batch {
         server: making.server.to_owned(),
-        born: making.before.born,
+        born: making.born,
         number: making.number,
         previous: making.previous.to_vec(),
         close,
--- a/crates/ledger/src/lib.rs
+++ b/crates/ledger/src/lib.rs
@@ -28,4 +28,4 @@
 pub use request::{Request, Wish};
 pub use state::State;
 pub use table::{Key, Table};
-pub use totals::{Net, Sum, totals};
+pub use totals::{Net, Sum, read_lines, totals};
--- a/crates/ledger/src/totals.rs
+++ b/crates/ledger/src/totals.rs
@@ -3,8 +3,25 @@
 //! and a batch made a second time is the same to the byte.
 
 use crate::line::{Amount, Correction, Kind, Line, Outcome};
-use dunlinspread_store::StoreError;
+use dunlinspread_store::{Disk, Log, StoreError};
 use std::collections::BTreeMap;
+use std::ops::Range;
+
+/// Shows the lines with these numbers of a ledger, which may be in use.
+///
+/// # Errors
+/// If they are not all there, or one is no line.
+pub fn read_lines(
+    disk: &dyn Disk,
+    server: &str,
+    numbers: Range<u64>,
+    show: &mut dyn FnMut(u64, &Line),
+) -> Result<(), StoreError> {
+    Log::range(disk, server, numbers, |number, bytes| {
+        show(number, &Line::read(bytes).map_err(|e| e.to_string())?);
+        Ok(())
+    })
+}
 
 /// Amounts that can go below what was billed: use less what was corrected.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
--- a/crates/ledger/src/witness.rs
+++ b/crates/ledger/src/witness.rs
@@ -118,11 +118,6 @@
         Witness { server: server.to_owned(), born, made, known: BTreeMap::new(), told: BTreeSet::new() }
     }
 
-    /// The mark of this server's ledger, once it has one.
-    pub fn set_born(&mut self, born: u64) {
-        self.born = born;
-    }
-
     /// This server made a batch, durably.
     pub fn made(&mut self, batch: u64, digest: &[u8], from: u64, to: u64) -> Vec<Unlike> {
         self.made = self.made.max(batch);
@@ -136,7 +131,7 @@
         let mut unlike = Vec::new();
         for claim in &told.claims {
             let by = told.by.clone();
-            if claim.server == self.server && self.born != 0 {
+            if claim.server == self.server {
                 if claim.born != self.born {
                     unlike.push(Unlike::OtherLedger { born: claim.born, by: by.clone() });
                 } else if claim.batch > self.made {
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -338,14 +338,14 @@
     billing.clerk_is(tell);
     let witness = match &settings.peers {
         Some(peers) => {
-            let state = &opened.state;
-            let shared = Witness::new(&config.name, state.born, state.batches, log.clone());
+            let shared = Witness::new(&config.name, billing.born(), opened.state.batches, log.clone());
             shared.start(peers)?;
             Some(shared)
         }
         None => None,
     };
     let clerk = Clerk {
+        born: billing.born(),
         witness,
         server: config.name.clone(),
         directory: settings.directory.clone(),
--- a/src/node/clerk.rs
+++ b/src/node/clerk.rs
@@ -13,7 +13,7 @@
 use dunlinspread_ledger::batch::{self, Making, hex};
 use dunlinspread_ledger::deliver::{Next, Reply, Sender};
 use dunlinspread_ledger::request::{self, Request, Wish};
-use dunlinspread_ledger::{Export as ExportLine, Inbox, Kind, Line, LineId, LineIdText, State};
+use dunlinspread_ledger::{Export as ExportLine, Inbox, Kind, Line, LineId, LineIdText, State, read_lines};
 use dunlinspread_store::{Log, RealDisk, StoreError, Visit};
 use prost::Message as _;
 use slog::{Logger, error, info, warn};
@@ -51,6 +51,8 @@
     pub keep_ms: u64,
     /// Sums held at a time.
     pub cells: usize,
+    /// The mark of the ledger: its first start.
+    pub born: u64,
     /// What opening the ledger found.
     pub opened: Opened,
     /// Other servers, where they may talk.
@@ -340,19 +342,11 @@
 
     /// Asks the collector how far it is.
     fn ask(&mut self) -> Step<()> {
-        let (server, born) = (self.set.server.clone(), self.born());
-        let reply = self.carrier.watermark(&server, born)?;
+        let reply = self.carrier.watermark(&self.set.server, self.set.born)?;
         self.sender.on_watermark(&reply);
         Ok(())
     }
 
-    /// The mark of this ledger.
-    fn born(&self) -> u64 {
-        let opened = &self.set.opened.state;
-        // The first start of a new ledger is the one that is entered as it opens.
-        if opened.born != 0 { opened.born } else { self.from.1.born }
-    }
-
     /// The next thing to do; false if there is none.
     fn step(&mut self) -> Step<bool> {
         match self.sender.next() {
@@ -366,7 +360,7 @@
                         "batch" => number, "was" => hex(&prepared.digest), "is" => hex(&digest));
                     return Err(later("a batch differs from what was prepared"));
                 }
-                let reply = self.carrier.offer(&bytes, number, self.born(), &self.set.server)?;
+                let reply = self.carrier.offer(&bytes, number, self.set.born, &self.set.server)?;
                 self.sender.on_reply(&reply);
                 if !matches!(self.sender.next(), Next::Settle(_) | Next::Alarm(_)) {
                     return Err(later(format!("the collector is at batch {}", reply.watermark)));
@@ -420,16 +414,13 @@
     /// Tells other servers of a batch that is entered.
     fn bear_witness(&self, batch: &batch::Batch, digest: &[u8]) {
         if let Some(witness) = &self.set.witness {
-            witness.made(batch.born, batch.number, digest, (batch.close.from, batch.close.to));
+            witness.made(batch.number, digest, (batch.close.from, batch.close.to));
         }
     }
 
     /// Shows the lines from the first that may matter to the last close.
     fn walk(&self, show: &mut dyn FnMut(u64, &Line)) -> Result<(), StoreError> {
-        Log::range(&self.disk, &self.set.server, self.from.0..self.latest + 1, |number, bytes| {
-            show(number, &Line::read(bytes).map_err(|e| e.to_string())?);
-            Ok(())
-        })
+        read_lines(&self.disk, &self.set.server, self.from.0..self.latest + 1, show)
     }
 
     fn next_close(&self) -> Step<u64> {
@@ -443,22 +434,12 @@
         next.ok_or_else(|| later("the close line is not there"))
     }
 
-    fn make(&mut self, close: u64, number: u64) -> Step<batch::Batch> {
-        if self.from.1.born == 0 {
-            // A ledger that was new at the opening has its first start by now.
-            let mut first = None;
-            let walked = self.walk(&mut |_, line| {
-                if let Some(Kind::Start(start)) = &line.kind {
-                    first.get_or_insert(start.start);
-                }
-            });
-            walked.map_err(later)?;
-            self.from.1.born = first.unwrap_or(0);
-        }
+    fn make(&self, close: u64, number: u64) -> Step<batch::Batch> {
         // A batch that is prepared keeps its size whatever the settings say since.
         let items = self.prepared.as_ref().map_or(self.set.batch_lines, |p| p.lines as usize);
         let making = Making {
             server: &self.set.server,
+            born: self.set.born,
             before: &self.from.1,
             close,
             part: self.part,
@@ -481,14 +462,16 @@
         });
         walked.map_err(later)?;
         let Some(to) = to else { return Ok(()) };
-        let (mut number, mut state) = self.from.clone();
+        let ((mut number, mut state), mut applied) = (self.from.clone(), Ok(()));
         let walked = self.walk(&mut |at, line| {
-            done |= line.at_ms >= to;
-            if !done && state.apply(at, line).is_ok() {
+            done |= line.at_ms >= to || applied.is_err();
+            if !done {
+                applied = state.apply(at, line);
                 number = at + 1;
             }
         });
         walked.map_err(later)?;
+        applied.map_err(later)?;
         self.from = (number, state);
         Ok(())
     }
--- a/src/node/ledger.rs
+++ b/src/node/ledger.rs
@@ -199,6 +199,11 @@
         Ok(billing)
     }
 
+    /// The mark of the ledger: its first start, which a new one has by now.
+    pub fn born(&self) -> u64 {
+        self.book.state().born
+    }
+
     /// Where the clerk listens.
     pub fn clerk_is(&mut self, clerk: std::sync::mpsc::Sender<ToClerk>) {
         self.clerk = Some(clerk);
--- a/src/node/witness.rs
+++ b/src/node/witness.rs
@@ -36,10 +36,8 @@
     }
 
     /// This server made a batch, durably.
-    pub fn made(&self, born: u64, batch: u64, digest: &[u8], span: (u64, u64)) {
-        let mut witness = self.witness();
-        witness.set_born(born);
-        let unlike = witness.made(batch, digest, span.0, span.1);
+    pub fn made(&self, batch: u64, digest: &[u8], span: (u64, u64)) {
+        let unlike = self.witness().made(batch, digest, span.0, span.1);
         unlike.iter().for_each(|u| self.say(u));
     }
 
