Count a try that a kill cut off, rather than send it again as if it had crossed a close

At fault: the played proxies in standin/proxy.rs. A request that crosses a close in good order is sent again, once, and is one try; but a connection's end set the same flag as its 'shutdown', so a request cut by a kill within 50 ms was sent again too, and its first sending, which the server had billed, was counted nowhere. The ledger was right: the line was durable as the process died.

Only a connection that said shutdown has crossings now.

--- a/crates/standin/src/proxy.rs
+++ b/crates/standin/src/proxy.rs
@@ -208,7 +208,9 @@
     waiting: RefCell<HashMap<u64, Sender<Value>>>,
     answered: RefCell<HashSet<u64>>,
     ids: Cell<u64>,
-    /// It said `shutdown`, or ended.
+    /// It said `shutdown`.
+    told: Cell<bool>,
+    /// It said so, or ended.
     closing: Cell<bool>,
     ended: Cell<bool>,
     /// It ended after it said `shutdown`, with nothing open.
@@ -331,7 +333,8 @@
                     return if cut { Outcome::Cut } else { Outcome::Withdrawn };
                 }
                 Some(Ok(message)) => return self.judge(wish, &message, since, plan.aim_ms),
-                Some(Err(_)) if again && connection.closing.get() && sent.elapsed() < CROSSED => {}
+                // One that was only cut off may have run and been billed: it counts, and is no crossing.
+                Some(Err(_)) if again && connection.told.get() && sent.elapsed() < CROSSED => {}
                 Some(Err(_)) => return Outcome::Cut,
             }
         }
@@ -374,6 +377,7 @@
             waiting: RefCell::default(),
             answered: RefCell::default(),
             ids: Cell::new(0),
+            told: Cell::new(false),
             closing: Cell::new(false),
             ended: Cell::new(false),
             left: Cell::new(false),
@@ -438,7 +442,10 @@
                     let _ = answer.try_send(message);
                 }
             }
-            (Some(2), _) if message[1].as_str() == Some("shutdown") => self.closing.set(true),
+            (Some(2), _) if message[1].as_str() == Some("shutdown") => {
+                self.told.set(true);
+                self.closing.set(true);
+            }
             _ => {}
         }
     }
