Compute the pool once an ask, drop the quota drill's tracing, say the two-lease promise in the docs

Reading the change again: Allocator::on_ask computed pool_here (a pass over all members) once itself and once more inside fair_share; the pool is now computed once and handed in. The docs of the crate, of Ask::ack and of Holder::on_grant still told of shares promised for one lease, which the model's fix had made two; they say two now. detection_bound named a page that does not exist (docs/measurements/fleet.md); it names docs/design/fleet.md.

What the members want up to the budget was summed twice the same way; it is Fleet::wanted.

--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -138,8 +138,8 @@
     /// The time within which, at p99, every member that hears the others has declared a dead member down, in a view
     /// of `members` members: up to two probe periods until some member probes it (each of the others passes over it
     /// once a round), the end of that period for the indirect probes, the suspicion, and `⌈log2 members⌉ + 1`
-    /// periods for the word to reach all by gossip when some of it is lost. Measured in `tests/swim.rs` and
-    /// `docs/measurements/fleet.md`.
+    /// periods for the word to reach all by gossip when some of it is lost. Measured in `tests/swim.rs`; figures in
+    /// `docs/design/fleet.md`.
     pub fn detection_bound(&self, members: usize) -> Millis {
         let spread = (members.max(2) as u64).next_power_of_two().trailing_zeros() as u64 + 1;
         self.suspect_to_down + self.probe_period * (3 + spread)
--- a/crates/fleet/tests/swim.rs
+++ b/crates/fleet/tests/swim.rs
@@ -123,7 +123,7 @@
         }
     }
 
-    /// Whether every live member other than `except` sees `id` down or no longer knows it.
+    /// Whether every live member sees `id` down or no longer knows it.
     fn all_see_down(&self, id: &Id) -> bool {
         self.members.iter().flatten().all(|m| {
             m.members()
--- a/crates/quota/src/allocator.rs
+++ b/crates/quota/src/allocator.rs
@@ -24,7 +24,7 @@
     /// Units above its floor the holder would use now.
     pub wants: u64,
     /// The ask whose grant committed the holder's share to this allocator, when it did: the allocator counts the
-    /// share as its own until a short lease after it sent that grant.
+    /// share as its own until two short leases after it sent that grant.
     pub ack: Option<u64>,
 }
 
@@ -254,7 +254,8 @@
         if !leading {
             return Err(Refusal::NotAllocator);
         }
-        let fair = self.fair_share(now, from);
+        let pool = self.pool_here(now);
+        let fair = self.fair_share(now, from, pool);
         let fault = self.config.fault;
         let others: u64 = self
             .members
@@ -262,7 +263,7 @@
             .filter(|(name, _)| *name != from)
             .map(|(_, m)| m.counted_with(now, fault))
             .sum();
-        let extra = fair.min(self.pool_here(now).saturating_sub(others));
+        let extra = fair.min(pool.saturating_sub(others));
         let until = now + self.config.lease;
         if let Some(asker) = self.members.get_mut(from) {
             asker.remember(now, extra, until);
@@ -272,8 +273,8 @@
         Ok(Grant { seq: ask.seq, extra })
     }
 
-    /// Max-min fair share of `of` in the pool here, over the wants of members alive.
-    fn fair_share(&self, now: Millis, of: &M) -> u64 {
+    /// Max-min fair share of `of` in `pool`, over the wants of members alive.
+    fn fair_share(&self, now: Millis, of: &M, pool: u64) -> u64 {
         let lease = self.config.lease;
         let mut wants: Vec<(u64, &M)> = self
             .members
@@ -284,7 +285,7 @@
             .map(|(name, m)| (m.wants, name))
             .collect();
         wants.sort();
-        let mut left = self.pool_here(now);
+        let mut left = pool;
         let mut count = wants.len() as u64;
         for (want, name) in wants {
             let give = want.min(left / count.max(1));
--- a/crates/quota/src/holder.rs
+++ b/crates/quota/src/holder.rs
@@ -60,7 +60,8 @@
 
     /// Takes a grant from `from`, received now. The extra holds from when its ask was sent, less the margin for
     /// drift, so that it ends here before it ends at the allocator, whose count runs from when the ask arrived. The
-    /// share is committed to `from` for a whole lease from now unless it is still another's; the next ask says so.
+    /// share is committed to `from` for two leases from now, unless it is still another's or this holder started
+    /// less than two leases ago; the next ask says so.
     /// Answers to other asks are ignored: returns whether this one was taken.
     pub fn on_grant(&mut self, now: Millis, from: &M, grant: Grant) -> bool {
         match &self.pending {
--- a/crates/quota/src/lib.rs
+++ b/crates/quota/src/lib.rs
@@ -8,8 +8,9 @@
 //! Both promises are timed so that the side that must stop first measures from the start of a round trip and the side
 //! that must keep its word measures from its end, as leader leases do: a holder uses an extra until `lease` after it
 //! *sent* its ask, the allocator counts it until `lease` after the ask *arrived*; an allocator counts a share as its
-//! own until `lease` after it *sent* the grant that the holder acknowledged, the holder keeps its share for that
-//! allocator until `lease` after it *received* that grant. Delays, loss, cuts and crashes can then only make the
+//! own until two leases after it *sent* the grant that the holder acknowledged, and lends from it only while it stays
+//! for a whole lease more; the holder keeps its share for that allocator until two leases after it *received* that
+//! grant, and a new start lends its share to nobody for two leases. Delays, loss, cuts and crashes can then only make the
 //! fleet use less: as long as the members agree on how many they are, the sum of floors and extras in use never
 //! exceeds the budget. `docs/design/fleet.md` derives this and says where it is weaker (views that disagree on the
 //! count, clocks that drift more than the margin).
--- a/crates/quota/tests/fleet_bound.rs
+++ b/crates/quota/tests/fleet_bound.rs
@@ -156,8 +156,7 @@
                 let Some(slot) = self.members.iter().position(|m| m.name == to && m.up) else { return };
                 let member = &mut self.members[slot];
                 let now = member.clock(real);
-                let answer = member.allocator.on_ask(now, &from, ask);
-                if let Ok(grant) = answer
+                if let Ok(grant) = member.allocator.on_ask(now, &from, ask)
                     && let Some(back) = self.members.iter().position(|m| m.name == from)
                 {
                     self.send(real, slot, back, Message::Grant(to, from, grant));
@@ -180,6 +179,11 @@
             .sum()
     }
 
+    /// What the members want, floors included, up to the budget: the most they could be served.
+    fn wanted(&self) -> u64 {
+        self.members.iter().map(|m| m.floor_or_wants()).sum::<u64>().min(self.config.budget)
+    }
+
     fn allowed(&self, real: Millis) -> u64 {
         self.members.iter().filter(|m| m.up).map(|m| m.holder.allowed(m.clock(real))).sum()
     }
@@ -286,40 +290,13 @@
                 config.budget
             ));
         }
-        if std::env::var("QUOTA_TRACE").is_ok()
-            && real >= quiet_from
-            && (real % 500 == 0 || fleet.in_use(real) < config.budget * 9 / 10 && real > length - 300)
-        {
-            let a = &fleet.members[0].allocator;
-            println!(
-                "{real}: in use {} budget {} lease {} alloc {:?} pool_here {} shares {} out {} | {:?}",
-                fleet.in_use(real),
-                config.budget,
-                config.lease,
-                a.allocator(),
-                a.pool_here(real),
-                a.shares(real),
-                a.outstanding(real),
-                fleet
-                    .members
-                    .iter()
-                    .map(|m| (
-                        m.name,
-                        m.wants,
-                        m.holder.extra(m.clock(real)),
-                        m.holder.lent_to(m.clock(real)).copied()
-                    ))
-                    .collect::<Vec<_>>()
-            );
-        }
         if real >= quiet_from + config.lease * 3 {
             served += fleet.in_use(real);
-            wanted += fleet.members.iter().map(|m| m.floor_or_wants()).sum::<u64>().min(config.budget);
+            wanted += fleet.wanted();
         }
     }
     let last = length - 1;
-    let wanted_last = fleet.members.iter().map(|m| m.floor_or_wants()).sum::<u64>().min(config.budget);
-    Ok(((served, wanted), (fleet.in_use(last), wanted_last)))
+    Ok(((served, wanted), (fleet.in_use(last), fleet.wanted())))
 }
 
 #[test]
@@ -336,10 +313,7 @@
             "seed {seed}: {slots} members, served {:.3} of what was wanted when quiet",
             served as f64 / wanted.max(1) as f64
         );
-        assert!(
-            std::env::var("QUOTA_LOOK").is_ok() || served * 100 >= wanted * 85,
-            "seed {seed}: served {served} of {wanted} when quiet"
-        );
+        assert!(served * 100 >= wanted * 85, "seed {seed}: served {served} of {wanted} when quiet");
         assert!(
             served_last * 100 >= wanted_last * 97,
             "seed {seed}: at the end served {served_last} of {wanted_last}"
