--- a/crates/quota/tests/model.rs
+++ b/crates/quota/tests/model.rs
@@ -59,7 +59,14 @@
 
 impl Lending {
     fn config(&self) -> Config {
-        Config { budget: 4, lease: self.lease, floor_share: 500_000, max_members: 8, drift: 0, fault: self.fault }
+        Config {
+            budget: 4,
+            lease: self.lease,
+            floor_share: 500_000,
+            max_members: 8,
+            drift: 0,
+            fault: self.fault,
+        }
     }
 
     fn fresh(&self, name: Name, names: &[Name], now: Millis) -> Member {
