--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -106,6 +106,9 @@
     pub key: Vec<u8>,
 }
 
+/// Shortest and longest fleet key, bytes, and how an error says it: one place for `check` and the tag's key.
+const KEY_BYTES: (u64, u64, &str) = (16, 1_024, "16 to 1024 bytes");
+
 /// A setting out of its range.
 #[derive(Debug, thiserror::Error, PartialEq, Eq)]
 #[error("fleet setting `{key}` is {value}, wanted {range}")]
@@ -131,7 +134,7 @@
         within("remove_down_after", self.remove_down_after, 1_000, 86_400_000, "1000 to 86400000 ms")?;
         within("max_members", self.max_members as u64, 2, 100_000, "2 to 100000")?;
         within("max_datagram", self.max_datagram as u64, 512, 65_000, "512 to 65000 bytes")?;
-        within("key", self.key.len() as u64, 16, 1_024, "16 to 1024 bytes")?;
+        within("key", self.key.len() as u64, KEY_BYTES.0, KEY_BYTES.1, KEY_BYTES.2)?;
         Ok(())
     }
 
@@ -205,7 +208,7 @@
         let mac = Hmac::<Sha256>::new_from_slice(&settings.key).map_err(|_| BadSettings {
             key: "key",
             value: settings.key.len() as u64,
-            range: "16 to 1024 bytes",
+            range: KEY_BYTES.2,
         })?;
         let foca = Foca::new(me, settings.foca(), ChaCha8Rng::seed_from_u64(seed), PostcardCodec);
         Ok(Self {
--- a/crates/fleet/tests/swim.rs
+++ b/crates/fleet/tests/swim.rs
@@ -10,12 +10,17 @@
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
+/// A number from the environment, or `default` when it is unset or not a number.
+fn setting<T: std::str::FromStr>(name: &str, default: T) -> T {
+    std::env::var(name).ok().and_then(|s| s.parse().ok()).unwrap_or(default)
+}
+
 fn settings() -> Settings {
     Settings {
         probe_period: 200,
         probe_rtt: 60,
-        indirect_probes: std::env::var("FLEET_INDIRECT").ok().and_then(|s| s.parse().ok()).unwrap_or(3),
-        suspect_to_down: std::env::var("FLEET_SUSPECT").ok().and_then(|s| s.parse().ok()).unwrap_or(800),
+        indirect_probes: setting("FLEET_INDIRECT", 3),
+        suspect_to_down: setting("FLEET_SUSPECT", 800),
         remove_down_after: 60_000,
         max_members: 64,
         max_datagram: 1_400,
@@ -136,8 +141,8 @@
 
 #[test]
 fn a_killed_member_is_declared_down_within_the_bound() {
-    let seed: u64 = std::env::var("FLEET_SEED").ok().and_then(|s| s.parse().ok()).unwrap_or(7);
-    let kills: usize = std::env::var("FLEET_KILLS").ok().and_then(|s| s.parse().ok()).unwrap_or(200);
+    let seed: u64 = setting("FLEET_SEED", 7);
+    let kills: usize = setting("FLEET_KILLS", 200);
     println!("seed {seed}, {kills} kills");
     let bound = settings().detection_bound(8);
     let mut net = Net::new(seed, 8, 0.05);
@@ -173,10 +178,10 @@
 
 #[test]
 fn no_member_that_answers_is_declared_down_with_five_in_a_hundred_lost() {
-    let seed: u64 = std::env::var("FLEET_SEED").ok().and_then(|s| s.parse().ok()).unwrap_or(11);
-    let rounds: u64 = std::env::var("FLEET_ROUNDS").ok().and_then(|s| s.parse().ok()).unwrap_or(2_000);
+    let seed: u64 = setting("FLEET_SEED", 11);
+    let rounds: u64 = setting("FLEET_ROUNDS", 2_000);
     println!("seed {seed}, {rounds} probe periods");
-    let loss = std::env::var("FLEET_LOSS").ok().and_then(|s| s.parse().ok()).unwrap_or(0.05);
+    let loss = setting("FLEET_LOSS", 0.05);
     let mut net = Net::new(seed, 8, loss);
     net.run(rounds * settings().probe_period);
     let downs: Vec<_> = net
--- a/crates/quota/tests/model.rs
+++ b/crates/quota/tests/model.rs
@@ -53,8 +53,13 @@
     lease: Millis,
 }
 
+/// A number from the environment, or `default` when it is unset or not a number.
+fn setting(name: &str, default: Millis) -> Millis {
+    std::env::var(name).ok().and_then(|s| s.parse().ok()).unwrap_or(default)
+}
+
 fn horizon() -> Millis {
-    std::env::var("QUOTA_MODEL_HORIZON").ok().and_then(|s| s.parse().ok()).unwrap_or(1)
+    setting("QUOTA_MODEL_HORIZON", 1)
 }
 
 impl Lending {
@@ -198,7 +203,7 @@
 }
 
 fn lease() -> Millis {
-    std::env::var("QUOTA_MODEL_LEASE").ok().and_then(|s| s.parse().ok()).unwrap_or(2)
+    setting("QUOTA_MODEL_LEASE", 2)
 }
 
 fn explore(fault: Fault, lease: Millis, horizon: Millis) -> impl Checker<Lending> {
