Tell the module each request's wait and tenant from sockets

The caller forgot them, and only then would the server have answered, by its class's give-up time of 1,450 ms. At fault: `Event::Arrive` in src/node/core.rs left `deadline` and `tenant` at their defaults, and src/node/front.rs read neither `ttl` nor `org` for the module.

Changed: `ttl` is read, checked (a number above 0 and at most twice the class's give-up time; where the settings promise it, it must be there) and goes to the module as the deadline; `org` is looked up among the settings' tenants. A faulty one gets the error `Invalid`; the connection goes on. `check` prints both.

--- a/src/config.rs
+++ b/src/config.rs
@@ -104,6 +104,12 @@
         Ok((0..self.count("profiles.count")?).map(name).collect())
     }
 
+    /// The names of the tenants, in order; one that is not named can't be told from the others.
+    pub fn tenant_names(&self) -> Result<Vec<String>, Fault> {
+        let name = |at| self.text(&format!("accounts.{at}.name")).unwrap_or("").to_owned();
+        Ok((0..self.count("accounts.count")?).map(name).collect())
+    }
+
     /// What the gauges are called, in the order in which they come.
     pub fn gauge_names(&self) -> Vec<String> {
         self.text("specifics.gauges").unwrap_or("").split(',').map(str::to_owned).collect()
@@ -174,6 +180,7 @@
             fresh_ms: self.number("specifics.fresh_for_ms", base.fresh_ms)?,
             retry_after: self.flag("policy_limits.retry_after")?,
             max_retry_after_ms: self.number("policy_limits.max_retry_after_ms", base.max_retry_after_ms)?,
+            passes_deadline: self.flag("specifics.passes_deadline")?,
             callers: self.number("specifics.callers", base.callers)?,
             idle_max_ms: self.number("specifics.keepalive_max_ms", base.idle_max_ms)?,
             over_share_worth: self.number("over_share_worth", base.over_share_worth)?,
@@ -273,6 +280,8 @@
     pub settings: Settings,
     /// The names of the classes, in order.
     pub classes: Vec<String>,
+    /// The names of the tenants, in order; empty at a site that has none.
+    pub tenants: Vec<String>,
     /// What the gauges are called, in order.
     pub gauges: Vec<String>,
 }
@@ -336,6 +345,10 @@
         if let Some(at) = classes.iter().position(String::is_empty) {
             return Err(Fault::new(format!("settings.profiles.{at}.name"), "is missing"));
         }
+        let tenants = pairs.tenant_names().map_err(within)?;
+        if let Some(at) = tenants.iter().position(String::is_empty) {
+            return Err(Fault::new(format!("settings.accounts.{at}.name"), "is missing"));
+        }
         Ok(Config {
             name,
             listen: address("listen", listen)?.ok_or_else(|| missing("listen"))?,
@@ -346,6 +359,7 @@
             bounds: Bounds::new((memory_mb * 1024.0 * 1024.0) as usize, sockets as usize),
             settings,
             classes,
+            tenants,
             gauges: pairs.gauge_names(),
         })
     }
@@ -359,6 +373,9 @@
         writeln!(f, "directory {}\nindex     {index}", self.directory)?;
         writeln!(f, "stop_ms   {}", self.stop.as_millis())?;
         writeln!(f, "classes   {}", self.classes.join(", "))?;
+        let tenants = if self.tenants.is_empty() { "none".to_owned() } else { self.tenants.join(", ") };
+        let waits = if self.settings.passes_deadline { "told by each request" } else { "not told" };
+        writeln!(f, "tenants   {tenants}\nwaits     {waits}")?;
         let b = &self.bounds;
         writeln!(
             f,
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -258,6 +258,8 @@
     executor.spawn(core.run(core_letters)).detach();
     executor.spawn(wheel.clone().turn()).detach();
     let shared = Rc::new(Shared {
+        tenants: config.tenants.clone(),
+        passes_deadline: config.settings.passes_deadline,
         classes: config.classes.iter().cloned().zip(config.settings.classes.iter().cloned()).collect(),
         clock,
         wheel: wheel.clone(),
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -110,6 +110,8 @@
     pub retry_after: bool,
     /// The longest such advice that is followed.
     pub max_retry_after_ms: f64,
+    /// Requests tell how long their caller waits.
+    pub passes_deadline: bool,
     /// Callers at the start.
     pub callers: f64,
     /// Callers close connections idle for this long.
@@ -149,6 +151,7 @@
             fresh_ms: 0.0,
             retry_after: false,
             max_retry_after_ms: 0.0,
+            passes_deadline: false,
             callers: 1.0,
             idle_max_ms: 0.0,
             over_share_worth: 1.0,
--- a/src/node/core.rs
+++ b/src/node/core.rs
@@ -395,8 +395,21 @@
     fn on_arrive(&mut self, incoming: Incoming) {
         self.start(None);
         let now = self.clock.now();
-        let Incoming { id, call, class, reached, held_kb, rank, key, account, subject, body, handle } =
-            incoming;
+        let Incoming {
+            id,
+            call,
+            class,
+            reached,
+            held_kb,
+            rank,
+            key,
+            waits,
+            tenant,
+            account,
+            subject,
+            body,
+            handle,
+        } = incoming;
         let reached = reached.min(now + AHEAD_MS);
         // A try's name is new with every try; the same name again can't be told apart in the worker pool.
         if self.calls.contains_key(&call) {
@@ -450,6 +463,8 @@
             held_kb,
             rank,
             age_ms: (now - reached).max(0.0),
+            tenant,
+            deadline: waits.map(|waits| reached + waits),
             prior,
             ..Arrival::default()
         }));
--- a/src/node/front.rs
+++ b/src/node/front.rs
@@ -37,6 +37,9 @@
 const WRITTEN: usize = 16 * 1024;
 /// The most memory that a request may say it takes while held, kB; the protocol allows less.
 const MAX_HELD_KB: f64 = 2000.0;
+/// The longest that a caller may say it waits for one try, in times its class is given up after in all, which the
+/// protocol makes the longest: a figure past this is none that a caller means.
+const MAX_WAITS: f64 = 2.0;
 /// How often the list looks for idle connections, ms.
 const SWEEP_MS: f64 = 25.0;
 /// How long a connection may take to its first whole request, and a message from its first byte to its last, ms. The
@@ -60,6 +63,10 @@
 pub struct Shared {
     /// The names and settings of the classes, in order.
     pub classes: Vec<(String, Class)>,
+    /// The names of the tenants, in order; empty at a site that has none.
+    pub tenants: Vec<String>,
+    /// Each request tells how long its caller waits.
+    pub passes_deadline: bool,
     /// The clock.
     pub clock: Clock,
     /// Timers.
@@ -393,22 +400,33 @@
         if body.len() > MAX_BODY || self.open.borrow().len() >= MAX_OPEN || keyed && key.is_none() {
             return None;
         }
-        let named = if shared.accounts {
-            fields.iter().any(|(k, _)| matches!(k, Value::Str(k) if k == b"org"))
-        } else {
-            false
-        };
+        let present =
+            |name: &str| fields.iter().any(|(k, _)| matches!(k, Value::Str(k) if k == name.as_bytes()));
+        let named = shared.accounts && present("org");
         let account = if named { Some(Account::named(field("org")?).ok()?) } else { None };
+        let reached = number("recv").filter(|r| *r > 0.0)?;
+        let longest = MAX_WAITS * shared.classes[class].1.give_up_ms;
+        let ttl = match (present("ttl"), shared.passes_deadline) {
+            (false, false) => None,
+            _ => Some(number("ttl").filter(|t| *t > 0.0 && *t <= longest)?),
+        };
+        // A tenant that the settings don't list has no share by which its traffic could be judged.
+        let tenant = match &shared.tenants[..] {
+            [] => 0,
+            tenants => tenants.iter().position(|t| Some(t.as_str()) == field("org"))?,
+        };
         let id = shared.last_id.get() + 1;
         let incoming = Incoming {
             id,
             call: u64::from_str_radix(call, 16).ok()?,
             class,
-            reached: number("recv").filter(|r| *r > 0.0)?,
+            reached,
             held_kb: number("heap").filter(|h| *h > 0.0 && *h < MAX_HELD_KB)?,
             rank: number("crit").filter(|r| (0.0..1.0).contains(r))?,
             // The class is part of the key: two classes' tries are never tries of one request.
             key: key.filter(|_| keyed).map(|k| [&[class as u8], k.as_bytes()].concat()),
+            waits: ttl,
+            tenant,
             account: account.map(|a| Rc::from(a.as_str())),
             subject: field("row").is_some(),
             body: body.clone(),
--- a/src/node/messages.rs
+++ b/src/node/messages.rs
@@ -71,6 +71,10 @@
     pub rank: f64,
     /// What all tries of one keyed request share.
     pub key: Option<Vec<u8>>,
+    /// How long its caller waits for this try from `reached` on, ms, where that is told.
+    pub waits: Option<f64>,
+    /// The tenant, by position.
+    pub tenant: usize,
     /// The account that it is billed to; a good name.
     pub account: Option<Rc<str>>,
     /// It names what it reads.
