--- /dev/null
+++ b/src/node/front/request.rs
@@ -0,0 +1,82 @@
+//! What a message says, as the core's words: a proper request, or none. It must never guess at a field that can't be
+//! read.
+
+use super::{Connection, MAX_OPEN, Shared};
+use crate::codec::msgpack::Value;
+use crate::interface::Effect;
+use crate::node::messages::Incoming;
+use dunlinspread_ledger::Account;
+use std::rc::Rc;
+
+/// The longest body of a request, in bytes.
+const MAX_BODY: usize = 2048;
+/// The longest key, in bytes.
+const MAX_KEY: usize = 128;
+/// The most memory that a request may say it takes while held, kB; the protocol allows less.
+const MAX_HELD_KB: f64 = 2000.0;
+/// The longest that a caller may say it waits for one try, in times its class is given up after in all, which the
+/// protocol makes the longest: a figure past this is none that a caller means.
+const MAX_WAITS: f64 = 2.0;
+
+impl Connection {
+    /// A proper request, or none: an unknown class, a field missing or out of range, a body too long, or too many
+    /// open at once.
+    pub(super) fn incoming(
+        &self,
+        shared: &Shared,
+        tag: u64,
+        method: &[u8],
+        args: &[Value],
+    ) -> Option<Incoming> {
+        let class = shared.classes.iter().position(|(name, _)| name.as_bytes() == method)?;
+        let [Value::Map(fields), Value::Bin(body)] = args else { return None };
+        let field = |name: &str| -> Option<&str> {
+            let found = fields.iter().find(|(k, _)| matches!(k, Value::Str(k) if k == name.as_bytes()));
+            match found {
+                Some((_, Value::Str(text))) => std::str::from_utf8(text).ok(),
+                _ => None,
+            }
+        };
+        let number = |name: &str| field(name)?.parse::<f64>().ok().filter(|n| n.is_finite());
+        let call = field("call").filter(|c| c.len() == 16 && c.bytes().all(|b| b.is_ascii_hexdigit()))?;
+        let key = field("dedupe").filter(|k| !k.is_empty() && k.len() <= MAX_KEY);
+        let keyed = shared.classes[class].1.effect == Effect::Keyed;
+        if body.len() > MAX_BODY || self.open.borrow().len() >= MAX_OPEN || keyed && key.is_none() {
+            return None;
+        }
+        let present =
+            |name: &str| fields.iter().any(|(k, _)| matches!(k, Value::Str(k) if k == name.as_bytes()));
+        let named = shared.accounts && present("org");
+        let account = if named { Some(Account::named(field("org")?).ok()?) } else { None };
+        let reached = number("recv").filter(|r| *r > 0.0)?;
+        let longest = MAX_WAITS * shared.classes[class].1.give_up_ms;
+        let ttl = match (present("ttl"), shared.passes_deadline) {
+            (false, false) => None,
+            _ => Some(number("ttl").filter(|t| *t > 0.0 && *t <= longest)?),
+        };
+        // A tenant that the settings don't list has no share by which its traffic could be judged.
+        let tenant = match &shared.tenants[..] {
+            [] => 0,
+            tenants => tenants.iter().position(|t| Some(t.as_str()) == field("org"))?,
+        };
+        let id = shared.last_id.get() + 1;
+        let incoming = Incoming {
+            id,
+            call: u64::from_str_radix(call, 16).ok()?,
+            class,
+            reached,
+            held_kb: number("heap").filter(|h| *h > 0.0 && *h < MAX_HELD_KB)?,
+            rank: number("crit").filter(|r| (0.0..1.0).contains(r))?,
+            // The class is part of the key: two classes' tries are never tries of one request.
+            key: key.filter(|_| keyed).map(|k| [&[class as u8], k.as_bytes()].concat()),
+            waits: ttl,
+            tenant,
+            account: account.map(|a| Rc::from(a.as_str())),
+            subject: field("row").is_some(),
+            body: body.clone(),
+            handle: self.handle(tag),
+        };
+        shared.last_id.set(id);
+        Some(incoming)
+    }
+}
