--- /dev/null
+++ b/tests/deployments.rs
@@ -0,0 +1,100 @@
+//! The same days under the settings of many deployments: with and without told waits, pause, calls, tenants and keys.
+//! Each case is played on seeds against a small machine, with troubles (runs that fail, a hang, a flood of one
+//! tenant, a drain), and the platform's four rules are judged from what was done. What holds here holds by the
+//! settings, not by one site's figures.
+
+mod common;
+mod machine;
+
+use common::{class, settings};
+use dunlinspread::{Class, Effect, Preemption, Settings, Signal};
+use machine::Machine;
+
+/// Every deployment that the settings can describe in what changes the module's duties, by name.
+fn deployments() -> Vec<(String, Settings)> {
+    let mut all = Vec::new();
+    for told in [false, true] {
+        for (halt, preemption) in
+            [("keeps", Preemption::Off), ("drops", Preemption::Abort), ("pauses", Preemption::Suspend)]
+        {
+            for (below, dependency, calls_share) in
+                [("alone", false, None), ("tier", true, None), ("shared", true, Some(2.0))]
+            {
+                for tenants in [vec![], vec![20.0, 10.0, 5.0]] {
+                    let name = format!(
+                        "{}, {halt}, {below}, {} tenants",
+                        if told { "told" } else { "untold" },
+                        tenants.len()
+                    );
+                    let classes = vec![
+                        Class { calls: dependency, skip_worth: 0.5, ..class(Effect::Safe) },
+                        Class { calls: dependency, worth: 5.0, late_worth: 0.0, ..class(Effect::Keyed) },
+                        Class {
+                            calls: false,
+                            late_worth: 0.0,
+                            aim_ms: 300.0,
+                            give_up_ms: 900.0,
+                            ..class(Effect::Safe)
+                        },
+                        Class { calls: dependency, ..class(Effect::Unsafe) },
+                    ];
+                    let set = Settings {
+                        passes_deadline: told,
+                        preemption,
+                        dependency,
+                        calls_share,
+                        over_share_worth: 0.05,
+                        retry_after: true,
+                        memory_kb: if told { 1500.0 } else { 4000.0 },
+                        max_retry_after_ms: 1000.0,
+                        // The two sites' slack and grace, and one with neither.
+                        answer_slack_ms: if told { 60.0 } else { 80.0 },
+                        drain_grace_ms: if tenants.is_empty() { 0.0 } else { 700.0 },
+                        cold: !told,
+                        cold_share: 0.3,
+                        cold_ms: 4000.0,
+                        signal: if dependency { Signal::Share } else { Signal::Off },
+                        tenants,
+                        classes,
+                        ..settings()
+                    };
+                    all.push((name, set));
+                }
+            }
+        }
+    }
+    all
+}
+
+/// Plays every deployment on seeds of its own; what broke, with the case and the seed.
+fn play(seeds: std::ops::Range<u64>, change: fn(&mut Machine)) -> Vec<String> {
+    let mut broken = Vec::new();
+    for (name, set) in deployments() {
+        for seed in seeds.clone() {
+            let mut machine = Machine::new(seed, set.clone());
+            change(&mut machine);
+            machine.play();
+            assert!(machine.served > 20, "{name}, seed {seed}: only {} served", machine.served);
+            broken.extend(machine.broken.iter().map(|what| format!("{name}, seed {seed}: {what}")));
+        }
+    }
+    broken
+}
+
+#[test]
+fn the_rules_hold_under_every_deployment() {
+    let broken = play(1..4, |_| {});
+    assert!(broken.is_empty(), "{} broken:\n{}", broken.len(), broken[..broken.len().min(10)].join("\n"));
+}
+
+/// The fault of the first play on a second deployment: waits that are told, but not to the module.
+#[test]
+fn a_wait_that_the_module_does_not_hear_is_caught() {
+    let broken = play(1..4, |machine| machine.deaf = true);
+    assert!(broken.iter().all(|b| b.starts_with("told")), "{broken:?}");
+    let broken: Vec<&String> = broken.iter().filter(|b| b.contains("no answer to")).collect();
+    let told = deployments().iter().filter(|(name, _)| name.starts_with("told")).count();
+    let seen: std::collections::BTreeSet<&str> =
+        broken.iter().filter_map(|b| b.split(", seed").next()).collect();
+    assert!(seen.len() * 2 > told, "of {told} deployments with told waits only {} show it", seen.len());
+}
--- /dev/null
+++ b/tests/machine/mod.rs
@@ -0,0 +1,446 @@
+//! A small machine around the module: cores, a table of keys, calls below and callers with their waits. It judges the
+//! four rules from the module's actions alone. Time goes in the settings' ticks; one seed gives one day.
+#![allow(dead_code)]
+
+use dunlinspread::*;
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use std::collections::BTreeMap;
+
+/// Length of a day, ms, with the notice to leave so long before its end.
+const DAY_MS: f64 = 12_000.0;
+const LEAVE_MS: f64 = 2_500.0;
+/// The usual work of a run, ms of one core.
+const WORK_MS: f64 = 60.0;
+
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Stage {
+    Held,
+    Running,
+    AtCall,
+    /// Until then, and how it will end.
+    Calling(f64, Outcome),
+    Paused,
+    Reusing,
+}
+
+struct Held {
+    class: usize,
+    key: Option<u64>,
+    prior: Option<RequestId>,
+    reached: f64,
+    due: f64,
+    kb: f64,
+    stage: Stage,
+    work_ms: f64,
+    done_ms: f64,
+    since: f64,
+    calls: u32,
+    answered: bool,
+    ran: bool,
+    cut: bool,
+}
+
+struct Entry {
+    holder: RequestId,
+    until: f64,
+    ran: bool,
+    good: Option<bool>,
+}
+
+/// One instance of the module on its machine.
+pub struct Machine {
+    policy: Policy,
+    set: Settings,
+    rng: ChaCha8Rng,
+    now: f64,
+    next: RequestId,
+    requests: BTreeMap<RequestId, Held>,
+    entries: BTreeMap<u64, Entry>,
+    /// Beside the module's table: the keys there were, and the tries of each that were run, by when they came.
+    keys: Vec<u64>,
+    runs: BTreeMap<u64, Vec<(RequestId, f64)>>,
+    timers: Vec<(f64, u64)>,
+    events: Vec<Event>,
+    leaving: Option<f64>,
+    hang: (f64, f64),
+    failing: (f64, f64),
+    flood: (f64, f64),
+    /// Told waits are kept from the module.
+    pub deaf: bool,
+    /// Requests served within their wait.
+    pub served: u32,
+    /// The rules that were broken.
+    pub broken: Vec<String>,
+}
+
+impl Machine {
+    pub fn new(seed: u64, set: Settings) -> Machine {
+        let mut rng = ChaCha8Rng::seed_from_u64(seed);
+        let mut span = |len: f64| {
+            let from = rng.random_range(1000.0..DAY_MS - 2000.0);
+            (from, from + len)
+        };
+        let (hang, failing, flood) = (span(900.0), span(1500.0), span(2000.0));
+        let mut machine = Machine {
+            policy: Policy::new(0.0, Settings { seed, ..set.clone() }),
+            set,
+            rng,
+            now: 0.0,
+            next: 0,
+            requests: BTreeMap::new(),
+            entries: BTreeMap::new(),
+            keys: Vec::new(),
+            runs: BTreeMap::new(),
+            timers: Vec::new(),
+            events: vec![Event::Start],
+            leaving: None,
+            hang,
+            failing,
+            flood,
+            deaf: false,
+            served: 0,
+            broken: Vec::new(),
+        };
+        machine.tell();
+        machine
+    }
+
+    /// Plays the day to its end and the last answer.
+    pub fn play(&mut self) {
+        while self.now < DAY_MS {
+            self.now += self.set.tick_ms;
+            self.turn_cores();
+            self.arrivals();
+            if self.leaving.is_none() && self.now >= DAY_MS - LEAVE_MS {
+                self.leaving = Some(self.now);
+                self.events.push(Event::Drain { stop_at: DAY_MS });
+            }
+            let now = self.now;
+            let due: Vec<u64> = self.timers.iter().filter(|t| t.0 <= now).map(|t| t.1).collect();
+            self.timers.retain(|t| t.0 > now);
+            for token in due {
+                let gauges = self.gauges();
+                self.events.push(Event::Timer { token, gauges });
+            }
+            self.tell();
+            self.judge();
+        }
+        let open = self.requests.values().filter(|r| !r.answered).count();
+        if open > 0 {
+            self.broken.push(format!("drain: {open} without an answer at the stop"));
+        }
+    }
+
+    fn within(&self, span: (f64, f64)) -> bool {
+        (span.0..span.1).contains(&self.now)
+    }
+
+    fn on_cores(&self) -> usize {
+        self.requests.values().filter(|r| r.stage == Stage::Running).count()
+    }
+
+    fn gauges(&self) -> Gauges {
+        let on = self.on_cores() as f64;
+        let busy = (on / self.set.cores).min(1.0);
+        Gauges { busy: Some(busy), run_queue: Some(on), memory: Some(0.5), connections: Some(10.0) }
+    }
+
+    fn speed(&self) -> f64 {
+        let warmed = (self.now / self.set.cold_ms).min(1.0);
+        if self.set.cold { self.set.cold_share + (1.0 - self.set.cold_share) * warmed } else { 1.0 }
+    }
+
+    /// A tick of work, shared among what runs; ends and calls become events.
+    fn turn_cores(&mut self) {
+        let on = self.on_cores() as f64;
+        let each = self.set.tick_ms * self.speed() * (self.set.cores / on.max(self.set.cores));
+        let (hangs, fails) = (self.within(self.hang), self.within(self.failing));
+        let ids: Vec<RequestId> = self.requests.keys().copied().collect();
+        for id in ids {
+            let Some(r) = self.requests.get_mut(&id) else { continue };
+            match r.stage {
+                Stage::Running if !hangs => {
+                    r.done_ms += each;
+                    let fails = fails && r.done_ms > 5.0;
+                    if fails || r.done_ms >= r.work_ms {
+                        let outcome = if fails { Outcome::Error } else { Outcome::Ok };
+                        self.end(id, outcome);
+                    } else if self.set.classes[r.class].calls && r.calls == 0 && r.done_ms > r.work_ms / 2.0 {
+                        r.calls += 1;
+                        r.stage = Stage::AtCall;
+                        if r.answered {
+                            self.end(id, Outcome::Cancelled);
+                        } else {
+                            self.events.push(Event::CallNeeded(id));
+                        }
+                    }
+                }
+                Stage::Calling(until, outcome) if until <= self.now => {
+                    r.stage = if outcome == Outcome::Ok { Stage::Running } else { Stage::AtCall };
+                    self.events.push(Event::CallEnded { id, outcome, took_ms: 20.0 });
+                }
+                _ => {}
+            }
+        }
+    }
+
+    /// A run is over: its answer goes by itself, and those that wait for it get theirs.
+    fn end(&mut self, id: RequestId, outcome: Outcome) {
+        let Some(r) = self.requests.remove(&id) else { return };
+        let took_ms = self.now - r.since;
+        self.events.push(Event::Ended { id, outcome, took_ms });
+        if outcome == Outcome::Ok && !r.answered {
+            self.served += 1;
+        }
+        let Some(entry) = r.key.and_then(|k| self.entries.get_mut(&k)) else { return };
+        entry.good = Some(outcome == Outcome::Ok);
+        let waiting = self.requests.iter().filter(|(_, w)| w.stage == Stage::Reusing && w.key == r.key);
+        for waiting in waiting.map(|(id, _)| *id).collect::<Vec<_>>() {
+            self.end_reuse(waiting, outcome == Outcome::Ok);
+        }
+    }
+
+    fn end_reuse(&mut self, id: RequestId, good: bool) {
+        if let Some(r) = self.requests.remove(&id) {
+            let outcome = if good { Outcome::Ok } else { Outcome::Error };
+            self.served += u32::from(good && !r.answered);
+            self.events.push(Event::Ended { id, outcome, took_ms: self.now - r.since });
+        }
+    }
+
+    fn arrivals(&mut self) {
+        // About as much as the cores do on the calm part, three times that from one tenant in its flood.
+        let flood = self.within(self.flood);
+        let chance = 1.1 * self.set.tick_ms * self.set.cores / WORK_MS * if flood { 3.0 } else { 1.0 };
+        let mut left = chance;
+        while left > 0.0 {
+            if self.rng.random_bool(left.min(1.0)) {
+                self.arrive(flood);
+            }
+            left -= 1.0;
+        }
+    }
+
+    fn arrive(&mut self, flood: bool) {
+        let class = self.rng.random_range(0..self.set.classes.len());
+        let stated = self.set.classes[class].clone();
+        let age_ms: f64 = self.rng.random_range(0.0..20.0);
+        let reached = self.now - age_ms;
+        let part: f64 = self.rng.random_range(0.1..1.0);
+        let waits = if self.set.passes_deadline { part } else { 1.0 } * stated.give_up_ms;
+        // A third of the keyed ones are further tries of a key of late.
+        let keyed = stated.effect == Effect::Keyed;
+        let again = keyed && self.rng.random_bool(0.33);
+        let known = self.keys.len();
+        let key = match known {
+            n if again && n > 0 => Some(self.keys[self.rng.random_range(n.saturating_sub(20)..n)]),
+            _ => keyed.then_some(self.next + 1),
+        };
+        let prior = key.and_then(|k| self.entries.get(&k)).filter(|e| reached <= e.until).map(|e| e.holder);
+        self.next += 1;
+        let id = self.next;
+        self.keys.extend(key.filter(|k| *k == id));
+        let (kb, rank) = (self.rng.random_range(5.0..60.0), self.rng.random_range(0.0..1.0));
+        let tenant = if flood { 0 } else { self.rng.random_range(0..self.set.tenants.len().max(1)) };
+        let work_ms = WORK_MS * self.rng.random_range(0.3..1.7);
+        let held = Held {
+            class,
+            key,
+            prior,
+            reached,
+            due: (reached + waits).max(self.now),
+            kb,
+            stage: Stage::Held,
+            work_ms,
+            done_ms: 0.0,
+            since: self.now,
+            calls: 0,
+            answered: false,
+            ran: false,
+            cut: false,
+        };
+        self.requests.insert(id, held);
+        let deadline = (self.set.passes_deadline && !self.deaf).then_some(reached + waits);
+        self.events.push(Event::Arrive(Arrival {
+            id,
+            class,
+            tenant,
+            deadline,
+            held_kb: kb,
+            rank,
+            age_ms,
+            prior,
+            ..Arrival::default()
+        }));
+    }
+
+    fn tell(&mut self) {
+        while !self.events.is_empty() {
+            let mut actions = Vec::new();
+            for event in std::mem::take(&mut self.events) {
+                self.policy.on_event(self.now, event, &mut actions);
+            }
+            for action in actions {
+                self.carry_out(action);
+            }
+        }
+    }
+
+    fn breaks(&mut self, what: String) {
+        self.broken.push(format!("{:.0} ms: {what}", self.now));
+    }
+
+    fn carry_out(&mut self, action: Action) {
+        match action {
+            Action::Run(id) => self.run(id),
+            Action::Refuse { id, .. } => {
+                let ran = self.requests.get(&id).is_some_and(|r| r.ran);
+                let safe =
+                    self.requests.get(&id).is_some_and(|r| self.set.classes[r.class].effect == Effect::Safe);
+                if ran && !safe {
+                    self.breaks(format!("refused {id}, which ran"));
+                }
+                self.final_answer(id);
+            }
+            Action::Fail(id) => self.final_answer(id),
+            Action::Reuse(id) => self.reuse(id),
+            Action::Preempt(id) => self.preempt(id),
+            Action::Keep { id, ttl_ms } => {
+                let until = self.now + ttl_ms;
+                let Some(key) = self.requests.get(&id).and_then(|r| r.key) else { return };
+                let entry = Entry { holder: id, until, ran: false, good: None };
+                let entry = self.entries.entry(key).or_insert(entry);
+                (entry.holder, entry.until) = (id, until);
+            }
+            Action::Forget(id) => self.entries.retain(|_, e| e.holder != id || e.ran),
+            Action::Call { id, .. } => {
+                let ends = [Outcome::Ok, Outcome::Ok, Outcome::Ok, Outcome::TimedOut, Outcome::Refused];
+                let (wait, end) =
+                    (self.rng.random_range(5.0..80.0), ends[self.rng.random_range(0..ends.len())]);
+                let until = self.now + wait;
+                match self.requests.get_mut(&id) {
+                    Some(r) if r.stage == Stage::AtCall => r.stage = Stage::Calling(until, end),
+                    _ => {}
+                }
+                if !self.set.dependency {
+                    self.breaks(format!("a call for {id}, with nothing below"));
+                }
+            }
+            Action::SkipCall(id) => {
+                let Some(r) = self.requests.get_mut(&id) else { return };
+                if r.stage == Stage::AtCall {
+                    r.stage = Stage::Running;
+                }
+                if self.set.classes[r.class].skip_worth <= 0.0 {
+                    self.breaks(format!("left out the call of {id}, which can't be"));
+                }
+            }
+            Action::Say(_) if self.set.signal != Signal::Share => {
+                self.breaks("said a value that nobody reads".to_owned());
+            }
+            Action::Timer { token, delay_ms } => self.timers.push((self.now + delay_ms, token)),
+            Action::Say(_) | Action::Health(_) | Action::IdleLimit(_) | Action::Log(_) => {}
+        }
+    }
+
+    fn run(&mut self, id: RequestId) {
+        let Some(r) = self.requests.get_mut(&id) else { return };
+        let (class, key, reached, held) = (r.class, r.key, r.reached, r.stage == Stage::Held);
+        let once = self.set.classes[class].effect != Effect::Safe;
+        let cut = r.cut;
+        if matches!(r.stage, Stage::Held | Stage::Paused) {
+            r.stage = Stage::Running;
+            if held {
+                (r.since, r.done_ms, r.ran) = (self.now, 0.0, true);
+            }
+        }
+        if held && once && cut {
+            self.breaks(format!("ran {id} again after it was stopped"));
+        }
+        if held && self.leaving.is_some_and(|notice| reached > notice + self.set.drain_grace_ms) {
+            self.breaks(format!("ran {id}, which came too late after the notice"));
+        }
+        let Some(key) = key.filter(|_| held) else { return };
+        let window = self.set.classes[class].window_ms;
+        if let Some(entry) = self.entries.get_mut(&key) {
+            (entry.ran, entry.good) = (true, None);
+        }
+        let runs = self.runs.entry(key).or_default();
+        let twice = runs.iter().any(|(other, at)| *other != id && reached - at <= window);
+        runs.push((id, reached));
+        if twice {
+            self.breaks(format!("ran {id}, a key that ran in its window"));
+        }
+    }
+
+    fn reuse(&mut self, id: RequestId) {
+        let Some(r) = self.requests.get_mut(&id) else { return };
+        (r.stage, r.since) = (Stage::Reusing, self.now);
+        let (key, prior) = (r.key, r.prior);
+        let running = prior.is_some_and(|p| self.requests.contains_key(&p));
+        match key.and_then(|k| self.entries.get(&k)) {
+            Some(entry) if entry.ran && entry.good.is_none() => {}
+            Some(entry) if entry.ran => self.end_reuse(id, entry.good == Some(true)),
+            _ if running => {}
+            _ => self.end_reuse(id, false),
+        }
+    }
+
+    fn preempt(&mut self, id: RequestId) {
+        if self.set.preemption == Preemption::Off {
+            self.breaks(format!("stopped {id}, where nothing can be stopped"));
+        }
+        let Some(r) = self.requests.get_mut(&id).filter(|r| r.stage == Stage::Running) else { return };
+        r.cut = true;
+        if r.answered {
+            return self.end(id, Outcome::Cancelled);
+        }
+        r.stage = if self.set.preemption == Preemption::Abort { Stage::Held } else { Stage::Paused };
+        let took_ms = self.now - r.since;
+        self.events.push(Event::Ended { id, outcome: Outcome::Cancelled, took_ms });
+    }
+
+    /// A final answer that is no result; what runs goes on, all else is dropped.
+    fn final_answer(&mut self, id: RequestId) {
+        let Some(r) = self.requests.get_mut(&id) else { return };
+        if r.answered {
+            return self.breaks(format!("answered {id} twice"));
+        }
+        r.answered = true;
+        match r.stage {
+            Stage::Held | Stage::Paused | Stage::Reusing => drop(self.requests.remove(&id)),
+            Stage::AtCall | Stage::Calling(..) => self.end(id, Outcome::Cancelled),
+            Stage::Running => {}
+        }
+    }
+
+    /// The rules that hold at every moment.
+    fn judge(&mut self) {
+        let slack = self.set.answer_slack_ms;
+        let late = self.requests.iter_mut().filter(|(_, r)| !r.answered && self.now > r.due + slack);
+        let late: Vec<RequestId> = late
+            .map(|(id, r)| {
+                r.answered = true;
+                *id
+            })
+            .collect();
+        for id in late {
+            self.breaks(format!("no answer to {id} by its due time"));
+        }
+        let most = self.set.cores * (1.0 + (self.set.survivable_per_core - 1.0) * self.speed());
+        if self.on_cores() as f64 > most {
+            self.breaks(format!("{} runs crowd the cores", self.on_cores()));
+        }
+        let of = |r: &Held| match r.stage {
+            Stage::Held | Stage::Reusing => r.kb,
+            _ => r.kb * self.set.run_factor,
+        };
+        self.entries.retain(|_, e| e.until > self.now || !e.ran && self.requests.contains_key(&e.holder));
+        let memory =
+            self.requests.values().map(of).sum::<f64>() + self.entries.len() as f64 * self.set.key_kb;
+        if memory > self.set.memory_kb {
+            self.breaks(format!("{memory:.0} kB are in use"));
+        }
+    }
+}
