Take the table of keys out of the core, and cover tries that are read late

Need: the table of keys lay in src/node/core.rs among requests and carrying out; copies and restarts stand on it. A new try past the window took the place of the run before it: turned away unrun, it took all that was known of that run with it, and an earlier try read after it (another connection, a program that stood still) ran a second time in the window. At fault: `enter` and `remove` in core.rs, which kept one entry a key. Now a try that may yet run stands beside the run before it, the window of a run that was replaced is remembered until no try in it can be read, and no entry is swept while a try of its key is under way. A try covered by a window of which nothing else is known fails at once.

--- a/src/node/core.rs
+++ b/src/node/core.rs
@@ -11,6 +11,7 @@
 use crate::policy::Policy;
 use async_channel::{Receiver, Sender};
 use async_executor::LocalExecutor;
+use dunlinspread_keyed::{Bounds as KeyBounds, Ending, Known, Reuse, Span, Table};
 use dunlinspread_ledger::Outcome as Billed;
 use futures_lite::StreamExt;
 use slog::{Logger, info, warn};
@@ -21,8 +22,6 @@
 
 /// How long a timer waits for the gauges before it fires without them, ms.
 const GAUGES_LATE_MS: f64 = 20.0;
-/// Slack on a key's window, ms: stamps are whole milliseconds and the platform allows 50 ms on every time.
-const WINDOW_SLACK_MS: f64 = 60.0;
 /// How long a key's entry stays past its end, beside the class's give-up time, for tries that arrived before that
 /// end and are read late, ms.
 const READ_LATE_MS: f64 = 5000.0;
@@ -67,23 +66,6 @@
     asked: Vec<Command>,
 }
 
-/// What is known of a key.
-struct Entry {
-    class: usize,
-    /// The mark of the body that all its tries carry.
-    print: u64,
-    /// The try that stands for the key.
-    holder: RequestId,
-    /// Tries that reached the machine up to then repeat the holder.
-    until: f64,
-    /// The try that was run, and when it reached the machine.
-    ran: Option<(RequestId, f64)>,
-    /// How that run ended: its result, or none for a failure.
-    result: Option<Option<Rc<[u8]>>>,
-    /// Tries that wait for that.
-    waiting: Vec<RequestId>,
-}
-
 /// The mailboxes of the other actors.
 pub struct Peers {
     /// The worker pool's link.
@@ -112,10 +94,7 @@
     calls: HashMap<u64, RequestId>,
     /// Makes marks of bodies that nobody outside can foresee.
     prints: RandomState,
-    entries: HashMap<Rc<[u8]>, Entry>,
-    /// Keys whose results were kept, oldest first, some of them gone since, and the bytes of the results there are.
-    results: VecDeque<Rc<[u8]>>,
-    result_bytes: usize,
+    keys: Table<Rc<[u8]>>,
     /// Events that carrying out actions brought about.
     events: VecDeque<Event>,
     /// The generation of the link to the worker pool, while it is up.
@@ -143,6 +122,9 @@
         peers: Peers,
         log: Logger,
     ) -> Self {
+        let bounds = KeyBounds { keys: config.bounds.keys, result_bytes: config.bounds.result_bytes };
+        let span = |c: &Class| Span { window_ms: c.window_ms, read_late_ms: c.give_up_ms + READ_LATE_MS };
+        let spans = config.settings.classes.iter().map(span).collect();
         Core {
             set: config.settings.clone(),
             bounds: config.bounds,
@@ -157,9 +139,7 @@
             requests: BTreeMap::new(),
             calls: HashMap::new(),
             prints: RandomState::new(),
-            entries: HashMap::new(),
-            results: VecDeque::new(),
-            result_bytes: 0,
+            keys: Table::new(bounds, spans),
             events: VecDeque::new(),
             link: None,
             asking: None,
@@ -416,9 +396,8 @@
             return self.send(handle, Answer::Invalid);
         }
         let key: Option<Rc<[u8]>> = key.map(Rc::from);
-        let new_key = key.as_ref().is_some_and(|k| !self.entries.contains_key(k));
-        let full =
-            self.requests.len() >= self.bounds.requests || new_key && self.entries.len() >= self.bounds.keys;
+        let room = key.as_ref().is_none_or(|k| self.keys.has_room(k));
+        let full = self.requests.len() >= self.bounds.requests || !room;
         let billable = self.ledger.as_ref().is_none_or(|l| l.serving());
         if full || !billable {
             let again = if billable || !self.set.retry_after { 0.0 } else { UNBILLED_RETRY_MS };
@@ -428,19 +407,20 @@
             let answer = Answer::Refused { retry_after_ms, last: false };
             return self.bill(account.as_ref(), &used, handle, answer);
         }
-        let prior = key.as_ref().and_then(|k| self.prior(k, reached));
         let print = self.prints.hash_one(&body);
-        // All tries of one request carry the same body. A key with another body is no try of it: that run's result
-        // is not this one's answer, and to run it would break the promise of the key.
-        if prior.is_some() && key.as_ref().and_then(|k| self.entries.get(k)).is_some_and(|e| e.print != print)
-        {
-            return self.send(handle, Answer::Invalid);
-        }
-        if let (Some(k), None) = (&key, prior) {
-            // The entry is there from the arrival on, whatever the module makes of it.
-            let until = reached + self.set.classes[class].window_ms + WINDOW_SLACK_MS;
-            self.enter(k.clone(), class, print, id, until);
-        }
+        let prior = match key.as_ref().map(|k| self.keys.arrive(k, class, print, id, reached)) {
+            None | Some(Known::New) => None,
+            Some(Known::Repeats(prior)) => Some(prior),
+            // All tries of one request carry the same body. A key with another body is no try of it: that run's
+            // result is not this one's answer, and to run it would break the promise of the key.
+            Some(Known::OtherBody) => return self.send(handle, Answer::Invalid),
+            // It came in the window of a run and was read long after: it may not run, and that run's result is gone.
+            Some(Known::Covered) => {
+                let used =
+                    Used { class, outcome: Billed::Failed, pool_ms: 0.0, bytes_in: body.len(), bytes_out: 0 };
+                return self.bill(account.as_ref(), &used, handle, Answer::Failed);
+            }
+        };
         let request = Request {
             call,
             class,
@@ -470,27 +450,6 @@
         }));
     }
 
-    /// The try that one with this key, having reached the machine then, repeats.
-    fn prior(&self, key: &Rc<[u8]>, reached: f64) -> Option<RequestId> {
-        let entry = self.entries.get(key)?;
-        match entry.ran {
-            Some((id, _)) => (reached <= entry.until).then_some(id),
-            // While it is held the holder may yet run, so the entry lasts at least that long.
-            None => {
-                (reached <= entry.until || self.requests.contains_key(&entry.holder)).then_some(entry.holder)
-            }
-        }
-    }
-
-    fn enter(&mut self, key: Rc<[u8]>, class: usize, print: u64, holder: RequestId, until: f64) {
-        self.drop_result(&key);
-        let entry = Entry { class, print, holder, until, ran: None, result: None, waiting: Vec::new() };
-        if let Some(older) = self.entries.insert(key, entry) {
-            // A run that outlasts its own window: those who wait for it would no longer be found.
-            older.waiting.into_iter().for_each(|w| self.end_reuse(w, None));
-        }
-    }
-
     fn on_gone(&mut self, id: RequestId) {
         let Some(request) = self.requests.get_mut(&id) else { return };
         if request.handle.take().is_none() {
@@ -517,12 +476,7 @@
         let request = self.requests.remove(&id)?;
         self.calls.remove(&request.call);
         if let Some(key) = &request.key {
-            if let Some(entry) = self.entries.get_mut(key) {
-                entry.waiting.retain(|w| *w != id);
-                if entry.holder == id && entry.ran.is_none() {
-                    self.entries.remove(key);
-                }
-            }
+            self.keys.over(key, id);
         }
         Some(request)
     }
@@ -611,44 +565,19 @@
             None if self.ledger.is_some() => self.bill_silent(id, false, took_ms),
             None => {}
         }
-        let key = self.requests.get(&id).and_then(|r| r.key.clone());
-        if let Some(entry) = key.as_ref().and_then(|k| self.entries.get_mut(k)) {
-            if entry.ran.is_some_and(|(ran, _)| ran == id) {
-                if end == End::Gone {
-                    entry.ran = None;
-                } else {
-                    entry.result = Some(result.clone());
-                }
-                let waiting = std::mem::take(&mut entry.waiting);
-                if let (Some(body), Some(key)) = (&result, key) {
-                    self.keep_result(key, body.len());
-                }
-                waiting.into_iter().for_each(|w| self.end_reuse(w, result.clone()));
-            }
+        if let Some(key) = self.requests.get(&id).and_then(|r| r.key.clone()) {
+            let ending = match result {
+                Some(result) => Ending::Result(result),
+                None if end == End::Gone => Ending::NeverRan,
+                None => Ending::Failed,
+            };
+            let ended = self.keys.ended(&key, id, ending);
+            ended.waiting.into_iter().for_each(|w| self.end_reuse(w, ended.result.clone()));
         }
         self.remove(id);
         self.tell(Event::Ended { id, outcome, took_ms });
     }
 
-    /// Past the bytes allowed the oldest results go.
-    fn keep_result(&mut self, key: Rc<[u8]>, bytes: usize) {
-        self.results.push_back(key);
-        self.result_bytes += bytes;
-        while self.result_bytes > self.bounds.result_bytes {
-            let Some(oldest) = self.results.pop_front() else { return };
-            self.drop_result(&oldest);
-        }
-    }
-
-    /// Frees a key's result; a later repeat of it gets a failure, never a second run.
-    fn drop_result(&mut self, key: &Rc<[u8]>) {
-        let Some(entry) = self.entries.get_mut(key) else { return };
-        if let Some(Some(body)) = &entry.result {
-            self.result_bytes -= body.len();
-            entry.result = Some(None);
-        }
-    }
-
     /// A try that waited for another's result gets it, or the failure.
     fn end_reuse(&mut self, id: RequestId, result: Option<Rc<[u8]>>) {
         let now = self.clock.now();
@@ -702,22 +631,7 @@
     fn on_sweep(&mut self) {
         self.later(SWEEP_MS, ToCore::Sweep);
         (self.notes, self.not_done) = (0, 0);
-        let now = self.clock.now();
-        let over = |e: &Entry| now > e.until + self.set.classes[e.class].give_up_ms + READ_LATE_MS;
-        let ended: Vec<Rc<[u8]>> = self
-            .entries
-            .iter()
-            .filter(|(_, e)| over(e) && !self.requests.contains_key(&e.holder) && e.waiting.is_empty())
-            .map(|(key, _)| key.clone())
-            .collect();
-        for key in ended {
-            self.drop_result(&key);
-            self.entries.remove(&key);
-        }
-        let kept = |k: &Rc<[u8]>| self.entries.get(k).is_some_and(|e| matches!(e.result, Some(Some(_))));
-        while self.results.front().is_some_and(|k| !kept(k)) {
-            self.results.pop_front();
-        }
+        self.keys.sweep(self.clock.now());
     }
 
     // -----------------------------------------------------------------------------------------------------
@@ -789,16 +703,12 @@
             }
             Stage::Held => {
                 if let Some(key) = request.key.clone() {
-                    let (class, reached) = (request.class, request.reached);
-                    let until = reached + self.set.classes[class].window_ms + WINDOW_SLACK_MS;
-                    if !self.entries.contains_key(&key) {
-                        let print = self.prints.hash_one(&body[..]);
-                        self.enter(key.clone(), class, print, id, until);
-                    }
-                    let Some(entry) = self.entries.get_mut(&key) else { return };
-                    // The last guard against a second run: whatever the module asks, a key that ran is not run
-                    // again while its window lasts.
-                    if entry.ran.is_some_and(|(ran, _)| ran != id) && reached <= entry.until {
+                    let print = self.prints.hash_one(&body[..]);
+                    let run = self.keys.run(&key, request.class, print, id, request.reached);
+                    if let Ok(left) = run {
+                        // They wait for a run that outlasted its own window, and would no longer be found.
+                        left.into_iter().for_each(|w| self.end_reuse(w, None));
+                    } else {
                         warn!(self.log, "a second run of a key was asked for and not made");
                         self.answer(id, Answer::Failed);
                         self.remove(id);
@@ -808,9 +718,6 @@
                             took_ms: 0.0,
                         });
                     }
-                    entry.holder = id;
-                    entry.ran = Some((id, reached));
-                    entry.until = entry.until.max(until);
                 }
                 if let Some(request) = self.requests.get_mut(&id) {
                     request.stage = Stage::Running;
@@ -825,33 +732,28 @@
     fn reuse(&mut self, now: f64, id: RequestId) {
         let Some(request) = self.requests.get_mut(&id) else { return };
         request.stage = Stage::Reusing(now);
-        match request.key.as_ref().and_then(|k| self.entries.get_mut(k)) {
-            Some(entry) if entry.ran.is_some() => match entry.result.clone() {
-                Some(result) => self.end_reuse(id, result),
-                None => entry.waiting.push(id),
-            },
+        match request.key.as_ref().map_or(Reuse::Unrun, |k| self.keys.reuse(k, id, request.reached)) {
+            Reuse::Now(result) => self.end_reuse(id, result),
+            Reuse::Waits => {}
             // What it repeats was dropped unrun.
-            _ => self.end_reuse(id, None),
+            Reuse::Unrun => self.end_reuse(id, None),
         }
     }
 
     /// The request stands for its key from now on, also as heir of an earlier try.
     fn keep(&mut self, now: f64, id: RequestId, ttl_ms: f64) {
-        let Some(Request { key: Some(key), class, body, .. }) = self.requests.get(&id) else { return };
-        let (key, class, print) = (key.clone(), *class, self.prints.hash_one(&body[..]));
-        match self.entries.get_mut(&key) {
-            Some(entry) if entry.ran.is_some() && entry.holder != id => {}
-            Some(entry) => {
-                entry.holder = id;
-                entry.until = entry.until.max(now + ttl_ms);
-            }
-            None => self.enter(key, class, print, id, now + ttl_ms),
-        }
+        let Some(Request { key: Some(key), class, reached, body, .. }) = self.requests.get(&id) else {
+            return;
+        };
+        let print = self.prints.hash_one(&body[..]);
+        self.keys.keep(key, *class, print, id, *reached, now + ttl_ms);
     }
 
     /// Gives an entry back, unless its try has run: that one outlasts everything.
     fn forget(&mut self, id: RequestId) {
-        self.entries.retain(|_, e| e.holder != id || e.ran.is_some());
+        if let Some(key) = self.requests.get(&id).and_then(|r| r.key.as_ref()) {
+            self.keys.forget(key, id);
+        }
     }
 
     fn call(&mut self, id: RequestId, limit_ms: f64) {
