Learn nothing from runs that stood still, judge no idle machine by estimates

It had started cold, its work hung from 21.9 to 28.9 s, and the first runs it ever saw end had taken 6 s each. Checked and ruled out: connections (190 of 216 on every server, also before), the links that broke (they came back within 10 ms), memory (0.00 to 0.37 of it), the level (0 on that server). At fault: `learn` in src/policy/order.rs took those times for the usual ones, and `is_late` then found every request hopeless on arrival; with no run there was never a better figure. It struck wherever late answers are worth nothing. On the first deployment most classes have a late worth, which hides it. Changed: the time of a run that began before the machine last stood still is not learnt, and while nothing runs no request is late before its aim has passed.

--- a/src/policy/events.rs
+++ b/src/policy/events.rs
@@ -130,7 +130,8 @@
         if calling {
             self.call_over(id, now + self.set.linger_ms);
         }
-        if outcome == Outcome::Ok && !reused {
+        // What a run that stood still took says nothing of the next one.
+        if outcome == Outcome::Ok && !reused && now - took_ms > self.stood_still {
             self.learn(now, class, sane(took_ms, 0.0, 1e9));
         }
         if lost {
--- a/src/policy/level.rs
+++ b/src/policy/level.rs
@@ -111,6 +111,7 @@
         if !stalled {
             self.gaps.fade(RATE_SPAN_MS);
         } else {
+            self.stood_still = now;
             let held =
                 self.requests.iter().filter(|(_, r)| r.state == State::Held && !self.waits_for_prior(r));
             for id in held.map(|(id, _)| *id).collect::<Vec<_>>() {
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -130,6 +130,8 @@
     /// When a run last ended or came to a call, or began on idle cores, and the gaps between such signs.
     progress: f64,
     gaps: Mean,
+    /// When the runs last stood still.
+    stood_still: f64,
     /// When the timer last came.
     timer_at: f64,
     healthy: bool,
@@ -193,6 +195,7 @@
             said: 1.0,
             pace: 1.0,
             progress: now,
+            stood_still: f64::NEG_INFINITY,
             timer_at: now,
             healthy: true,
             ..Policy::default()
--- a/src/policy/order.rs
+++ b/src/policy/order.rs
@@ -72,9 +72,12 @@
         worth / usual - (r.aim - now).max(0.0) * 1e-12
     }
 
-    /// Whether a run of it would end past its aim, as runs go now.
+    /// Whether a run of it would end past its aim, as runs go now. Beside cores on which nothing runs that is not
+    /// known: an estimate that is wrong is corrected by runs alone. It guards against one that turns all away for good.
     pub(super) fn is_late(&self, now: f64, r: &Request) -> bool {
-        now + self.learned[r.class].usual * self.pace * MUST_FIT > r.aim
+        let known = self.count(State::Running) > 0;
+        let takes = if known { self.learned[r.class].usual * self.pace * MUST_FIT } else { 0.0 };
+        now + takes > r.aim
     }
 
     /// Whether a run may start. Those at a call count to the survivable crowd, or all would crowd the cores
--- a/tests/deployments.rs
+++ b/tests/deployments.rs
@@ -81,6 +81,22 @@
     broken
 }
 
+/// Work that stands still from the start, before any run has shown what it takes: once it goes on, so does service. An
+/// estimate learnt from the runs that stood still must not turn everything away for good.
+#[test]
+fn a_hang_at_the_start_is_over_once_it_is_over() {
+    for (name, mut set) in deployments() {
+        // Where late answers are worth nothing, what looks late is not run.
+        set.classes.iter_mut().for_each(|c| c.late_worth = 0.0);
+        let mut machine = Machine::new(7, set);
+        machine.hang_from_start(3000.0);
+        machine.play();
+        assert!(machine.broken.is_empty(), "{name}: {:?}", machine.broken);
+        let least = machine.served_after.iter().min();
+        assert!(least.is_some_and(|n| *n > 10), "{name}: by class {:?} after the hang", machine.served_after);
+    }
+}
+
 #[test]
 fn the_rules_hold_under_every_deployment() {
     let broken = play(1..4, |_| {});
--- a/tests/machine/mod.rs
+++ b/tests/machine/mod.rs
@@ -70,6 +70,8 @@
     pub deaf: bool,
     /// Requests served within their wait.
     pub served: u32,
+    /// Those of them that were served after the hang, by class.
+    pub served_after: Vec<u32>,
     /// The rules that were broken.
     pub broken: Vec<String>,
 }
@@ -82,6 +84,7 @@
             (from, from + len)
         };
         let (hang, failing, flood) = (span(900.0), span(1500.0), span(2000.0));
+        let served_after = vec![0; set.classes.len()];
         let mut machine = Machine {
             policy: Policy::new(0.0, Settings { seed, ..set.clone() }),
             set,
@@ -100,12 +103,23 @@
             flood,
             deaf: false,
             served: 0,
+            served_after,
             broken: Vec::new(),
         };
         machine.tell();
         machine
     }
 
+    /// Runs stand still from the start for that long, and there is no other trouble.
+    pub fn hang_from_start(&mut self, ms: f64) {
+        (self.hang, self.failing, self.flood) = ((0.0, ms), (0.0, 0.0), (0.0, 0.0));
+    }
+
+    fn serve(&mut self, class: usize) {
+        self.served += 1;
+        self.served_after[class] += u32::from(self.now > self.hang.1);
+    }
+
     /// Plays the day to its end and the last answer.
     pub fn play(&mut self) {
         while self.now < DAY_MS {
@@ -191,7 +205,7 @@
         let took_ms = self.now - r.since;
         self.events.push(Event::Ended { id, outcome, took_ms });
         if outcome == Outcome::Ok && !r.answered {
-            self.served += 1;
+            self.serve(r.class);
         }
         let Some(entry) = r.key.and_then(|k| self.entries.get_mut(&k)) else { return };
         entry.good = Some(outcome == Outcome::Ok);
@@ -204,7 +218,9 @@
     fn end_reuse(&mut self, id: RequestId, good: bool) {
         if let Some(r) = self.requests.remove(&id) {
             let outcome = if good { Outcome::Ok } else { Outcome::Error };
-            self.served += u32::from(good && !r.answered);
+            if good && !r.answered {
+                self.serve(r.class);
+            }
             self.events.push(Event::Ended { id, outcome, took_ms: self.now - r.since });
         }
     }
