--- a/tests/exchanges.rs
+++ b/tests/exchanges.rs
@@ -55,6 +55,17 @@
     insta::assert_snapshot!(out);
 }
 
+/// Nobody else has to be up for the program to be ready: with pool, index and catalog out of reach it listens and answers
+/// a health check. How long that took is printed; the platform allows 30 s.
+#[test]
+fn ready_while_nobody_else_is_up() {
+    let since = std::time::Instant::now();
+    let mut alone = play::alone::Alone::new(&play::config("127.0.0.1:1", "127.0.0.1:1", "127.0.0.1:1", &[]));
+    let answer = alone.check();
+    println!("ready after {} ms", since.elapsed().as_millis());
+    assert_eq!(answer, r"\x94\x01\x01\xc0\x92\xc3\x80");
+}
+
 /// What the process may hold stays within its limits, and still holds a busy minute, at every size in service.
 #[test]
 fn the_bounds_fit_the_limits() {
--- /dev/null
+++ b/tests/play/alone.rs
@@ -0,0 +1,42 @@
+//! The program started with none of its peers up.
+
+use super::{HANG, message, start, unescape};
+use std::io::{BufRead, BufReader, Write};
+use std::net::TcpStream;
+use std::process::Child;
+
+/// The program with nobody around it.
+pub struct Alone {
+    child: Child,
+    address: String,
+}
+
+impl Drop for Alone {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+impl Alone {
+    /// Started, and its log read up to the line that it serves.
+    pub fn new(config: &str) -> Alone {
+        let mut alone = Alone { child: start(config), address: String::new() };
+        let log = BufReader::new(alone.child.stderr.take().expect("a log"));
+        let mut lines = log.lines().map_while(Result::ok);
+        let serving = lines.find_map(|l| Some(l.split_once("listen: ")?.1.split(',').next()?.to_owned()));
+        alone.address = serving.expect("it serves");
+        // The log is read to its end, or the program could not write it.
+        std::thread::spawn(move || lines.for_each(drop));
+        alone
+    }
+
+    /// The answer to a health check.
+    pub fn check(&mut self) -> String {
+        let mut stream = TcpStream::connect(&self.address).expect("it listens");
+        stream.set_read_timeout(Some(HANG)).expect("a time limit");
+        let ask = [&[0x94, 0, 1][..], &unescape("\\xa6isWell\\x91\\x80")[..]].concat();
+        stream.write_all(&ask).expect("the connection stands");
+        message(&mut stream)
+    }
+}
