--- a/src/policy/order.rs
+++ b/src/policy/order.rs
@@ -72,8 +72,8 @@
         worth / usual - (r.aim - now).max(0.0) * 1e-12
     }
 
-    /// Whether a run of it would end past its aim, as runs go now. Beside cores on which nothing runs that is not
-    /// known: an estimate that is wrong is corrected by runs alone. It guards against one that turns all away for good.
+    /// Whether a run of it would end past its aim, as runs go now. While nothing runs that is not known: a
+    /// wrong estimate is corrected by runs alone. It guards against one that turns all away for good.
     pub(super) fn is_late(&self, now: f64, r: &Request) -> bool {
         let known = self.count(State::Running) > 0;
         let takes = if known { self.learned[r.class].usual * self.pace * MUST_FIT } else { 0.0 };
