Say things once that the last change said or computed twice

A removal that could not happen went. - The look-up of a field stood twice in front/request.rs, reading and checking a list's names twice in config.rs.

--- a/crates/keyed/src/lib.rs
+++ b/crates/keyed/src/lib.rs
@@ -12,7 +12,7 @@
 //! let mut table: Table<Vec<u8>> = Table::new(bounds, vec![Span { window_ms: 5000.0, read_late_ms: 1000.0 }]);
 //! let key: std::rc::Rc<[u8]> = b"pour 17"[..].into();
 //! assert_eq!(table.arrive(&key, 0, 0xfeed, 1, 10.0), Known::New);
-//! assert!(table.run(&key, 0, 0xfeed, 1, 10.0).is_ok());
+//! assert!(table.run(&key, 0xfeed, 1, 10.0).is_ok());
 //! let _nobody_waits = table.ended(&key, 1, Ending::Result(b"done".to_vec()));
 //! table.over(&key, 1);
 //! // The next try is a repeat, and takes that result.
--- a/crates/keyed/src/table.rs
+++ b/crates/keyed/src/table.rs
@@ -165,7 +165,7 @@
     pub fn arrive(&mut self, key: &Rc<[u8]>, class: usize, print: u64, id: TryId, reached: f64) -> Known {
         let known = self.look(key, print, reached);
         if matches!(known, Known::New | Known::Repeats(_)) {
-            let until = self.until(class, reached);
+            let until = until(&self.spans, class, reached);
             let entry = self.entries.entry(key.clone()).or_insert_with(|| Entry::new(class));
             entry.open += 1;
             if known == Known::New {
@@ -188,10 +188,10 @@
         }
     }
 
-    /// The try stands for its key until then at least, also as heir of an earlier one, whose entry may be gone. One that
-    /// came in the window of a run takes nobody's place.
-    pub fn keep(&mut self, key: &Rc<[u8]>, class: usize, print: u64, id: TryId, reached: f64, until: f64) {
-        let entry = self.entries.entry(key.clone()).or_insert_with(|| Entry::new(class));
+    /// The try, which is under way, stands for its key until then at least, also as heir of an earlier one. One that came
+    /// in the window of a run takes nobody's place.
+    pub fn keep(&mut self, key: &[u8], print: u64, id: TryId, reached: f64, until: f64) {
+        let Some(entry) = self.entries.get_mut(key) else { return };
         let covers = entry.covers();
         match &mut entry.run {
             Some(run) if run.id == id => run.until = run.until.max(until),
@@ -212,22 +212,15 @@
         }
     }
 
-    /// Whether the try may be run; if so, it is taken as run from here on. The last guard against a second run:
+    /// Whether the try, which is under way, may be run; if so, it is taken as run from here on. The last guard against a second run:
     /// whatever is asked, a key that ran is not run again while its window lasts. Those that still wait for an older
     /// run, which outlasted its own window, are named: they fail.
     ///
     /// # Errors
-    /// If it may not.
-    pub fn run(
-        &mut self,
-        key: &Rc<[u8]>,
-        class: usize,
-        print: u64,
-        id: TryId,
-        reached: f64,
-    ) -> Result<Vec<TryId>, SecondRun> {
-        let mut until = self.until(class, reached);
-        let entry = self.entries.entry(key.clone()).or_insert_with(|| Entry::new(class));
+    /// If it may not, or nothing is known of the key.
+    pub fn run(&mut self, key: &[u8], print: u64, id: TryId, reached: f64) -> Result<Vec<TryId>, SecondRun> {
+        let Some(entry) = self.entries.get_mut(key) else { return Err(SecondRun) };
+        let mut until = until(&self.spans, entry.class, reached);
         if entry.run.as_ref().is_some_and(|run| run.id == id) {
             return Ok(Vec::new());
         }
@@ -240,9 +233,7 @@
         let run = Run { id, print, until, result: None, waiting: Vec::new() };
         let Some(older) = entry.run.replace(run) else { return Ok(Vec::new()) };
         entry.past = entry.past.max(older.until);
-        if let Some(Some(body)) = older.result {
-            self.result_bytes -= body.as_ref().len();
-        }
+        self.result_bytes -= result_bytes(&older);
         Ok(older.waiting)
     }
 
@@ -271,12 +262,7 @@
         let Some(run) = entry.run.as_mut().filter(|run| run.id == id) else { return ended };
         ended.waiting = std::mem::take(&mut run.waiting);
         match ending {
-            Ending::NeverRan => {
-                entry.run = None;
-                if entry.is_blank() {
-                    self.entries.remove(key);
-                }
-            }
+            Ending::NeverRan => entry.run = None,
             Ending::Failed => run.result = Some(None),
             Ending::Result(result) => {
                 let bytes = result.as_ref().len();
@@ -322,10 +308,6 @@
         }
     }
 
-    fn until(&self, class: usize, reached: f64) -> f64 {
-        reached + self.spans.get(class).map_or(0.0, |s| s.window_ms) + WINDOW_SLACK_MS
-    }
-
     /// Past the bytes allowed the oldest results go; a later repeat of one gets a failure, never a second run.
     fn keep_result(&mut self, key: Rc<[u8]>, id: TryId, bytes: usize) {
         self.results.push_back((key, id));
@@ -335,7 +317,7 @@
             let run = self.entries.get_mut(&oldest).and_then(|e| e.run.as_mut());
             if let Some(run) = run.filter(|run| run.id == id) {
                 self.result_bytes -= result_bytes(run);
-                run.result = run.result.as_ref().map(|_| None);
+                run.result = Some(None);
             }
         }
     }
@@ -344,3 +326,8 @@
 fn result_bytes<R: AsRef<[u8]>>(run: &Run<R>) -> usize {
     run.result.iter().flatten().map(|body| body.as_ref().len()).sum()
 }
+
+/// Until when tries may reach the machine that come in the window of one that reached it then.
+fn until(spans: &[Span], class: usize, reached: f64) -> f64 {
+    reached + spans.get(class).map_or(0.0, |s| s.window_ms) + WINDOW_SLACK_MS
+}
--- a/crates/keyed/tests/table.rs
+++ b/crates/keyed/tests/table.rs
@@ -143,7 +143,7 @@
                 }
                 Reuse::Unrun => {
                     t.repeats = false;
-                    self.table.keep(&key, 0, t.print, id, t.reached, self.now + WINDOW_MS);
+                    self.table.keep(&key, t.print, id, t.reached, self.now + WINDOW_MS);
                     return;
                 }
             }
@@ -151,7 +151,7 @@
         let (print, reached) = (t.print, t.reached);
         let before = self.ran.entry(key.to_vec()).or_default();
         let covered = before.iter().any(|(other, at)| *other != id && reached <= at + WINDOW_MS);
-        if let Ok(left) = self.table.run(&key, 0, print, id, reached) {
+        if let Ok(left) = self.table.run(&key, print, id, reached) {
             assert!(!covered, "{id} runs in the window of another run of its key: {before:?}, {reached}");
             before.push((id, reached));
             self.tries.get_mut(&id).expect("it is there").running = true;
@@ -227,7 +227,7 @@
     let (mut table, key) = table();
     let other: Rc<[u8]> = b"l"[..].into();
     assert_eq!(table.arrive(&key, 0, 7, 1, 0.0), Known::New);
-    assert!(table.run(&key, 0, 7, 1, 0.0).is_ok());
+    assert!(table.run(&key, 7, 1, 0.0).is_ok());
     assert_eq!(table.arrive(&other, 0, 7, 2, 0.0), Known::New);
     assert!(!table.has_room(b"m") && table.has_room(b"k"));
     // Its window is over, but a try that it covers could still be read.
@@ -249,14 +249,14 @@
     for (at, key) in [&key, &other].into_iter().enumerate() {
         let id = at as TryId + 1;
         assert_eq!(table.arrive(key, 0, 7, id, 0.0), Known::New);
-        assert!(table.run(key, 0, 7, id, 0.0).is_ok());
+        assert!(table.run(key, 7, id, 0.0).is_ok());
         let _ = table.ended(key, id, Ending::Result(vec![0; 60]));
         table.over(key, id);
     }
     assert_eq!(table.result_bytes(), 60);
     assert_eq!(table.reuse(&key, 8, 10.0), Reuse::Now(None));
     assert_eq!(table.reuse(&other, 9, 10.0), Reuse::Now(Some(vec![0; 60])));
-    assert_eq!(table.run(&key, 0, 7, 8, 10.0), Err(SecondRun));
+    assert_eq!(table.run(&key, 7, 8, 10.0), Err(SecondRun));
 }
 
 /// Two tries of a key wait unread while the program stands still. The later one, past the window, is read first and then
@@ -265,7 +265,7 @@
 fn a_try_read_after_a_later_one_is_still_covered_by_the_run_before() {
     let (mut table, key) = table();
     assert_eq!(table.arrive(&key, 0, 7, 1, 0.0), Known::New);
-    assert!(table.run(&key, 0, 7, 1, 0.0).is_ok());
+    assert!(table.run(&key, 7, 1, 0.0).is_ok());
     let _ = table.ended(&key, 1, Ending::Result(vec![1]));
     table.over(&key, 1);
     assert_eq!(table.look(&key, 7, 600.0), Known::New);
@@ -275,9 +275,9 @@
     assert_eq!(table.reuse(&key, 3, 490.0), Reuse::Now(Some(vec![1])));
     // Once another run took its place nothing but the window is known of it.
     assert_eq!(table.arrive(&key, 0, 7, 4, 600.0), Known::New);
-    assert!(table.run(&key, 0, 7, 4, 600.0).is_ok());
+    assert!(table.run(&key, 7, 4, 600.0).is_ok());
     assert_eq!(table.ended(&key, 4, Ending::NeverRan).waiting, vec![]);
     table.over(&key, 4);
     assert_eq!(table.look(&key, 7, 490.0), Known::Covered);
-    assert_eq!(table.run(&key, 0, 7, 5, 490.0), Err(SecondRun));
+    assert_eq!(table.run(&key, 7, 5, 490.0), Err(SecondRun));
 }
--- a/src/config.rs
+++ b/src/config.rs
@@ -98,16 +98,14 @@
         if n > 100_000 { Err(Fault::new(key, format!("is too large: {n}"))) } else { Ok(n) }
     }
 
-    /// The names of the classes, in order.
-    pub fn class_names(&self) -> Result<Vec<String>, Fault> {
-        let name = |at| self.text(&format!("profiles.{at}.name")).unwrap_or("").to_owned();
-        Ok((0..self.count("profiles.count")?).map(name).collect())
-    }
-
-    /// The names of the tenants, in order; one that is not named can't be told from the others.
-    pub fn tenant_names(&self) -> Result<Vec<String>, Fault> {
-        let name = |at| self.text(&format!("accounts.{at}.name")).unwrap_or("").to_owned();
-        Ok((0..self.count("accounts.count")?).map(name).collect())
+    /// The names of a list's items, in order; an item without one can't be told from the others.
+    fn names(&self, list: &str) -> Result<Vec<String>, Fault> {
+        let name = |at| {
+            let key = format!("{list}.{at}.name");
+            let text = self.text(&key).filter(|text| !text.is_empty());
+            text.map(str::to_owned).ok_or_else(|| Fault::new(key, "is missing"))
+        };
+        (0..self.count(&format!("{list}.count"))?).map(name).collect()
     }
 
     /// What the gauges are called, in the order in which they come.
@@ -341,14 +339,8 @@
         if settings.classes.is_empty() {
             return Err(Fault::new("settings.profiles", "lists no class"));
         }
-        let classes = pairs.class_names().map_err(within)?;
-        if let Some(at) = classes.iter().position(String::is_empty) {
-            return Err(Fault::new(format!("settings.profiles.{at}.name"), "is missing"));
-        }
-        let tenants = pairs.tenant_names().map_err(within)?;
-        if let Some(at) = tenants.iter().position(String::is_empty) {
-            return Err(Fault::new(format!("settings.accounts.{at}.name"), "is missing"));
-        }
+        let classes = pairs.names("profiles").map_err(within)?;
+        let tenants = pairs.names("accounts").map_err(within)?;
         Ok(Config {
             name,
             listen: address("listen", listen)?.ok_or_else(|| missing("listen"))?,
--- a/src/node/core.rs
+++ b/src/node/core.rs
@@ -52,6 +52,8 @@
     call: u64,
     class: usize,
     key: Option<Rc<[u8]>>,
+    /// The mark of its body, if it has a key.
+    print: u64,
     reached: f64,
     body: Rc<[u8]>,
     account: Option<Rc<str>>,
@@ -407,7 +409,7 @@
             let answer = Answer::Refused { retry_after_ms, last: false };
             return self.bill(account.as_ref(), &used, handle, answer);
         }
-        let print = self.prints.hash_one(&body);
+        let print = key.as_ref().map_or(0, |_| self.prints.hash_one(&body));
         let prior = match key.as_ref().map(|k| self.keys.arrive(k, class, print, id, reached)) {
             None | Some(Known::New) => None,
             Some(Known::Repeats(prior)) => Some(prior),
@@ -425,6 +427,7 @@
             call,
             class,
             key,
+            print,
             reached,
             body: body.into(),
             account,
@@ -703,8 +706,7 @@
             }
             Stage::Held => {
                 if let Some(key) = request.key.clone() {
-                    let print = self.prints.hash_one(&body[..]);
-                    let run = self.keys.run(&key, request.class, print, id, request.reached);
+                    let run = self.keys.run(&key, request.print, id, request.reached);
                     if let Ok(left) = run {
                         // They wait for a run that outlasted its own window, and would no longer be found.
                         left.into_iter().for_each(|w| self.end_reuse(w, None));
@@ -742,11 +744,8 @@
 
     /// The request stands for its key from now on, also as heir of an earlier try.
     fn keep(&mut self, now: f64, id: RequestId, ttl_ms: f64) {
-        let Some(Request { key: Some(key), class, reached, body, .. }) = self.requests.get(&id) else {
-            return;
-        };
-        let print = self.prints.hash_one(&body[..]);
-        self.keys.keep(key, *class, print, id, *reached, now + ttl_ms);
+        let Some(Request { key: Some(key), print, reached, .. }) = self.requests.get(&id) else { return };
+        self.keys.keep(key, *print, id, *reached, now + ttl_ms);
     }
 
     /// Gives an entry back, unless its try has run: that one outlasts everything.
--- a/src/node/front/request.rs
+++ b/src/node/front/request.rs
@@ -30,12 +30,13 @@
     ) -> Option<Incoming> {
         let class = shared.classes.iter().position(|(name, _)| name.as_bytes() == method)?;
         let [Value::Map(fields), Value::Bin(body)] = args else { return None };
-        let field = |name: &str| -> Option<&str> {
+        let named = |name: &str| -> Option<&Value> {
             let found = fields.iter().find(|(k, _)| matches!(k, Value::Str(k) if k == name.as_bytes()));
-            match found {
-                Some((_, Value::Str(text))) => std::str::from_utf8(text).ok(),
-                _ => None,
-            }
+            found.map(|(_, value)| value)
+        };
+        let field = |name: &str| match named(name) {
+            Some(Value::Str(text)) => std::str::from_utf8(text).ok(),
+            _ => None,
         };
         let number = |name: &str| field(name)?.parse::<f64>().ok().filter(|n| n.is_finite());
         let call = field("call").filter(|c| c.len() == 16 && c.bytes().all(|b| b.is_ascii_hexdigit()))?;
@@ -44,13 +45,11 @@
         if body.len() > MAX_BODY || self.open.borrow().len() >= MAX_OPEN || keyed && key.is_none() {
             return None;
         }
-        let present =
-            |name: &str| fields.iter().any(|(k, _)| matches!(k, Value::Str(k) if k == name.as_bytes()));
-        let named = shared.accounts && present("org");
-        let account = if named { Some(Account::named(field("org")?).ok()?) } else { None };
+        let billed = shared.accounts && named("org").is_some();
+        let account = if billed { Some(Account::named(field("org")?).ok()?) } else { None };
         let reached = number("recv").filter(|r| *r > 0.0)?;
         let longest = MAX_WAITS * shared.classes[class].1.give_up_ms;
-        let ttl = match (present("ttl"), shared.passes_deadline) {
+        let ttl = match (named("ttl").is_some(), shared.passes_deadline) {
             (false, false) => None,
             _ => Some(number("ttl").filter(|t| *t > 0.0 && *t <= longest)?),
         };
--- a/src/policy/answers.rs
+++ b/src/policy/answers.rs
@@ -6,12 +6,12 @@
     /// Answers what is due or can no longer meet its aim; the margin covers the timer's own lateness.
     pub(super) fn expire(&mut self, now: f64, out: &mut Actions) {
         let margin = TIMER_MS + 2.0 * self.set.tick_ms;
-        let mut over = Vec::new();
+        let (mut over, idle) = (Vec::new(), self.is_idle());
         for (id, r) in self.requests.iter().filter(|(_, r)| !r.answered) {
             let class = &self.set.classes[r.class];
             let hopeless = match r.state {
                 State::Held if self.is_after_grace(r.arrived) && !self.waits_for_prior(r) => true,
-                State::Held => self.is_late(now, r) && (class.late_worth <= 0.0 || self.level > 0),
+                State::Held => self.is_late(now, r, idle) && (class.late_worth <= 0.0 || self.level > 0),
                 State::Running | State::AtCall(_) => {
                     let stops = self.set.preemption != Preemption::Off || r.state != State::Running;
                     class.late_worth <= 0.0 && now + margin > r.aim && class.effect == Effect::Safe && stops
--- a/src/policy/calls.rs
+++ b/src/policy/calls.rs
@@ -61,10 +61,10 @@
     /// dependency that slows down, hangs or serves too many; it could hurt where calls are few and long.
     /// Where no share is stated (a tier that looks after itself), nothing is booked and time alone decides.
     pub(super) fn make_calls(&mut self, now: f64, out: &mut Actions) {
-        let mut waiting: Vec<(bool, f64, RequestId)> = Vec::new();
+        let (mut waiting, idle): (Vec<(bool, f64, RequestId)>, bool) = (Vec::new(), self.is_idle());
         for (id, r) in &self.requests {
             if matches!(r.state, State::AtCall(from) if from <= now) && !r.answered {
-                waiting.push((self.set.classes[r.class].skip_worth > 0.0, self.value(now, r), *id));
+                waiting.push((self.set.classes[r.class].skip_worth > 0.0, self.value(now, r, idle), *id));
             }
         }
         waiting.sort_by(|a, b| a.0.cmp(&b.0).then(b.1.total_cmp(&a.1)).then(a.2.cmp(&b.2)));
--- a/src/policy/order.rs
+++ b/src/policy/order.rs
@@ -28,9 +28,9 @@
                 State::Paused => true,
                 _ => false,
             };
+            let idle = self.is_idle();
             let candidates = self.requests.iter().filter(|(_, r)| waiting(r));
-            let best = candidates.map(|(id, r)| (*id, self.value_with_repeats(now, *id, r)));
-            let idle = self.count(State::Running) == 0;
+            let best = candidates.map(|(id, r)| (*id, self.value_with_repeats(now, *id, r, idle)));
             let Some((id, _)) = best.max_by(|a, b| a.1.total_cmp(&b.1)) else { return };
             self.progress = if idle { now } else { self.progress };
             self.set_state(id, State::Running);
@@ -59,24 +59,29 @@
     }
 
     /// One run serves all that wait for its answer.
-    pub(super) fn value_with_repeats(&self, now: f64, id: RequestId, r: &Request) -> f64 {
+    pub(super) fn value_with_repeats(&self, now: f64, id: RequestId, r: &Request, idle: bool) -> f64 {
         let waits = |x: &&Request| x.prior == Some(id) && !x.answered && self.entries.contains_key(&id);
-        self.value(now, r) + self.requests.values().filter(waits).map(|x| self.value(now, x)).sum::<f64>()
+        let repeats = self.requests.values().filter(waits).map(|x| self.value(now, x, idle));
+        self.value(now, r, idle) + repeats.sum::<f64>()
     }
 
     /// Worth for the work, less where the aim can't be met; among equals the earlier aim first.
-    pub(super) fn value(&self, now: f64, r: &Request) -> f64 {
+    pub(super) fn value(&self, now: f64, r: &Request, idle: bool) -> f64 {
         let usual = self.learned[r.class].usual.max(1.0);
         let worth =
-            if self.is_late(now, r) { r.worth * self.set.classes[r.class].late_worth } else { r.worth };
+            if self.is_late(now, r, idle) { r.worth * self.set.classes[r.class].late_worth } else { r.worth };
         worth / usual - (r.aim - now).max(0.0) * 1e-12
     }
 
+    /// Nothing runs.
+    pub(super) fn is_idle(&self) -> bool {
+        self.count(State::Running) == 0
+    }
+
     /// Whether a run of it would end past its aim, as runs go now. While nothing runs that is not known: a
     /// wrong estimate is corrected by runs alone. It guards against one that turns all away for good.
-    pub(super) fn is_late(&self, now: f64, r: &Request) -> bool {
-        let known = self.count(State::Running) > 0;
-        let takes = if known { self.learned[r.class].usual * self.pace * MUST_FIT } else { 0.0 };
+    pub(super) fn is_late(&self, now: f64, r: &Request, idle: bool) -> bool {
+        let takes = if idle { 0.0 } else { self.learned[r.class].usual * self.pace * MUST_FIT };
         now + takes > r.aim
     }
 
