--- /dev/null
+++ b/src/node/core/billing.rs
@@ -0,0 +1,81 @@
+//! Final answers by way of the ledger, where there is one. No answer leaves before it is billed.
+
+use super::*;
+
+impl Core {
+    /// Sends the final answer, by way of the ledger if there is one.
+    pub(super) fn finally(&mut self, id: RequestId, handle: Handle, answer: Answer, pool_ms: f64) {
+        if self.ledger.is_none() {
+            return self.send(handle, answer);
+        }
+        let now = self.clock.now();
+        let Some(request) = self.requests.get_mut(&id) else { return self.send(handle, answer) };
+        let late = now - request.reached > self.set.classes[request.class].aim_ms;
+        let (outcome, bytes_out) = match &answer {
+            Answer::Served(body) if request.poorer => (Billed::Poorer, body.len()),
+            Answer::Served(body) if late => (Billed::Late, body.len()),
+            Answer::Served(body) => (Billed::Served, body.len()),
+            Answer::Refused { .. } => (Billed::Refused, 0),
+            Answer::Failed | Answer::Invalid | Answer::Health(_) => (Billed::Failed, 0),
+        };
+        request.billed = Some(outcome);
+        let used = Used { class: request.class, outcome, pool_ms, bytes_in: request.body.len(), bytes_out };
+        let account = request.account.clone();
+        self.bill(account.as_ref(), &used, handle, answer);
+    }
+
+    /// Sends an answer once it is billed, if answers are.
+    pub(super) fn bill(&mut self, account: Option<&Rc<str>>, used: &Used, handle: Handle, answer: Answer) {
+        let now = self.clock.now();
+        let free = match &mut self.ledger {
+            Some(ledger) => ledger.bill(now, account, used, handle, answer),
+            None => Some((handle, answer)),
+        };
+        if let Some((handle, answer)) = free {
+            self.send(handle, answer);
+        }
+    }
+
+    /// Bills what has no answer: a request that was withdrawn, or with none what its run used after it was billed.
+    pub(super) fn bill_silent(&mut self, id: RequestId, withdrawn: bool, pool_ms: f64) {
+        let (now, Some(ledger)) = (self.clock.now(), &mut self.ledger) else { return };
+        let Some(request) = self.requests.get_mut(&id) else { return };
+        let outcome = if withdrawn { Billed::Withdrawn } else { request.billed.unwrap_or(Billed::Withdrawn) };
+        request.billed = Some(outcome);
+        let bytes_in = if withdrawn { request.body.len() } else { 0 };
+        let used = Used { class: request.class, outcome, pool_ms, bytes_in, bytes_out: 0 };
+        ledger.bill_silent(now, request.account.as_ref(), &used, u64::from(withdrawn));
+    }
+
+    pub(super) fn on_ledger(&mut self, from: FromLedger) {
+        let now = self.clock.now();
+        self.with_ledger(|ledger| match from {
+            FromLedger::Progress(progress) => ledger.progress(now, progress),
+            FromLedger::Enter { kind, tag } => ledger.enter(now, kind, tag),
+            FromLedger::Forget { before, sum } => ledger.forget(before, sum),
+            FromLedger::Close { tag } => ledger.close_early(now, tag),
+        });
+    }
+
+    /// Does something with the ledger; health follows if it no longer takes lines, or does again.
+    pub(super) fn with_ledger(&mut self, act: impl FnOnce(&mut Billing)) {
+        let Some(ledger) = &mut self.ledger else { return };
+        let before = ledger.serving();
+        act(ledger);
+        if ledger.serving() != before {
+            let health = self.health();
+            let _ = self.peers.catalog.try_send(ToCatalog::Health(health));
+        }
+    }
+
+    /// After each event: what was billed goes to the store if that has nothing to do, and what the store has let go
+    /// leaves.
+    pub(super) fn turn_ledger(&mut self) {
+        let (now, Some(ledger)) = (self.clock.now(), &mut self.ledger) else { return };
+        ledger.turn(now);
+        let free: Vec<(Handle, Answer)> = ledger.free().collect();
+        for (handle, answer) in free {
+            self.send(handle, answer);
+        }
+    }
+}
--- /dev/null
+++ b/src/node/core/events.rs
@@ -0,0 +1,269 @@
+//! What the core hears: from the fronts, the worker pool, the index and its own timers. Each becomes an event of the
+//! module, at once and in order.
+
+use super::*;
+
+impl Core {
+    pub(super) fn on_arrive(&mut self, incoming: Incoming) {
+        self.start(None);
+        let now = self.clock.now();
+        let Incoming {
+            id,
+            call,
+            class,
+            reached,
+            held_kb,
+            rank,
+            key,
+            waits,
+            tenant,
+            account,
+            subject,
+            body,
+            handle,
+        } = incoming;
+        let reached = reached.min(now + AHEAD_MS);
+        // A try's name is new with every try; the same name again can't be told apart in the worker pool.
+        if self.calls.contains_key(&call) {
+            return self.send(handle, Answer::Invalid);
+        }
+        let key: Option<Rc<[u8]>> = key.map(Rc::from);
+        let room = key.as_ref().is_none_or(|k| self.keys.has_room(k));
+        let full = self.requests.len() >= self.bounds.requests || !room;
+        let billable = self.ledger.as_ref().is_none_or(|l| l.serving());
+        if full || !billable {
+            let again = if billable || !self.set.retry_after { 0.0 } else { UNBILLED_RETRY_MS };
+            let retry_after_ms = again.min(self.set.max_retry_after_ms);
+            let used =
+                Used { class, outcome: Billed::Refused, pool_ms: 0.0, bytes_in: body.len(), bytes_out: 0 };
+            let answer = Answer::Refused { retry_after_ms, last: false };
+            return self.bill(account.as_ref(), &used, handle, answer);
+        }
+        let print = key.as_ref().map_or(0, |_| self.prints.hash_one(&body));
+        let prior = match key.as_ref().map(|k| self.keys.arrive(k, class, print, id, reached)) {
+            None | Some(Known::New) => None,
+            Some(Known::Repeats(prior)) => Some(prior),
+            // All tries of one request carry the same body. A key with another body is no try of it: that run's
+            // result is not this one's answer, and to run it would break the promise of the key.
+            Some(Known::OtherBody) => return self.send(handle, Answer::Invalid),
+            // It came in the window of a run and was read long after: it may not run, and that run's result is gone.
+            Some(Known::Covered) => {
+                let used =
+                    Used { class, outcome: Billed::Failed, pool_ms: 0.0, bytes_in: body.len(), bytes_out: 0 };
+                return self.bill(account.as_ref(), &used, handle, Answer::Failed);
+            }
+        };
+        let request = Request {
+            call,
+            class,
+            key,
+            print,
+            reached,
+            body: body.into(),
+            account,
+            poorer: false,
+            billed: None,
+            handle: Some(handle),
+            stage: Stage::Held,
+            asked: Vec::new(),
+        };
+        self.requests.insert(id, request);
+        self.calls.insert(call, id);
+        self.tell(Event::Arrive(Arrival {
+            id,
+            class,
+            subject,
+            held_kb,
+            rank,
+            age_ms: (now - reached).max(0.0),
+            tenant,
+            deadline: waits.map(|waits| reached + waits),
+            prior,
+            ..Arrival::default()
+        }));
+    }
+
+    pub(super) fn on_gone(&mut self, id: RequestId) {
+        let Some(request) = self.requests.get_mut(&id) else { return };
+        if request.handle.take().is_none() {
+            return;
+        }
+        if self.ledger.is_some() {
+            self.bill_silent(id, true, 0.0);
+        }
+        self.stop_call(id);
+        self.drop_idle(id);
+        self.tell(Event::Gone(id));
+    }
+
+    /// A request that is over and holds no core and stands at no call leaves the ledger at once.
+    pub(super) fn drop_idle(&mut self, id: RequestId) {
+        let Some(request) = self.requests.get(&id) else { return };
+        if matches!(request.stage, Stage::Held | Stage::Paused | Stage::Reusing(_)) {
+            self.remove(id);
+        }
+    }
+
+    /// Takes a request out of the ledger; the entry of one that never ran goes with it.
+    pub(super) fn remove(&mut self, id: RequestId) -> Option<Request> {
+        let request = self.requests.remove(&id)?;
+        self.calls.remove(&request.call);
+        if let Some(key) = &request.key {
+            self.keys.over(key, id);
+        }
+        Some(request)
+    }
+
+    pub(super) fn on_report(&mut self, report: Report) {
+        match report {
+            Report::Bound { cold, ago_ms } => self.start(Some((cold, ago_ms))),
+            Report::Up(link) => self.on_link(link),
+            Report::Down => self.link = None,
+            Report::Polled { tag, values } => {
+                let mut gauges = Gauges::default();
+                for (name, value) in self.gauge_names.iter().zip(values) {
+                    crate::config::set_gauge(&mut gauges, name, value);
+                }
+                self.fire(tag, gauges);
+            }
+            Report::Blocked { call, seq, body } => {
+                let Some(id) = self.known(call) else { return };
+                if let Some(request) = self.requests.get_mut(&id) {
+                    request.asked.clear();
+                    request.stage = Stage::AtCall(seq, body.into());
+                    self.tell(Event::CallNeeded(id));
+                }
+            }
+            Report::Finished { call, end, took_ms, body } => {
+                let Some(id) = self.known(call) else { return };
+                self.on_finished(id, end, took_ms, body);
+            }
+            Report::Unknown { command, call } => {
+                self.not_done += 1;
+                if self.not_done <= MAX_NOTES {
+                    warn!(self.log, "worker pool did not carry out a command"; "command" => command.as_str());
+                }
+                let id = self
+                    .calls
+                    .get(&call)
+                    .copied()
+                    .filter(|_| matches!(command.as_str(), "spawn" | "proceed"));
+                if let Some(id) = id {
+                    // It will never end by itself. What the pool does not know never ran: it is no failing run, by
+                    // which the module would take the machine for sick, and leaves its key free for true tries.
+                    let end = if command == "spawn" { End::Gone } else { End::Bad };
+                    self.on_finished(id, end, 0.0, Vec::new());
+                }
+            }
+        }
+    }
+
+    pub(super) fn known(&self, call: u64) -> Option<RequestId> {
+        // What was given up while it was paused is no longer in the ledger.
+        self.calls.get(&call).copied()
+    }
+
+    /// A new link: all that may have been lost with the old one is asked again.
+    pub(super) fn on_link(&mut self, link: u64) {
+        self.link = Some(link);
+        let asked: Vec<Command> = self.requests.values().flat_map(|r| r.asked.iter().cloned()).collect();
+        info!(self.log, "worker pool link is up"; "asked_again" => asked.len());
+        asked.into_iter().for_each(|command| self.order(Order { link, command }));
+    }
+
+    pub(super) fn on_finished(&mut self, id: RequestId, end: End, took_ms: f64, body: Vec<u8>) {
+        let Some(request) = self.requests.get_mut(&id) else { return };
+        // "Nothing was started" says that a run never was only while its start is the last thing asked: what was cut at
+        // a call and asked to go on has run, and its key must not be free for a second run.
+        let start_asked = matches!(request.asked.first(), Some(Command::Spawn { .. }));
+        let end = if end == End::Gone && !start_asked { End::Bad } else { end };
+        request.asked.clear();
+        let owed = request.handle.is_some();
+        if end == End::Cut && owed && self.set.preemption != Preemption::Off {
+            let held = self.set.preemption == Preemption::Abort;
+            request.stage = if held { Stage::Held } else { Stage::Paused };
+            return self.tell(Event::Ended { id, outcome: Outcome::Cancelled, took_ms });
+        }
+        let handle = request.handle.take();
+        self.stop_call(id);
+        let result: Option<Rc<[u8]>> = (end == End::Good).then(|| body.into());
+        let (outcome, answer) = match (&result, end) {
+            (Some(body), _) => (Outcome::Ok, Answer::Served(body.clone())),
+            (None, End::Gone) => (Outcome::TooLate, Answer::Failed),
+            (None, End::Cut) => (Outcome::Cancelled, Answer::Failed),
+            (None, _) => (Outcome::Error, Answer::Failed),
+        };
+        match handle {
+            Some(handle) => self.finally(id, handle, answer, took_ms),
+            None if self.ledger.is_some() => self.bill_silent(id, false, took_ms),
+            None => {}
+        }
+        if let Some(key) = self.requests.get(&id).and_then(|r| r.key.clone()) {
+            let ending = match result {
+                Some(result) => Ending::Result(result),
+                None if end == End::Gone => Ending::NeverRan,
+                None => Ending::Failed,
+            };
+            let ended = self.keys.ended(&key, id, ending);
+            ended.waiting.into_iter().for_each(|w| self.end_reuse(w, ended.result.clone()));
+        }
+        self.remove(id);
+        self.tell(Event::Ended { id, outcome, took_ms });
+    }
+
+    /// A try that waited for another's result gets it, or the failure.
+    pub(super) fn end_reuse(&mut self, id: RequestId, result: Option<Rc<[u8]>>) {
+        let now = self.clock.now();
+        let since = match self.requests.get(&id).map(|r| &r.stage) {
+            Some(Stage::Reusing(since)) => *since,
+            _ => return,
+        };
+        let outcome = if result.is_some() { Outcome::Ok } else { Outcome::Error };
+        self.answer(id, result.map_or(Answer::Failed, Answer::Served));
+        self.remove(id);
+        self.events.push_back(Event::Ended { id, outcome, took_ms: now - since });
+    }
+
+    pub(super) fn on_call_ended(&mut self, id: RequestId, outcome: Outcome, body: Vec<u8>, took_ms: f64) {
+        let Some(request) = self.requests.get_mut(&id) else { return };
+        let Stage::Calling(seq, ask) = &request.stage else { return };
+        if outcome == Outcome::Ok {
+            request.stage = Stage::Running;
+            let call = request.call;
+            self.ask(id, Command::Supply { call, body: body.into() });
+        } else {
+            request.stage = Stage::AtCall(*seq, ask.clone());
+        }
+        self.tell(Event::CallEnded { id, outcome, took_ms });
+    }
+
+    /// A timer comes with the gauges. If those are late, or there is no link, it still comes.
+    pub(super) fn on_timer(&mut self, token: u64) {
+        self.tags += 1;
+        let tag = self.tags;
+        if let Some((older, _)) = self.asking {
+            self.fire(older, Gauges::default());
+        }
+        self.asking = Some((tag, token));
+        match self.link {
+            Some(link) => {
+                self.order(Order { link, command: Command::Poll { tag } });
+                self.later(GAUGES_LATE_MS, ToCore::GaugesLate(tag));
+            }
+            None => self.fire(tag, Gauges::default()),
+        }
+    }
+
+    pub(super) fn fire(&mut self, tag: u64, gauges: Gauges) {
+        if let Some((_, token)) = self.asking.take_if(|(asked, _)| *asked == tag) {
+            self.tell(Event::Timer { token, gauges });
+        }
+    }
+
+    /// Frees the entries whose time is up, once no try that they cover can still be read.
+    pub(super) fn on_sweep(&mut self) {
+        self.later(SWEEP_MS, ToCore::Sweep);
+        (self.notes, self.not_done) = (0, 0);
+        self.keys.sweep(self.clock.now());
+    }
+}
--- /dev/null
+++ b/tests/machine/actions.rs
@@ -0,0 +1,129 @@
+//! What the module asks of the machine, carried out, and the rules that an action can break.
+
+use super::*;
+
+impl Machine {
+    pub(super) fn carry_out(&mut self, action: Action) {
+        match action {
+            Action::Run(id) => self.run(id),
+            Action::Refuse { id, .. } => {
+                let ran = self.requests.get(&id).is_some_and(|r| r.ran);
+                let safe =
+                    self.requests.get(&id).is_some_and(|r| self.set.classes[r.class].effect == Effect::Safe);
+                if ran && !safe {
+                    self.breaks(format!("refused {id}, which ran"));
+                }
+                self.final_answer(id);
+            }
+            Action::Fail(id) => self.final_answer(id),
+            Action::Reuse(id) => self.reuse(id),
+            Action::Preempt(id) => self.preempt(id),
+            Action::Keep { id, ttl_ms } => {
+                let until = self.now + ttl_ms;
+                let Some(key) = self.requests.get(&id).and_then(|r| r.key) else { return };
+                let entry = Entry { holder: id, until, ran: false, good: None };
+                let entry = self.entries.entry(key).or_insert(entry);
+                (entry.holder, entry.until) = (id, until);
+            }
+            Action::Forget(id) => self.entries.retain(|_, e| e.holder != id || e.ran),
+            Action::Call { id, .. } => {
+                let ends = [Outcome::Ok, Outcome::Ok, Outcome::Ok, Outcome::TimedOut, Outcome::Refused];
+                let (wait, end) =
+                    (self.rng.random_range(5.0..80.0), ends[self.rng.random_range(0..ends.len())]);
+                let until = self.now + wait;
+                match self.requests.get_mut(&id) {
+                    Some(r) if r.stage == Stage::AtCall => r.stage = Stage::Calling(until, end),
+                    _ => {}
+                }
+                if !self.set.dependency {
+                    self.breaks(format!("a call for {id}, with nothing below"));
+                }
+            }
+            Action::SkipCall(id) => {
+                let Some(r) = self.requests.get_mut(&id) else { return };
+                if r.stage == Stage::AtCall {
+                    r.stage = Stage::Running;
+                }
+                if self.set.classes[r.class].skip_worth <= 0.0 {
+                    self.breaks(format!("left out the call of {id}, which can't be"));
+                }
+            }
+            Action::Say(_) if self.set.signal != Signal::Share => {
+                self.breaks("said a value that nobody reads".to_owned());
+            }
+            Action::Timer { token, delay_ms } => self.timers.push((self.now + delay_ms, token)),
+            Action::Say(_) | Action::Health(_) | Action::IdleLimit(_) | Action::Log(_) => {}
+        }
+    }
+
+    pub(super) fn run(&mut self, id: RequestId) {
+        let Some(r) = self.requests.get_mut(&id) else { return };
+        let (class, key, reached, held) = (r.class, r.key, r.reached, r.stage == Stage::Held);
+        let once = self.set.classes[class].effect != Effect::Safe;
+        let cut = r.cut;
+        if matches!(r.stage, Stage::Held | Stage::Paused) {
+            r.stage = Stage::Running;
+            if held {
+                (r.since, r.done_ms, r.ran) = (self.now, 0.0, true);
+            }
+        }
+        if held && once && cut {
+            self.breaks(format!("ran {id} again after it was stopped"));
+        }
+        if held && self.leaving.is_some_and(|notice| reached > notice + self.set.drain_grace_ms) {
+            self.breaks(format!("ran {id}, which came too late after the notice"));
+        }
+        let Some(key) = key.filter(|_| held) else { return };
+        let window = self.set.classes[class].window_ms;
+        if let Some(entry) = self.entries.get_mut(&key) {
+            (entry.ran, entry.good) = (true, None);
+        }
+        let runs = self.runs.entry(key).or_default();
+        let twice = runs.iter().any(|(other, at)| *other != id && reached - at <= window);
+        runs.push((id, reached));
+        if twice {
+            self.breaks(format!("ran {id}, a key that ran in its window"));
+        }
+    }
+
+    pub(super) fn reuse(&mut self, id: RequestId) {
+        let Some(r) = self.requests.get_mut(&id) else { return };
+        (r.stage, r.since) = (Stage::Reusing, self.now);
+        let (key, prior) = (r.key, r.prior);
+        let running = prior.is_some_and(|p| self.requests.contains_key(&p));
+        match key.and_then(|k| self.entries.get(&k)) {
+            Some(entry) if entry.ran && entry.good.is_none() => {}
+            Some(entry) if entry.ran => self.end_reuse(id, entry.good == Some(true)),
+            _ if running => {}
+            _ => self.end_reuse(id, false),
+        }
+    }
+
+    pub(super) fn preempt(&mut self, id: RequestId) {
+        if self.set.preemption == Preemption::Off {
+            self.breaks(format!("stopped {id}, where nothing can be stopped"));
+        }
+        let Some(r) = self.requests.get_mut(&id).filter(|r| r.stage == Stage::Running) else { return };
+        r.cut = true;
+        if r.answered {
+            return self.end(id, Outcome::Cancelled);
+        }
+        r.stage = if self.set.preemption == Preemption::Abort { Stage::Held } else { Stage::Paused };
+        let took_ms = self.now - r.since;
+        self.events.push(Event::Ended { id, outcome: Outcome::Cancelled, took_ms });
+    }
+
+    /// A final answer that is no result; what runs goes on, all else is dropped.
+    pub(super) fn final_answer(&mut self, id: RequestId) {
+        let Some(r) = self.requests.get_mut(&id) else { return };
+        if r.answered {
+            return self.breaks(format!("answered {id} twice"));
+        }
+        r.answered = true;
+        match r.stage {
+            Stage::Held | Stage::Paused | Stage::Reusing => drop(self.requests.remove(&id)),
+            Stage::AtCall | Stage::Calling(..) => self.end(id, Outcome::Cancelled),
+            Stage::Running => {}
+        }
+    }
+}
