--- a/tests/play/alone.rs
+++ b/tests/play/alone.rs
@@ -1,6 +1,6 @@
 //! The program started with none of its peers up.
 
-use super::{HANG, message, start, unescape};
+use super::{HANG, address, message, start, unescape};
 use std::io::{BufRead, BufReader, Write};
 use std::net::TcpStream;
 use std::process::Child;
@@ -24,8 +24,7 @@
         let mut alone = Alone { child: start(config), address: String::new() };
         let log = BufReader::new(alone.child.stderr.take().expect("a log"));
         let mut lines = log.lines().map_while(Result::ok);
-        let serving = lines.find_map(|l| Some(l.split_once("listen: ")?.1.split(',').next()?.to_owned()));
-        alone.address = serving.expect("it serves");
+        alone.address = lines.find_map(|line| address(&line)).expect("it serves");
         // The log is read to its end, or the program could not write it.
         std::thread::spawn(move || lines.for_each(drop));
         alone
--- a/tests/play/mod.rs
+++ b/tests/play/mod.rs
@@ -106,6 +106,11 @@
     Some(format!("{all} | {}", body.escape_ascii()))
 }
 
+/// Where the program listens, by the log line that says so.
+fn address(line: &str) -> Option<String> {
+    Some(line.split_once("listen: ")?.1.split(',').next()?.to_owned())
+}
+
 struct Play {
     child: Child,
     /// The configuration file, and what it says beside addresses.
@@ -151,8 +156,7 @@
             tell,
         };
         let serving = play.logged("serving");
-        let listen = serving.split("listen: ").nth(1).and_then(|t| t.split(',').next());
-        play.address = listen.expect("the address is logged").to_owned();
+        play.address = address(&serving).expect("the address is logged");
         play
     }
 
