--- a/crates/keyed/src/table.rs
+++ b/crates/keyed/src/table.rs
@@ -188,6 +188,11 @@
         }
     }
 
+    /// Whether some try of that key was run in whose window a try came that reached the machine then.
+    pub fn has_run(&self, key: &[u8], reached: f64) -> bool {
+        self.entries.get(key).is_some_and(|entry| reached <= entry.covers())
+    }
+
     /// The try, which is under way, stands for its key until then at least, also as heir of an earlier one. One that came
     /// in the window of a run takes nobody's place.
     pub fn keep(&mut self, key: &[u8], print: u64, id: TryId, reached: f64, until: f64) {
--- a/src/daemon.rs
+++ b/src/daemon/mod.rs
@@ -2,25 +2,25 @@
 //! is the notice to leave, SIGHUP has the configuration reread. It decides nothing, and must never end for a SIGHUP or
 //! a faulty file.
 
+mod ledger;
+
 use crate::config::Config;
 use crate::node::catalog::Catalog;
-use crate::node::clerk::Clerk;
 use crate::node::core::{Core, Peers};
 use crate::node::front::{List, Shared};
 use crate::node::index::Index;
-use crate::node::ledger::{Billing, FromLedger, Store};
 use crate::node::messages::{ToCatalog, ToCore, ToIndex, ToList, ToPool};
 use crate::node::pool::Pool;
+use crate::node::watch;
 use crate::node::wheel::{Clock, Wheel};
-use crate::node::witness::Shared as Witness;
-use crate::operator::{LedgerSettings, LogFormat, LogLevel, Operator};
+use crate::operator::{LogFormat, LogLevel, Operator};
 use async_executor::LocalExecutor;
 use async_io::Async;
 use async_signal::{Signal, Signals};
 use clap::{Args, Parser, Subcommand};
 use dunlinspread_ledger::Mode;
 use futures_lite::StreamExt;
-use futures_lite::future::or;
+use futures_lite::future::{BoxedLocal, or};
 use slog::{Drain, Logger, info, o, warn};
 use std::cell::Cell;
 use std::ffi::OsString;
@@ -31,12 +31,13 @@
 
 /// How often time passes for the ledger, ms, if its interval is not shorter.
 const LEDGER_TICK_MS: f64 = 100.0;
-/// Messages of the ledger's threads that wait for the core.
-const FROM_THREADS: usize = 1024;
 /// Before the stop, the module's time ends so much earlier, ms: its last answers still have to go out.
 const ANSWER_MARGIN_MS: f64 = 100.0;
 /// Connections end so long before the stop, ms, so that nothing is read too late to be answered.
 const CLOSING_MS: f64 = 600.0;
+/// Their sending sides are shut so long before the stop, ms, once the module's last answers are out: callers then see the
+/// end of what they read, where the end of the process could reset connections over unread bytes and take answers along.
+const FINISH_MS: f64 = 70.0;
 /// The program ends so long before the stop at the latest, ms.
 const END_MARGIN_MS: f64 = 40.0;
 
@@ -219,24 +220,28 @@
     let (catalog_box, catalog_letters) = async_channel::unbounded();
     let (list_box, list_letters) = async_channel::unbounded();
 
+    let (dead, deaths) = async_channel::unbounded();
+    let lasting =
+        |name, work: BoxedLocal<()>| executor.spawn(watch::lasting(name, work, dead.clone())).detach();
     let index_box = config.index.map(|address| {
         let (index_box, letters) = async_channel::unbounded();
         let (core, own, exe) = (core_box.clone(), index_box.clone(), executor.clone());
         let index =
             Index::new(address, config.bounds.calls, core, own, exe, clock, wheel.clone(), log.clone());
-        executor.spawn(index.run(letters)).detach();
+        lasting("index", Box::pin(index.run(letters)));
         index_box
     });
     let (classes, wheel_for) = (config.classes.clone(), wheel.clone());
     let pool = Pool::new(config.pool, classes, core_box.clone(), wheel_for, log.clone());
-    executor.spawn(pool.run(pool_letters)).detach();
+    lasting("pool link", Box::pin(pool.run(pool_letters)));
     let catalog = Catalog {
         address: config.directory,
         name: config.name.clone(),
+        clock,
         wheel: wheel.clone(),
         log: log.clone(),
     };
-    executor.spawn(catalog.run(catalog_letters)).detach();
+    lasting("catalog", Box::pin(catalog.run(catalog_letters)));
     let links = Links {
         files,
         operator,
@@ -248,15 +253,15 @@
     let (own, exe) = (core_box.clone(), executor.clone());
     let mut core = Core::new(&config, clock, wheel.clone(), exe, own, peers, log.clone());
     if let Some(settings) = &links.operator.ledger {
-        let ledger = ledger(settings, &config, clock, core_box.clone(), &executor, &log)?;
+        let ledger = ledger::open(settings, &config, clock, core_box.clone(), &executor, &log, dead.clone())?;
         let tick_ms = match settings.mode {
             Mode::Strict => LEDGER_TICK_MS,
             Mode::Interval { every_ms, .. } => LEDGER_TICK_MS.min(every_ms as f64),
         };
         core.bill_by(ledger, tick_ms);
     }
-    executor.spawn(core.run(core_letters)).detach();
-    executor.spawn(wheel.clone().turn()).detach();
+    lasting("core", Box::pin(core.run(core_letters)));
+    lasting("wheel", Box::pin(wheel.clone().turn()));
     let shared = Rc::new(Shared {
         tenants: config.tenants.clone(),
         passes_deadline: config.settings.passes_deadline,
@@ -276,107 +281,46 @@
         executor: executor.clone(),
         most: config.bounds.clients,
     };
-    let list = executor.spawn(list.run(list_letters));
+    let (left, (list_ends, list_over)) = (Rc::new(Cell::new(false)), async_channel::bounded(1));
+    let (may_end, list_dead) = (left.clone(), dead.clone());
+    let list = async move {
+        match watch::guarded(list.run(list_letters)).await {
+            Ok(()) if may_end.get() => drop(list_ends.send(()).await),
+            how => drop(list_dead.send(watch::obituary("list of connections", how)).await),
+        }
+    };
+    executor.spawn(list).detach();
     info!(log, "serving"; "listen" => listening.to_string(), "classes" => config.classes.len());
 
-    links.hear(&mut signals, &mut config, &log).await;
-    let (stop_ms, notice) = (config.stop.as_secs_f64() * 1000.0, clock.now());
-    info!(log, "notice to leave"; "stop_ms" => stop_ms);
-    let stop_at = notice + (stop_ms - ANSWER_MARGIN_MS).max(0.0);
-    core_box.send(ToCore::Drain { stop_at }).await.map_err(|e| e.to_string())?;
-    let leave = async {
-        wheel.sleep((stop_ms - CLOSING_MS).max(0.0)).await;
-        // The list's mailbox is open as long as the list runs.
-        let _ = list_box.send(ToList::Leave).await;
-        list.await;
-    };
-    let hearing = async {
-        loop {
-            links.hear(&mut signals, &mut config, &log).await;
-        }
+    // An actor that dies ends the program at once, with a code: what it owed can't be given, and whoever restarts the
+    // program should see that.
+    let death = async { Err(deaths.recv().await.unwrap_or_else(|_| "all actors are gone".to_owned())) };
+    let leaving = async {
+        links.hear(&mut signals, &mut config, &log).await;
+        let (stop_ms, notice) = (config.stop.as_secs_f64() * 1000.0, clock.now());
+        info!(log, "notice to leave"; "stop_ms" => stop_ms);
+        let stop_at = notice + (stop_ms - ANSWER_MARGIN_MS).max(0.0);
+        core_box.send(ToCore::Drain { stop_at }).await.map_err(|e| e.to_string())?;
+        let leave = async {
+            wheel.sleep((stop_ms - CLOSING_MS).max(0.0)).await;
+            left.set(true);
+            // The list's mailbox is open as long as the list runs.
+            let finish_at = notice + (stop_ms - FINISH_MS).max(0.0);
+            let _ = list_box.send(ToList::Leave { finish_at }).await;
+            let _ = list_over.recv().await;
+        };
+        let hearing = async {
+            loop {
+                links.hear(&mut signals, &mut config, &log).await;
+            }
+        };
+        or(or(leave, wheel.sleep((stop_ms - END_MARGIN_MS).max(0.0))), hearing).await;
+        Ok(())
     };
-    or(or(leave, wheel.sleep((stop_ms - END_MARGIN_MS).max(0.0))), hearing).await;
+    or(leaving, death).await?;
     if links.operator.ledger.is_some() {
-        end_ledger(&core_box, &log).await;
+        ledger::close(&core_box, &log).await;
     }
     info!(log, "leaving");
     Ok(())
 }
-
-/// Opens the ledger, which waits for the disk, and starts its threads. Nothing is served before: an answer that can't be
-/// billed may not be given.
-fn ledger(
-    settings: &LedgerSettings,
-    config: &Config,
-    clock: Clock,
-    core: async_channel::Sender<ToCore>,
-    executor: &LocalExecutor<'static>,
-    log: &Logger,
-) -> Result<Billing, String> {
-    let now_ms = clock.now() as u64;
-    let store = Store::open(settings, &config.name, now_ms, log)?;
-    let opened = store.opened.clone();
-    let (from_threads, heard) = async_channel::bounded(FROM_THREADS);
-    let progress = from_threads.clone();
-    let mut billing = Billing::start(
-        store,
-        settings,
-        &config.classes,
-        config.bounds.ledger_cells,
-        now_ms,
-        // This thread may wait for the core; the core never waits for it.
-        move |told| drop(progress.send_blocking(FromLedger::Progress(told))),
-        log.clone(),
-    )?;
-    let forwarding = async move {
-        while let Ok(from) = heard.recv().await {
-            if core.send(ToCore::Ledger(Box::new(from))).await.is_err() {
-                return;
-            }
-        }
-    };
-    executor.spawn(forwarding).detach();
-    let (tell, inbox) = std::sync::mpsc::channel();
-    billing.clerk_is(tell);
-    let witness = match &settings.peers {
-        Some(peers) => {
-            let shared = Witness::new(&config.name, billing.born(), opened.state.batches, log.clone());
-            shared.start(peers)?;
-            Some(shared)
-        }
-        None => None,
-    };
-    let clerk = Clerk {
-        born: billing.born(),
-        witness,
-        server: config.name.clone(),
-        directory: settings.directory.clone(),
-        to: settings.export.clone(),
-        batch_lines: settings.batch_lines,
-        keep_ms: settings.keep_ms,
-        cells: config.bounds.ledger_cells,
-        opened,
-        inbox,
-        core: from_threads,
-        log: log.clone(),
-    };
-    // It is left to itself at the end: a collector that does not answer must not hold that up, and what is under way goes
-    // out at the next start.
-    let spawned = std::thread::Builder::new().name("clerk".to_owned()).spawn(move || clerk.run());
-    spawned.map_err(|e| format!("ledger: {e}"))?;
-    Ok(billing)
-}
-
-/// Writes what waits and closes the store in good order. All is answered by now, so this may wait for the disk.
-async fn end_ledger(core: &async_channel::Sender<ToCore>, log: &Logger) {
-    let (to, writer) = async_channel::bounded(1);
-    if core.send(ToCore::LedgerEnd(to)).await.is_err() {
-        return;
-    }
-    if let Ok(writer) = writer.recv().await {
-        match writer.close() {
-            Ok(()) => info!(log, "ledger is closed"),
-            Err(e) => warn!(log, "ledger could not be closed in good order"; "why" => e.to_string()),
-        }
-    }
-}
--- a/src/node/core/actions.rs
+++ b/src/node/core/actions.rs
@@ -8,9 +8,12 @@
         match action {
             Action::Run(id) => self.run_request(id),
             Action::Refuse { id, retry_after_ms, last } => {
-                // Once run, a request with an effect can't be turned away: that would promise that it never ran.
+                // Once run, a request with an effect can't be turned away: that would promise that it never ran. So it is
+                // with every try of a key that has run.
                 let ran = self.requests.get(&id).is_some_and(|r| {
-                    !matches!(r.stage, Stage::Held) && self.set.classes[r.class].effect != Effect::Safe
+                    let began =
+                        !matches!(r.stage, Stage::Held) && self.set.classes[r.class].effect != Effect::Safe;
+                    began || r.key.as_ref().is_some_and(|k| self.keys.has_run(k, r.reached))
                 });
                 let refused = Answer::Refused { retry_after_ms, last };
                 self.answer(id, if ran { Answer::Failed } else { refused });
--- a/src/node/core/events.rs
+++ b/src/node/core/events.rs
@@ -28,18 +28,22 @@
             return self.send(handle, Answer::Invalid);
         }
         let key: Option<Rc<[u8]>> = key.map(Rc::from);
+        let print = key.as_ref().map_or(0, |_| self.prints.hash_one(&body));
         let room = key.as_ref().is_none_or(|k| self.keys.has_room(k));
         let full = self.requests.len() >= self.bounds.requests || !room;
         let billable = self.ledger.as_ref().is_none_or(|l| l.serving());
         if full || !billable {
             let again = if billable || !self.set.retry_after { 0.0 } else { UNBILLED_RETRY_MS };
             let retry_after_ms = again.min(self.set.max_retry_after_ms);
-            let used =
-                Used { class, outcome: Billed::Refused, pool_ms: 0.0, bytes_in: body.len(), bytes_out: 0 };
-            let answer = Answer::Refused { retry_after_ms, last: false };
+            // Some try of it was run or yet may be: to turn this one away would promise that it never ran.
+            let known = key.as_ref().is_some_and(|k| self.keys.look(k, print, reached) != Known::New);
+            let (outcome, answer) = match known {
+                true => (Billed::Failed, Answer::Failed),
+                false => (Billed::Refused, Answer::Refused { retry_after_ms, last: false }),
+            };
+            let used = Used { class, outcome, pool_ms: 0.0, bytes_in: body.len(), bytes_out: 0 };
             return self.bill(account.as_ref(), &used, handle, answer);
         }
-        let print = key.as_ref().map_or(0, |_| self.prints.hash_one(&body));
         let prior = match key.as_ref().map(|k| self.keys.arrive(k, class, print, id, reached)) {
             None | Some(Known::New) => None,
             Some(Known::Repeats(prior)) => Some(prior),
@@ -117,6 +121,7 @@
     pub(super) fn on_report(&mut self, report: Report) {
         match report {
             Report::Bound { cold, ago_ms } => self.start(Some((cold, ago_ms))),
+            Report::Anew => self.on_new_pool(),
             Report::Up(link) => self.on_link(link),
             Report::Down => self.link = None,
             Report::Polled { tag, values } => {
@@ -163,6 +168,20 @@
         self.calls.get(&call).copied()
     }
 
+    /// A new worker pool. What was asked of the one before it may have run there; only what may run twice is asked again.
+    pub(super) fn on_new_pool(&mut self) {
+        let over = |r: &Request| match r.stage {
+            Stage::Held | Stage::Reusing(_) => false,
+            _ => {
+                let start_asked = matches!(r.asked.first(), Some(Command::Spawn { .. }));
+                !start_asked || self.set.classes[r.class].effect != Effect::Safe
+            }
+        };
+        let over: Vec<RequestId> = self.requests.iter().filter(|(_, r)| over(r)).map(|(id, _)| *id).collect();
+        warn!(self.log, "runs ended with the worker pool"; "runs" => over.len());
+        over.into_iter().for_each(|id| self.on_finished(id, End::Bad, 0.0, Vec::new()));
+    }
+
     /// A new link: all that may have been lost with the old one is asked again.
     pub(super) fn on_link(&mut self, link: u64) {
         self.link = Some(link);
--- a/src/node/front/answer.rs
+++ b/src/node/front/answer.rs
@@ -15,6 +15,9 @@
         // One that was forgotten meanwhile is owed nothing. What was never taken for a request is not open, but gets
         // its error; what the core found to be none is open no longer, or its connection would never be idle.
         let open = self.open.borrow_mut().remove(&tag).is_some();
+        if !open && matches!(answer, Answer::Health(_) | Answer::Invalid) {
+            self.others.set(self.others.get().saturating_sub(1));
+        }
         if !open && matches!(answer, Answer::Served(_) | Answer::Refused { .. } | Answer::Failed) {
             return;
         }
--- a/src/node/front/list.rs
+++ b/src/node/front/list.rs
@@ -1,15 +1,15 @@
 //! The list of connections: accepts them, keeps their number within its part of the descriptors, and closes idle
 //! ones. It must never read what a connection carries.
 
+use super::life::{CROSSING_MS, Wish};
 use super::{COMPLAIN_MS, Connection, FULL_MS, MAILBOX, Shared};
-use crate::node::messages::{ToCaller, ToList};
+use crate::node::messages::ToList;
 use async_channel::{Receiver, Sender};
-use async_executor::LocalExecutor;
+use async_executor::{LocalExecutor, Task};
 use async_io::Async;
 use futures_lite::StreamExt;
 use futures_lite::future::or;
 use slog::{info, warn};
-use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::net::{TcpListener, TcpStream};
 use std::pin::pin;
@@ -19,8 +19,6 @@
 const SWEEP_MS: f64 = 25.0;
 /// How late the list may be in looking, ms, before the time counts as one in which the program itself stood still.
 const STOOD_STILL_MS: f64 = 500.0;
-/// How long a new connection counts as one that is about to send, when room is needed, ms.
-const NEW_MS: f64 = 50.0;
 /// The part of the connections, as a divisor, that is kept free by closing idle ones.
 const FREE_PART: usize = 8;
 
@@ -44,19 +42,38 @@
     Sweep,
 }
 
+/// The connections there are, each with its actor.
+struct Connections {
+    shared: Rc<Shared>,
+    own: Sender<ToList>,
+    executor: Rc<LocalExecutor<'static>>,
+    most: usize,
+    last: u64,
+    all: HashMap<u64, (Rc<Connection>, Task<()>)>,
+    complained: f64,
+}
+
 impl List {
     /// Serves until the program leaves and every connection has ended.
     pub async fn run(self, inbox: Receiver<ToList>) {
         let List { shared, listener, own, executor, most } = self;
-        let mut connections: HashMap<u64, Rc<Connection>> = HashMap::new();
-        let (mut idle_limit, mut last, mut leaving) = (f64::INFINITY, 0u64, false);
-        let (mut listener, mut paused_until, mut complained) = (Some(listener), 0.0, f64::NEG_INFINITY);
+        let mut connections = Connections {
+            shared: shared.clone(),
+            own,
+            executor,
+            most,
+            last: 0,
+            all: HashMap::new(),
+            complained: f64::NEG_INFINITY,
+        };
+        let (mut idle_limit, mut finish_at) = (f64::INFINITY, None);
+        let (mut listener, mut paused_until) = (Some(listener), 0.0);
         let mut inbox = pin!(inbox);
         let (mut sweep, mut looked) = (shared.wheel.sleep(SWEEP_MS), shared.clock.now());
         loop {
             let now = shared.clock.now();
             // Waiting callers stay in the system's queue until there is room.
-            let room = connections.len() < most && now >= paused_until;
+            let room = connections.all.len() < most && now >= paused_until;
             let accepting = async {
                 match &listener {
                     Some(listener) if room => {
@@ -78,82 +95,104 @@
             let lost = now - looked - SWEEP_MS;
             if lost > STOOD_STILL_MS {
                 warn!(shared.log, "the program stood still"; "ms" => lost.round());
-                connections.values().for_each(|c| c.forgive(lost));
+                connections.all.values().for_each(|(c, _)| c.life.borrow_mut().forgive(lost));
                 (looked, paused_until) = (now, now + FULL_MS);
             }
             match next {
-                Next::Connected(Ok(stream)) => {
-                    let Ok(stream) = Async::new(stream) else { continue };
-                    last += 1;
-                    let (mailbox, letters) = async_channel::bounded(MAILBOX);
-                    let connection = Rc::new(Connection {
-                        mailbox,
-                        since: Cell::new(now),
-                        spoke: Cell::new(false),
-                        half: Cell::new(None),
-                        used: Cell::new(now),
-                        open: RefCell::default(),
-                        left: Cell::new(None),
-                    });
-                    connections.insert(last, connection.clone());
-                    let (own, number, with) = (own.clone(), last, shared.clone());
-                    let actor = async move {
-                        connection.serve(&with, stream, letters).await;
-                        // The mailbox closes only when the program ends.
-                        let _ = own.send(ToList::Ended(number)).await;
-                    };
-                    executor.spawn(actor).detach();
-                    let tight = connections.len() > most - most / FREE_PART;
-                    if tight && now >= paused_until {
-                        make_room(&connections, now);
-                    }
-                    if tight && now - complained > COMPLAIN_MS {
-                        complained = now;
-                        warn!(shared.log, "connections are tight"; "open" => connections.len(), "most" => most);
-                    }
-                }
+                Next::Connected(Ok(stream)) => connections.admit(now, stream, now >= paused_until),
                 Next::Connected(Err(e)) => {
                     // Out of descriptors, or a connection that was reset before it was taken: accepting pauses.
                     paused_until = now + FULL_MS;
-                    if now - complained > COMPLAIN_MS {
-                        complained = now;
-                        warn!(shared.log, "accepting paused"; "why" => e.to_string(), "open" => connections.len());
+                    if connections.may_complain(now) {
+                        warn!(shared.log, "accepting paused";
+                            "why" => e.to_string(), "open" => connections.all.len());
                     }
                 }
                 Next::Told(None) => return,
                 Next::Told(Some(ToList::IdleLimit(ms))) => idle_limit = ms,
-                Next::Told(Some(ToList::Ended(number))) => drop(connections.remove(&number)),
-                Next::Told(Some(ToList::Leave)) => {
-                    info!(shared.log, "closing connections"; "open" => connections.len());
-                    leaving = true;
-                    listener = None;
+                Next::Told(Some(ToList::Ended(number))) => drop(connections.all.remove(&number)),
+                Next::Told(Some(ToList::Leave { finish_at: at })) => {
+                    finish_at = Some(at);
+                    // What stands in the system's queue is connected, as its callers see it, and may have sent its
+                    // request: a door shut over it would lose that.
+                    if let Some(door) = listener.take() {
+                        while let Ok((stream, _)) = door.get_ref().accept() {
+                            connections.admit(now, stream, false);
+                        }
+                    }
+                    info!(shared.log, "closing connections"; "open" => connections.all.len());
                 }
                 Next::Sweep => {
                     sweep = shared.wheel.sleep(SWEEP_MS);
                     looked = now;
-                    for connection in connections.values() {
-                        connection.look(now, if leaving { f64::NEG_INFINITY } else { idle_limit });
-                    }
+                    let ending = finish_at.is_some_and(|at| now >= at);
+                    connections.look(now, Wish { idle_limit, leaving: finish_at.is_some(), ending });
                 }
             }
-            if leaving && connections.is_empty() {
+            if finish_at.is_some() && connections.all.is_empty() {
                 return;
             }
         }
     }
 }
 
-/// Closes the idle connection that is missed least: one that never sent a request, else the one idle longest. It
-/// guards against callers that open connections by the hundred, or ask once and stay, and so keep the others out.
-fn make_room(connections: &HashMap<u64, Rc<Connection>>, now: f64) {
-    let idle = connections.values().filter(|c| c.open.borrow().is_empty() && !c.mailbox.is_closed());
-    let useful = |c: &Connection| c.spoke.get() || now - c.since.get() < NEW_MS;
-    let order = |a: &&Rc<Connection>, b: &&Rc<Connection>| {
-        useful(a).cmp(&useful(b)).then(a.used.get().total_cmp(&b.used.get()))
-    };
-    if let Some(connection) = idle.min_by(order) {
-        // A request that crosses this is sent again by its caller.
-        let _ = connection.mailbox.try_send(ToCaller::Leave);
-        connection.mailbox.close();
+impl Connections {
+    /// Takes a connection, and makes room for the next one where there is little.
+    fn admit(&mut self, now: f64, stream: TcpStream, evicting: bool) {
+        let Ok(stream) = Async::new(stream) else { return };
+        self.last += 1;
+        let (mailbox, letters) = async_channel::bounded(MAILBOX);
+        let connection = Rc::new(Connection::new(now, mailbox));
+        let (own, number, shared, with) =
+            (self.own.clone(), self.last, self.shared.clone(), connection.clone());
+        let actor = async move {
+            with.serve(&shared, stream, letters).await;
+            // The mailbox closes only when the program ends.
+            let _ = own.send(ToList::Ended(number)).await;
+        };
+        self.all.insert(number, (connection, self.executor.spawn(actor)));
+        if !self.tight() {
+            return;
+        }
+        if evicting {
+            self.make_room(now);
+        }
+        if self.may_complain(now) {
+            warn!(self.shared.log, "connections are tight"; "open" => self.all.len(), "most" => self.most);
+        }
+    }
+
+    fn tight(&self) -> bool {
+        self.all.len() > self.most - self.most / FREE_PART
+    }
+
+    fn may_complain(&mut self, now: f64) -> bool {
+        let may = now - self.complained > COMPLAIN_MS;
+        if may {
+            self.complained = now;
+        }
+        may
+    }
+
+    /// Looks at each; where room is short, those of which only the end is awaited go sooner.
+    fn look(&mut self, now: f64, wish: Wish) {
+        if self.tight() {
+            self.all.retain(|_, (c, _)| {
+                let since = c.life.borrow().finishing_since();
+                !(c.lingers.get() && since.is_some_and(|since| now - since >= CROSSING_MS))
+            });
+        }
+        self.all.values().for_each(|(c, _)| c.look(now, wish));
+    }
+
+    /// Closes the idle connection that is missed least: one that never sent a request, else the one idle longest. It
+    /// guards against callers that open connections by the hundred, or ask once and stay, and so keep the others out.
+    fn make_room(&self, now: f64) {
+        let missed = |(c, _): &'_ (Rc<Connection>, Task<()>)| c.life.borrow().missed(now, c.owed());
+        let idle = self.all.values().filter_map(|c| missed(c).map(|missed| (missed, &c.0)));
+        let order = |a: &(bool, f64), b: &(bool, f64)| a.0.cmp(&b.0).then(a.1.total_cmp(&b.1));
+        if let Some((_, connection)) = idle.min_by(|a, b| order(&a.0, &b.0)) {
+            connection.evict(now);
+        }
     }
 }
--- a/src/node/front/mod.rs
+++ b/src/node/front/mod.rs
@@ -4,6 +4,7 @@
 //! one by itself, and never let one connection's faults or slowness reach another.
 
 mod answer;
+pub mod life;
 mod list;
 mod request;
 
@@ -13,14 +14,16 @@
 use super::wheel::{Clock, Wheel};
 use crate::codec::msgpack::{self, Value};
 use crate::interface::{Class, RequestId};
+use crate::node::watch::guarded;
 use async_channel::{Receiver, Sender};
 use async_io::Async;
 use futures_lite::future::or;
 use futures_lite::{AsyncReadExt, AsyncWriteExt, StreamExt};
-use slog::{Logger, warn};
+use life::{LINGER_MS, Life, Step, Wish};
+use slog::{Logger, error, warn};
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
-use std::net::TcpStream;
+use std::net::{Shutdown, TcpStream};
 use std::pin::pin;
 use std::rc::Rc;
 
@@ -35,13 +38,10 @@
 /// Bytes read and written at once, and what a writer's buffer keeps at most between answers.
 const CHUNK: usize = 4 * 1024;
 const WRITTEN: usize = 16 * 1024;
-/// How long a connection may take to its first whole request, and a message from its first byte to its last, ms. The
-/// platform allows three seconds in all; a caller that means well sends within a round trip.
-const WHOLE_MS: f64 = 2000.0;
-/// How long a caller has to close a connection after `shutdown`, before it is closed here, ms.
-const LEAVE_MS: f64 = 1000.0;
 /// Pause in accepting when descriptors run out, ms.
 const FULL_MS: f64 = 50.0;
+/// What is read unheard at most after the end of a connection, in bytes.
+const LINGER_BYTES: usize = 64 * 1024;
 /// The least time between two log lines of one kind, ms, and the most lines about faulty connections in that time.
 const COMPLAIN_MS: f64 = 1000.0;
 const MAX_COMPLAINTS: u32 = 20;
@@ -84,80 +84,152 @@
 /// What the list and a connection's actor both see of it.
 struct Connection {
     mailbox: Sender<ToCaller>,
-    /// When it was accepted, and whether it has sent anything that is answered.
-    since: Cell<f64>,
-    spoke: Cell<bool>,
-    /// Since when a message is there in part.
-    half: Cell<Option<f64>>,
-    /// When it last carried something.
-    used: Cell<f64>,
+    life: RefCell<Life>,
     /// Open requests: the message id, and the core's number.
     open: RefCell<HashMap<u64, RequestId>>,
-    /// When it was told to leave.
-    left: Cell<Option<f64>>,
+    /// Answers beside those that are owed: to health checks, and to what is no proper request.
+    others: Cell<usize>,
+    /// All is settled, and only its end is awaited: it may be dropped.
+    lingers: Cell<bool>,
+}
+
+/// How a connection comes to its end.
+enum Over {
+    /// The caller ended it, or it broke.
+    Away,
+    /// What the caller sent, or its time, put an end to it.
+    Fault(String),
+    /// All answers are out, and there will be no more.
+    Written,
 }
 
 impl Connection {
-    /// What callers sent while the program got no time waits unread: that silence was not theirs.
-    fn forgive(&self, lost: f64) {
-        self.since.set(self.since.get() + lost);
-        self.used.set(self.used.get() + lost);
-        self.half.set(self.half.get().map(|since| since + lost));
+    fn new(now: f64, mailbox: Sender<ToCaller>) -> Connection {
+        Connection {
+            mailbox,
+            life: RefCell::new(Life::new(now)),
+            open: RefCell::default(),
+            others: Cell::new(0),
+            lingers: Cell::new(false),
+        }
+    }
+
+    /// An answer is still to come.
+    fn owed(&self) -> bool {
+        !self.open.borrow().is_empty() || self.others.get() > 0
     }
 
     /// Tells an idle caller to leave, and ends the connection if it does not.
-    fn look(&self, now: f64, idle_limit: f64) {
-        // Silence and half messages cost a descriptor and a buffer, and would keep others out: they end in time.
-        let silent = !self.spoke.get() && now - self.since.get() >= WHOLE_MS;
-        if silent || self.half.get().is_some_and(|since| now - since >= WHOLE_MS) {
-            self.mailbox.close();
-            return;
+    fn look(&self, now: f64, wish: Wish) {
+        let step = self.life.borrow_mut().look(now, self.owed(), wish);
+        match step {
+            Step::Stay => {}
+            Step::Tell => self.tell(),
+            Step::Finish => drop(self.mailbox.close()),
         }
-        let open = !self.open.borrow().is_empty();
-        match self.left.get() {
-            None if idle_limit < 0.0 || !open && now - self.used.get() >= idle_limit => {
-                self.left.set(Some(now));
-                if self.mailbox.try_send(ToCaller::Leave).is_err() {
-                    self.mailbox.close();
-                }
-            }
-            Some(_) if open => self.left.set(Some(now)),
-            Some(since) if now - since.max(self.used.get()) >= LEAVE_MS => drop(self.mailbox.close()),
-            _ => {}
+    }
+
+    fn tell(&self) {
+        if self.mailbox.try_send(ToCaller::Leave).is_err() {
+            self.mailbox.close();
         }
     }
 
+    /// Makes room at once: a request that crosses this is not taken, and is sent again by its caller.
+    fn evict(&self, now: f64) {
+        self.tell();
+        self.life.borrow_mut().finish(now);
+        self.mailbox.close();
+    }
+
     async fn serve(&self, shared: &Shared, stream: Async<TcpStream>, letters: Receiver<ToCaller>) {
         let _ = stream.get_ref().set_nodelay(true);
-        let fault = or(self.read(shared, &stream), self.write(shared, &stream, letters)).await;
-        if let Err(why) = fault {
-            shared.complain(&why);
-        }
+        let wrote = Cell::new(false);
+        let mut writer = pin!(async {
+            let over = self.write(shared, &stream, letters).await;
+            wrote.set(true);
+            over
+        });
+        let over = guarded(or(self.read(shared, &stream), writer.as_mut())).await;
+        self.life.borrow_mut().finish(shared.clock.now());
         self.mailbox.close();
         let open: Vec<RequestId> = self.open.borrow_mut().drain().map(|(_, id)| id).collect();
         for id in open {
             // The core's mailbox closes only when the program ends.
             let _ = shared.core.send(ToCore::Gone(id)).await;
         }
+        match &over {
+            Ok(Over::Away | Over::Written) => {}
+            Ok(Over::Fault(why)) => shared.complain(why),
+            // A fault of ours, in this connection's own actor: it costs this caller its connection and nobody else
+            // anything.
+            Err(why) => return error!(shared.log, "a connection's actor died"; "why" => why),
+        }
+        // What was answered before still goes out.
+        let written = match over {
+            Ok(Over::Written) => true,
+            _ if wrote.get() => false,
+            _ => {
+                let written = async { matches!(writer.await, Over::Written) };
+                let late = async {
+                    shared.wheel.sleep(FULL_MS).await;
+                    false
+                };
+                or(written, late).await
+            }
+        };
+        if written {
+            self.linger(shared, &stream).await;
+        }
+    }
+
+    /// Reads on to the end of what the caller sends, unheard and within bounds.
+    async fn linger(&self, shared: &Shared, mut stream: &Async<TcpStream>) {
+        let _ = stream.get_ref().shutdown(Shutdown::Write);
+        self.lingers.set(true);
+        let reading = async {
+            let (mut bytes, mut left) = (vec![0; CHUNK], LINGER_BYTES);
+            while left > 0 {
+                match stream.read(&mut bytes).await {
+                    Ok(0) | Err(_) => return,
+                    Ok(n) => left = left.saturating_sub(n),
+                }
+            }
+            // One that never stops sending gets no more than the time to read its answer.
+            shared.wheel.sleep(FULL_MS).await;
+        };
+        or(reading, shared.wheel.sleep(LINGER_MS)).await;
     }
 
-    async fn read(&self, shared: &Shared, mut stream: &Async<TcpStream>) -> Result<(), String> {
+    /// Reads until the connection is over; what comes once it finishes is not heard.
+    async fn read(&self, shared: &Shared, stream: &Async<TcpStream>) -> Over {
+        match self.read_messages(shared, stream).await {
+            Ok(()) => Over::Away,
+            Err(why) => Over::Fault(why),
+        }
+    }
+
+    async fn read_messages(&self, shared: &Shared, mut stream: &Async<TcpStream>) -> Result<(), String> {
         let (mut decoder, mut bytes, mut taken) = (msgpack::Decoder::default(), vec![0; CHUNK], 0u64);
         loop {
             match stream.read(&mut bytes).await {
                 // An end or a reset is the caller's own affair.
                 Ok(0) | Err(_) => return Ok(()),
+                Ok(_) if !self.life.borrow().takes() => continue,
                 Ok(n) => decoder.feed(&bytes[..n]),
             }
-            self.used.set(shared.clock.now());
+            self.life.borrow_mut().used(shared.clock.now());
             let before = taken;
             loop {
                 match decoder.next_message() {
                     Ok(Some(message)) => {
-                        // The core closes the mailbox of a caller that reads no answers, the list that of one
-                        // whose time is up; the writer may be stuck.
+                        // It finishes, and was told so, or its time is up: what crosses that was never taken.
+                        if !self.life.borrow().takes() {
+                            break;
+                        }
+                        // The core closes the mailbox of a caller that reads no answers; the writer may be stuck.
                         if self.mailbox.is_closed() {
-                            return Err("reads no answers, or out of time".to_owned());
+                            return Err("reads no answers".to_owned());
                         }
                         self.take(shared, message).await?;
                         taken += 1;
@@ -167,8 +239,7 @@
                         }
                     }
                     Ok(None) => {
-                        let since = self.half.get().filter(|_| taken == before).unwrap_or(self.used.get());
-                        self.half.set((!decoder.is_empty()).then_some(since));
+                        self.life.borrow_mut().read(!decoder.is_empty(), taken != before);
                         break;
                     }
                     Err(e) => {
@@ -185,6 +256,7 @@
     }
 
     async fn invalid(&self, shared: &Shared, tag: u64) {
+        self.others.set(self.others.get() + 1);
         let _ = shared.core.send(ToCore::Invalid(self.handle(tag))).await;
     }
 
@@ -219,27 +291,31 @@
     }
 
     async fn request(&self, shared: &Shared, tag: u64, rest: &[Value]) {
-        self.spoke.set(true);
+        self.life.borrow_mut().spoke();
         let message = match rest {
-            [Value::Str(method), Value::Array(_)] if method == b"isWell" => ToCore::Check(self.handle(tag)),
+            [Value::Str(method), Value::Array(_)] if method == b"isWell" => {
+                self.others.set(self.others.get() + 1);
+                ToCore::Check(self.handle(tag))
+            }
             [Value::Str(method), Value::Array(args)] => match self.incoming(shared, tag, method, args) {
                 Some(incoming) => {
                     self.open.borrow_mut().insert(tag, incoming.id);
                     ToCore::Arrive(Box::new(incoming))
                 }
-                None => ToCore::Invalid(self.handle(tag)),
+                None => return self.invalid(shared, tag).await,
             },
-            _ => ToCore::Invalid(self.handle(tag)),
+            _ => return self.invalid(shared, tag).await,
         };
         let _ = shared.core.send(message).await;
     }
 
+    /// Writes answers until the mailbox closes and is empty.
     async fn write(
         &self,
         shared: &Shared,
         mut stream: &Async<TcpStream>,
         letters: Receiver<ToCaller>,
-    ) -> Result<(), String> {
+    ) -> Over {
         let mut letters = pin!(letters);
         let mut out = Vec::new();
         while let Some(letter) = letters.next().await {
@@ -250,7 +326,7 @@
                 self.put(letter, &mut out);
                 next = if out.len() < WRITTEN { letters.try_recv().ok() } else { None };
             }
-            self.used.set(shared.clock.now());
+            self.life.borrow_mut().used(shared.clock.now());
             let stalled = async {
                 shared.wheel.sleep(STALLED_MS).await;
                 Err(std::io::ErrorKind::TimedOut.into())
@@ -258,11 +334,11 @@
             match or(stream.write_all(&out), stalled).await {
                 Ok(()) => {}
                 Err(e) if e.kind() == std::io::ErrorKind::TimedOut => {
-                    return Err("takes no bytes".to_owned());
+                    return Over::Fault("takes no bytes".to_owned());
                 }
-                Err(_) => return Ok(()),
+                Err(_) => return Over::Away,
             }
         }
-        Ok(())
+        Over::Written
     }
 }
--- a/src/node/index.rs
+++ b/src/node/index.rs
@@ -3,15 +3,16 @@
 //! make a call twice.
 
 use super::messages::{Call, ToCore, ToIndex};
+use super::watch::guarded;
 use super::wheel::{Clock, Wheel};
 use crate::codec::http;
 use crate::interface::{Outcome, RequestId};
 use async_channel::{Receiver, Sender};
 use async_executor::{LocalExecutor, Task};
 use async_io::Async;
-use futures_lite::future::or;
+use futures_lite::future::{or, pending};
 use futures_lite::{AsyncReadExt, AsyncWriteExt, StreamExt};
-use slog::{Logger, warn};
+use slog::{Logger, error, warn};
 use std::cell::{Cell, RefCell};
 use std::collections::{HashMap, VecDeque};
 use std::io::{ErrorKind, Read};
@@ -83,7 +84,23 @@
     /// Reads the mailbox until it closes.
     pub async fn run(mut self, inbox: Receiver<ToIndex>) {
         let mut inbox = pin!(inbox);
-        while let Some(message) = inbox.next().await {
+        loop {
+            // A call that found no connection in its time is told so: it never ran.
+            let now = self.shared.clock.now();
+            let due = self.waiting.iter().map(|(since, call)| since + call.limit_ms).reduce(f64::min);
+            let wheel = self.shared.wheel.clone();
+            let expired = async {
+                match due {
+                    Some(due) => wheel.sleep(due - now).await,
+                    None => pending().await,
+                }
+                None
+            };
+            let Some(message) = or(async { Some(inbox.next().await) }, expired).await else {
+                self.expire().await;
+                continue;
+            };
+            let Some(message) = message else { return };
             match message {
                 ToIndex::Call(call) => {
                     self.stop(call.id);
@@ -107,6 +124,21 @@
         }
     }
 
+    async fn expire(&mut self) {
+        let now = self.shared.clock.now();
+        let over = |(since, call): &(f64, Call)| now >= since + call.limit_ms;
+        let (ended, waiting): (VecDeque<_>, _) =
+            std::mem::take(&mut self.waiting).into_iter().partition(over);
+        self.waiting = waiting;
+        for (since, call) in ended {
+            self.shared.complain("waiting", "all connections are in use");
+            let (outcome, took_ms) = (Outcome::Unreachable, now - since);
+            // The mailbox closes only when the program ends.
+            let _ =
+                self.core.send(ToCore::CallEnded { id: call.id, outcome, body: Vec::new(), took_ms }).await;
+        }
+    }
+
     /// Dropping the task closes its connection, which gives up the call.
     fn stop(&mut self, id: RequestId) {
         self.open.remove(&id);
@@ -129,11 +161,19 @@
         let (shared, core, own) = (self.shared.clone(), self.core.clone(), self.own.clone());
         let task = self.executor.spawn(async move {
             let left = call.limit_ms - (shared.clock.now() - since);
+            // Until the first byte goes out no call has run, whatever becomes of the connection.
+            let sent = Cell::new(false);
             let limit = async {
                 shared.wheel.sleep(left).await;
-                (Outcome::TimedOut, Vec::new())
+                (if sent.get() { Outcome::TimedOut } else { Outcome::Unreachable }, Vec::new())
+            };
+            let (outcome, body) = match guarded(or(shared.call(&call, left, &sent), limit)).await {
+                Ok(ended) => ended,
+                Err(why) => {
+                    error!(shared.log, "a call's task died"; "why" => why);
+                    (if sent.get() { Outcome::CutOff } else { Outcome::Unreachable }, Vec::new())
+                }
             };
-            let (outcome, body) = or(shared.call(&call, left), limit).await;
             let took_ms = shared.clock.now() - since;
             // Both mailboxes close only when the program ends.
             let _ = core.send(ToCore::CallEnded { id, outcome, body, took_ms }).await;
@@ -166,7 +206,7 @@
         }
     }
 
-    async fn call(&self, call: &Call, left_ms: f64) -> (Outcome, Vec<u8>) {
+    async fn call(&self, call: &Call, left_ms: f64, sent: &Cell<bool>) -> (Outcome, Vec<u8>) {
         let nothing = |outcome| (outcome, Vec::new());
         let address = self.address.get();
         // A kept connection may have been forgotten by the other side and break under the call. That would prove
@@ -190,6 +230,7 @@
         let headers = [("X-Parent-Id", parent.as_str()), ("X-Budget-Ms", budget.as_str())];
         let request = http::request("POST", "/lookup", &address.to_string(), &headers, &call.body);
         let mut io = &stream;
+        sent.set(true);
         if let Err(e) = io.write_all(&request).await {
             self.complain("writing", &e.to_string());
             return nothing(Outcome::CutOff);
--- a/src/node/messages.rs
+++ b/src/node/messages.rs
@@ -212,6 +212,8 @@
         /// How long ago it started, ms.
         ago_ms: f64,
     },
+    /// The pool was started anew: what the one before it ran has ended with it.
+    Anew,
     /// The link with this number takes commands, and all notices before it have been read.
     Up(u64),
     /// The link ended.
@@ -296,6 +298,9 @@
     IdleLimit(f64),
     /// A connection ended.
     Ended(u64),
-    /// The program leaves: no new connections, and the open ones end.
-    Leave,
+    /// The program leaves: no new connections, and the open ones are told.
+    Leave {
+        /// When they end, whatever their callers do, Unix ms. All is answered by then.
+        finish_at: f64,
+    },
 }
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -10,5 +10,6 @@
 pub mod ledger;
 pub mod messages;
 pub mod pool;
+pub mod watch;
 pub mod wheel;
 pub mod witness;
--- a/src/node/pool.rs
+++ b/src/node/pool.rs
@@ -23,6 +23,9 @@
 /// meanwhile wait that long.
 const AGAIN_MS: f64 = 5.0;
 const RETRY_MS: f64 = 50.0;
+/// A try to connect that comes to nothing in this time is given up, ms: a first packet that was lost is sent again by the
+/// system after a second.
+const DIAL_MS: f64 = 1500.0;
 /// A link that takes no bytes for this long is given up, ms: longer than any pause of the machine.
 const STALLED_MS: f64 = 10_000.0;
 /// The most log lines about one link's bad or missing lines.
@@ -147,6 +150,8 @@
     link: u64,
     /// The present link was answered.
     bound: bool,
+    /// How long the pool said it was up, the last time.
+    up_ms: f64,
 }
 
 impl Pool {
@@ -158,7 +163,7 @@
         wheel: Rc<Wheel>,
         log: Logger,
     ) -> Self {
-        Pool { address, classes, core, wheel, log, last_seq: 0, link: 0, bound: false }
+        Pool { address, classes, core, wheel, log, last_seq: 0, link: 0, bound: false, up_ms: 0.0 }
     }
 
     /// Keeps a link, for ever.
@@ -169,9 +174,9 @@
             let connected = match next.take() {
                 Some(stream) => Ok(stream),
                 None => {
-                    or(Async::<TcpStream>::connect(self.address), async {
+                    or(dial(self.address, &self.wheel.clone()), async {
                         self.address = moved(&inbox).await;
-                        Async::<TcpStream>::connect(self.address).await
+                        dial(self.address, &self.wheel).await
                     })
                     .await
                 }
@@ -297,6 +302,16 @@
                 }
                 if let Some(Report::Bound { cold, ago_ms }) = said.report {
                     self.bound = true;
+                    // Up for less time than before, it was started anew: its notices count from 1, and the runs of the one
+                    // before ended with it.
+                    if ago_ms < self.up_ms {
+                        warn!(self.log, "worker pool was started anew"; "up_ms" => ago_ms);
+                        self.last_seq = 0;
+                        if self.core.send(ToCore::Pool(Report::Anew)).await.is_err() {
+                            return "the program ends".to_owned();
+                        }
+                    }
+                    self.up_ms = ago_ms;
                     // Not before: a pool that is not up yet takes the link, but answers no asking on it, and this
                     // one must be answered. The writer has nothing to write until it is.
                     let ask = format!("{{\"op\":\"poll\",\"tag\":\"{CAUGHT_UP}\"}}\n");
@@ -316,6 +331,15 @@
     }
 }
 
+/// Connects within its limit.
+async fn dial(to: SocketAddr, wheel: &Rc<Wheel>) -> std::io::Result<Async<TcpStream>> {
+    let late = async {
+        wheel.sleep(DIAL_MS).await;
+        Err(std::io::ErrorKind::TimedOut.into())
+    };
+    or(Async::<TcpStream>::connect(to), late).await
+}
+
 /// Waits for a new address; orders that come meanwhile are for a link that ended.
 async fn moved(inbox: &Receiver<ToPool>) -> SocketAddr {
     loop {
@@ -330,7 +354,7 @@
 /// Connects to the pool's new address, however long that takes.
 async fn reach(to: SocketAddr, wheel: Rc<Wheel>) -> Ended {
     loop {
-        if let Ok(stream) = Async::<TcpStream>::connect(to).await {
+        if let Ok(stream) = dial(to, &wheel).await {
             return Ended::Moved(stream);
         }
         wheel.sleep(RETRY_MS).await;
