A cold server tells the share of its speed; crossings of the ends tested on sockets

Module: the share on every answer is the level's times the part of the speed that the settings promise by now, in steps of a twentieth (callers.rs ramp()). The rest is not to be held by what the protocol offers: deaf callers follow nothing but the list, and a caller forgets within a second. A connection so new that its request may be on its way no longer makes room for others; room is made at the look too.

--- a/src/node/front/life.rs
+++ b/src/node/front/life.rs
@@ -15,7 +15,7 @@
 /// How long at the least, where descriptors are short, ms: the time within which the protocol has a request that crosses a
 /// close sent again.
 pub const CROSSING_MS: f64 = 50.0;
-/// How long a new connection counts as one that is about to send, when room is needed, ms.
+/// How long a new connection counts as one that is about to send, ms: it makes room for nobody meanwhile.
 const NEW_MS: f64 = 50.0;
 
 /// What is to be done with a connection.
@@ -142,9 +142,10 @@
         }
     }
 
-    /// How much it would be missed if it had to make room; none while it can't. One that never sent a request goes
-    /// first, then the one idle longest.
+    /// How much it would be missed if it had to make room; none while it can't: with an answer owed, or so new that its
+    /// request may only just be on its way. One that never sent a request goes first, then the one idle longest.
     pub fn missed(&self, now: f64, owed: bool) -> Option<(bool, f64)> {
-        (self.takes() && !owed).then_some((self.spoke || now - self.since < NEW_MS, self.used))
+        let new = !self.spoke && now - self.since < NEW_MS;
+        (self.takes() && !owed && !new).then_some((self.spoke, self.used))
     }
 }
--- a/src/node/front/list.rs
+++ b/src/node/front/list.rs
@@ -181,6 +181,11 @@
                 let since = c.life.borrow().finishing_since();
                 !(c.lingers.get() && since.is_some_and(|since| now - since >= CROSSING_MS))
             });
+            let ending = self.all.values().filter(|(c, _)| !c.life.borrow().takes()).count();
+            let free_from = self.most - self.most / FREE_PART;
+            for _ in free_from..self.all.len() - ending {
+                self.make_room(now);
+            }
         }
         self.all.values().for_each(|(c, _)| c.look(now, wish));
     }
--- a/src/policy/callers.rs
+++ b/src/policy/callers.rs
@@ -14,6 +14,8 @@
 const IDLE_CROWD: f64 = 1.0;
 /// Largest step of that limit a timer, as a factor.
 const IDLE_STEP: f64 = 1.25;
+/// Steps of the share that a cold machine tells.
+const RAMP_STEPS: f64 = 20.0;
 /// Part of the usual gap between a caller's arrivals that advice to stay away lasts at most.
 const GAP_PART: f64 = 0.5;
 
@@ -25,6 +27,12 @@
         }
     }
 
+    /// The part of the usual traffic that a cold machine bears, which goes onto every answer like a level's:
+    /// that of its speed, in steps, so that callers are not told something new with every timer.
+    pub(super) fn ramp(&self, now: f64) -> f64 {
+        (self.speed_share(now) * RAMP_STEPS + 1e-9).floor().max(1.0) / RAMP_STEPS
+    }
+
     /// A refusal that says when to come back, where that is passed on: once what stands here has cleared, but
     /// within a part of the usual gap between a caller's arrivals, since one of few callers carries much. It
     /// guards against refusals that draw traffic in, being the quickest answers; it could hurt where few
--- a/src/policy/events.rs
+++ b/src/policy/events.rs
@@ -14,6 +14,7 @@
     pub(super) fn on_start(&mut self, out: &mut Actions) {
         out.push(Action::Health(true));
         if self.set.signal == Signal::Share {
+            self.said = self.ramp(self.born);
             out.push(Action::Say(self.said));
         }
         out.push(Action::Timer { token: TIMER, delay_ms: TIMER_MS });
@@ -190,7 +191,7 @@
         let running = self.count(State::Running) as f64 / self.set.cores;
         self.step_idle_limit(gauges.busy.unwrap_or(running), out);
         if self.leaving.is_none() {
-            self.say(LEVELS[self.level].share, out);
+            self.say(LEVELS[self.level].share * self.ramp(now), out);
         }
     }
 }
--- a/tests/exchanges.rs
+++ b/tests/exchanges.rs
@@ -21,7 +21,7 @@
 }
 
 exchanges! {
-    bad_input bad_peers call_given_up calls cold crowd cut_then_gone descriptors drain heir idle keyed leave leave_kinds no_pool other_body half read_late reload relink serve slow_reader stopped told_wait unknown_runs unwanted window
+    accept_queue bad_input bad_peers call_given_up calls cold crowd cut_then_gone descriptors drain full heir idle keyed leave leave_kinds new_pool no_pool other_body half read_late reload relink serve signals slow_reader stopped told_wait unknown_runs unread unwanted window
 }
 
 /// A faulty configuration ends the program, which names the key.
--- a/tests/play/bytes.rs
+++ b/tests/play/bytes.rs
@@ -68,7 +68,7 @@
         match stream.read(&mut byte) {
             Ok(0) => return "closed".to_owned(),
             Ok(_) => all.push(byte[0]),
-            Err(e) if e.kind() == ErrorKind::ConnectionReset => return "closed".to_owned(),
+            Err(e) if e.kind() == ErrorKind::ConnectionReset => return "reset".to_owned(),
             Err(e) => panic!("nothing comes: {e}"),
         }
         decoder.feed(&byte);
--- a/tests/play/mod.rs
+++ b/tests/play/mod.rs
@@ -248,6 +248,25 @@
                     self.client(&format!("crowd{at}"));
                 }
             }
+            // So many connections with so many requests each, and a check on each that shows that all before it were read.
+            ("fill", _) => {
+                let (each, what) = rest.split_once(' ').expect("how many on each, and what");
+                let (count, each): (u8, u8) =
+                    (verb.parse().expect("a number"), each.parse().expect("a number"));
+                let names: Vec<String> =
+                    (b'A'..b'A' + count).map(|name| char::from(name).to_string()).collect();
+                for name in &names {
+                    for id in 1..=each {
+                        let bytes = request(name, &format!("{id} {what}"));
+                        self.client(name).write_all(&bytes).expect("the connection stands");
+                    }
+                    self.send(name, "well 100");
+                }
+                // Those past a bound are refused before it.
+                for name in &names {
+                    while !message(self.client(name)).starts_with(r"\x94\x01d") {}
+                }
+            }
             // Health checks without end, whose answers nobody reads: until the program has had enough.
             (_, "flood") => {
                 let many = [0x94, 0, 1, 0xa6, b'i', b's', b'W', b'e', b'l', b'l', 0x91, 0x80].repeat(1000);
@@ -259,6 +278,7 @@
                 let bytes = match verb {
                     "req" => request(name, rest),
                     "raw" => unescape(rest),
+                    "junk" => vec![0; rest.parse().expect("how many")],
                     "forget" => {
                         [&unescape("\\x93\\x02\\xa6forget\\x91")[..], &[rest.parse().expect("an id")]]
                             .concat()
--- /dev/null
+++ b/tests/ramp.rs
@@ -0,0 +1,231 @@
+//! A fleet that starts cold as a whole, with callers that know only what they heard and forget it after a second. What each
+//! server is sent in the settings' time is held against N, the crowd that the settings let it survive then, and 2 x sqrt(N)
+//! + 2 for chance. The module runs in every server; callers come upon servers at random and pass one over by the share that
+//! it told them, until they come to a willing one.
+
+mod common;
+
+use common::{class, settings};
+use dunlinspread::{Action, Arrival, Effect, Event, Gauges, Outcome, Policy, Settings};
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use std::collections::VecDeque;
+
+/// How long a caller keeps in mind what it was told, ms; the protocol's figure for both sites in service.
+const HEEDED_MS: f64 = 1000.0;
+const STEP_MS: f64 = 5.0;
+
+struct Server {
+    policy: Policy,
+    share: f64,
+    /// Runs under way: until when, and whose.
+    runs: Vec<(f64, f64, u64)>,
+    timers: Vec<(f64, u64)>,
+    /// When requests came, within the settings' time, and whether their caller heeds.
+    came: VecDeque<(f64, bool)>,
+}
+
+struct Fleet {
+    set: Settings,
+    rng: ChaCha8Rng,
+    now: f64,
+    next: u64,
+    servers: Vec<Server>,
+    /// What each caller was told by each server, and when.
+    heard: Vec<Vec<(f64, f64)>>,
+    heeds: Vec<bool>,
+    /// The most that a server was sent over its bound, as a factor: by all, and by callers that heed.
+    most: (f64, f64),
+}
+
+impl Fleet {
+    fn new(seed: u64, servers: usize, callers: usize, heeding: f64) -> Fleet {
+        let set = Settings {
+            servers: servers as f64,
+            callers: callers as f64,
+            cores: 6.0,
+            cold: true,
+            cold_share: 0.3,
+            cold_ms: 12_000.0,
+            survivable_per_core: 8.0,
+            crowd_window_ms: 3000.0,
+            memory_kb: 60_000.0,
+            classes: vec![class(Effect::Safe)],
+            ..settings()
+        };
+        let mut rng = ChaCha8Rng::seed_from_u64(seed);
+        let heeds = (0..callers).map(|_| rng.random_bool(heeding)).collect();
+        let server = |at: usize| Server {
+            policy: Policy::new(0.0, Settings { seed: seed + at as u64, ..set.clone() }),
+            share: 1.0,
+            runs: Vec::new(),
+            timers: Vec::new(),
+            came: VecDeque::new(),
+        };
+        let heard = vec![vec![(1.0, f64::NEG_INFINITY); servers]; callers];
+        let mut fleet = Fleet {
+            servers: (0..servers).map(server).collect(),
+            set,
+            rng,
+            now: 0.0,
+            next: 0,
+            heard,
+            heeds,
+            most: (0.0, 0.0),
+        };
+        for at in 0..servers {
+            fleet.tell(at, Event::Start, None);
+        }
+        fleet
+    }
+
+    fn speed(&self) -> f64 {
+        self.set.cold_share + (1.0 - self.set.cold_share) * (self.now / self.set.cold_ms).min(1.0)
+    }
+
+    /// N: the crowd that the settings let a server survive now.
+    fn budget(&self) -> f64 {
+        self.set.cores * (1.0 + (self.set.survivable_per_core - 1.0) * self.speed())
+    }
+
+    /// Hands an event to a server. Whoever gets an answer hears the share with it.
+    fn tell(&mut self, at: usize, event: Event, caller: Option<usize>) {
+        let mut actions = Vec::new();
+        self.servers[at].policy.on_event(self.now, event, &mut actions);
+        for action in actions {
+            match action {
+                Action::Say(share) => self.servers[at].share = share,
+                Action::Timer { token, delay_ms } => {
+                    self.servers[at].timers.push((self.now + delay_ms, token))
+                }
+                Action::Run(id) => {
+                    let took = self.rng.random_range(150.0..450.0) / self.speed();
+                    self.servers[at].runs.push((self.now + took, took, id));
+                }
+                Action::Refuse { .. } | Action::Fail(_) => {
+                    if let Some(caller) = caller {
+                        self.heard[caller][at] = (self.servers[at].share, self.now);
+                    }
+                }
+                _ => {}
+            }
+        }
+    }
+
+    /// One request of a caller: the first server on its way round that it does not pass over.
+    fn request(&mut self, caller: usize) {
+        let first = self.rng.random_range(0..self.servers.len());
+        for step in 0..self.servers.len() {
+            let at = (first + step) % self.servers.len();
+            let (share, when) = self.heard[caller][at];
+            let known = self.heeds[caller] && self.now - when < HEEDED_MS;
+            if known && !self.rng.random_bool(share.clamp(0.0, 1.0)) {
+                continue;
+            }
+            self.next += 1;
+            let arrival = Arrival {
+                id: self.next,
+                held_kb: 20.0,
+                rank: self.rng.random_range(0.0..1.0),
+                ..Arrival::default()
+            };
+            self.servers[at].came.push_back((self.now, self.heeds[caller]));
+            self.tell(at, Event::Arrive(arrival), Some(caller));
+            return;
+        }
+    }
+
+    fn play(&mut self, rate_per_s: f64) {
+        while self.now < self.set.cold_ms {
+            self.now += STEP_MS;
+            let mut due = rate_per_s * self.servers.len() as f64 * STEP_MS / 1000.0;
+            while due > 0.0 {
+                if self.rng.random_bool(due.min(1.0)) {
+                    let caller = self.rng.random_range(0..self.heeds.len());
+                    self.request(caller);
+                }
+                due -= 1.0;
+            }
+            for at in 0..self.servers.len() {
+                let now = self.now;
+                let over: Vec<_> = self.servers[at].runs.extract_if(.., |run| run.0 <= now).collect();
+                for (_, took_ms, id) in over {
+                    self.tell(at, Event::Ended { id, outcome: Outcome::Ok, took_ms }, None);
+                }
+                let timers: Vec<_> = self.servers[at].timers.extract_if(.., |timer| timer.0 <= now).collect();
+                let running = self.servers[at].runs.len() as f64;
+                let gauges = Gauges {
+                    busy: Some((running / self.set.cores).min(1.0)),
+                    run_queue: Some(running),
+                    ..Gauges::default()
+                };
+                for (_, token) in timers {
+                    self.tell(at, Event::Timer { token, gauges }, None);
+                }
+                self.judge(at);
+            }
+        }
+    }
+
+    fn judge(&mut self, at: usize) {
+        let n = self.budget();
+        let bound = n + 2.0 * n.sqrt() + 2.0;
+        let since = self.now - self.set.crowd_window_ms;
+        let came = &mut self.servers[at].came;
+        while came.front().is_some_and(|(when, _)| *when < since) {
+            came.pop_front();
+        }
+        let heeding = came.iter().filter(|(_, heeds)| *heeds).count() as f64;
+        self.most = (self.most.0.max(came.len() as f64 / bound), self.most.1.max(heeding / bound));
+        // What it runs of that is its own to bound, whatever callers send.
+        assert!(
+            (self.servers[at].runs.len() as f64) < n,
+            "{} runs at {:.0} ms",
+            self.servers[at].runs.len(),
+            self.now
+        );
+    }
+}
+
+/// A server that tells nobody anything new is sent the usual traffic from its first second; the test's own yardstick. Where
+/// the usual traffic of a server is a third of what the settings let a warm one survive in that time, its sum stays within the
+/// bound with 20 and 30 callers and as many servers starting together, deaf callers included; at half and more it can't be
+/// held by what the protocol offers, and the figures say by how much it is passed.
+#[test]
+fn what_a_cold_fleet_is_sent() {
+    for (servers, callers) in [(20, 20), (30, 30)] {
+        for (part, held) in [(0.33, true), (0.5, false), (0.75, false)] {
+            let mut most = (0.0f64, 0.0f64);
+            for seed in 1..=10 {
+                let mut fleet = Fleet::new(seed, servers, callers, 0.6);
+                let warm =
+                    fleet.set.cores * fleet.set.survivable_per_core / fleet.set.crowd_window_ms * 1000.0;
+                fleet.play(part * warm);
+                most = (most.0.max(fleet.most.0), most.1.max(fleet.most.1));
+            }
+            println!(
+                "{servers} servers, {callers} callers, usual traffic {part} of what a warm one survives, seeds 1 to 10: \
+                 sent by all {:.2} of N + 2 sqrt(N) + 2, by those that heed {:.2}",
+                most.0, most.1
+            );
+            assert!(!held || most.0 <= 1.0, "{servers} servers: {:.2} of the bound", most.0);
+        }
+    }
+}
+
+/// A cold server tells the part of the usual traffic that it bears, rising to all of it, and says so from its first answer.
+#[test]
+fn a_cold_server_tells_the_share_of_its_speed() {
+    let mut fleet = Fleet::new(1, 1, 1, 1.0);
+    assert_eq!(fleet.servers[0].share, 0.3);
+    let mut told = vec![fleet.servers[0].share];
+    while fleet.now < fleet.set.cold_ms + 100.0 {
+        fleet.now += 50.0;
+        let gauges = Gauges { busy: Some(0.1), run_queue: Some(0.0), ..Gauges::default() };
+        fleet.tell(0, Event::Timer { token: 1, gauges }, None);
+        assert!(fleet.servers[0].share <= fleet.speed() + 1e-9);
+        told.push(fleet.servers[0].share);
+    }
+    assert!(told.windows(2).all(|pair| pair[0] <= pair[1]), "{told:?}");
+    assert_eq!(told.last(), Some(&1.0));
+}
