--- a/src/node/catalog.rs
+++ b/src/node/catalog.rs
@@ -33,6 +33,8 @@
 type Kept = (f64, Async<TcpStream>);
 /// What became of a report.
 type Reported = Result<Option<Kept>, String>;
+/// One under way.
+type Attempt<'a> = Pin<Box<dyn Future<Output = Reported> + 'a>>;
 
 /// The catalog's actor.
 pub struct Catalog {
@@ -73,7 +75,7 @@
 
     /// Makes reports, for ever.
     async fn go_on<T>(&self, good: bool, counted: &Cell<Option<bool>>) -> T {
-        let mut under_way: Vec<(f64, Pin<Box<dyn Future<Output = Reported> + '_>>)> = Vec::new();
+        let mut under_way: Vec<(f64, Attempt<'_>)> = Vec::new();
         let (mut kept, mut next, mut ok_at) = (None, self.clock.now(), f64::NEG_INFINITY);
         loop {
             let now = self.clock.now();
