--- a/tests/play/mod.rs
+++ b/tests/play/mod.rs
@@ -7,6 +7,8 @@
 pub mod alone;
 mod bytes;
 
+#[allow(unused_imports)]
+pub use alone::Client;
 pub use bytes::unescape;
 use bytes::{message, request};
 use std::collections::HashMap;
