--- /dev/null
+++ b/tests/endings.rs
@@ -0,0 +1,224 @@
+//! Peers that hang, actors that die, floods, and many starts at once, on real sockets. What crosses is brought about by
+//! holding a played party; times are measured and printed, and no sleep decides.
+
+#[allow(dead_code)]
+mod play;
+
+use dunlinspread::node::watch;
+use dunlinspread::node::wheel::{Clock, Wheel};
+use play::alone::Alone;
+use play::{Client, config};
+use std::collections::BTreeSet;
+use std::io::{BufRead, BufReader, ErrorKind, Read, Write};
+use std::net::{TcpListener, TcpStream};
+use std::sync::mpsc::channel;
+use std::time::{Duration, Instant};
+
+const HANG: Duration = Duration::from_secs(60);
+
+fn bind() -> (TcpListener, String) {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+    let address = listener.local_addr().expect("an address").to_string();
+    (listener, address)
+}
+
+/// The next connection's first report, whole, with the connection left open and unanswered.
+fn report(catalog: &TcpListener) -> (BufReader<TcpStream>, Instant) {
+    let (stream, _) = catalog.accept().expect("the program connects");
+    stream.set_read_timeout(Some(HANG)).expect("a time limit");
+    let mut reader = BufReader::new(stream);
+    loop {
+        let mut line = String::new();
+        reader.read_line(&mut line).expect("a line");
+        if line == "\r\n" {
+            break;
+        }
+    }
+    let mut body = [0; r#"{"status":"passing"}"#.len()];
+    reader.read_exact(&mut body).expect("a body");
+    (reader, Instant::now())
+}
+
+/// A catalog that takes reports and answers none of them hears the next one while the one before still hangs, so that no
+/// answer that stays away lets the entry lapse.
+#[test]
+fn reports_go_on_beside_one_that_hangs() {
+    let (catalog, address) = bind();
+    let _program = Alone::new(&config("127.0.0.1:1", &address, "127.0.0.1:1", &[]));
+    let (mut first, began) = report(&catalog);
+    let (_second, then) = report(&catalog);
+    first.get_mut().set_nonblocking(true).expect("a socket");
+    let still = first.get_mut().read(&mut [0]);
+    println!("the second report came after {} ms", (then - began).as_millis());
+    let open = matches!(&still, Err(e) if e.kind() == ErrorKind::WouldBlock);
+    assert!(open, "the first was given up before the second was made: {still:?}");
+}
+
+/// A catalog that answers 204 and lists nobody may be one that was replaced: before the entry can lapse a report comes on a
+/// new connection, though the old one answers.
+#[test]
+fn a_catalog_that_answers_is_asked_anew_before_the_lapse() {
+    let (catalog, address) = bind();
+    let _program = Alone::new(&config("127.0.0.1:1", &address, "127.0.0.1:1", &[]));
+    let (mut first, began) = report(&catalog);
+    let (tell, told) = channel();
+    std::thread::spawn(move || {
+        let answer = b"HTTP/1.1 204 No Content\r\n\r\n";
+        while first.get_mut().write_all(answer).is_ok() {
+            let mut line = String::new();
+            while first.read_line(&mut line).is_ok_and(|n| n > 0) && !line.ends_with("}") {
+                if line.ends_with("\r\n\r\n") {
+                    let mut body = [0; 20];
+                    if first.read_exact(&mut body).is_err() {
+                        return;
+                    }
+                    break;
+                }
+            }
+            if line.is_empty() {
+                return;
+            }
+            let _ = tell.send(());
+        }
+    });
+    let (_second, then) = report(&catalog);
+    let kept = told.try_iter().count();
+    println!(
+        "a new connection after {} ms, {kept} further reports on the old one",
+        (then - began).as_millis()
+    );
+    assert!(kept > 0, "the old connection was not used again");
+    assert!(then - began < Duration::from_secs(3), "the entry could lapse");
+}
+
+/// What is guarded tells of its panic; an actor's end is told by name, also where it ends by itself.
+#[test]
+fn what_dies_is_named() {
+    let (dead, deaths) = async_channel::unbounded();
+    let told = async_io::block_on(async {
+        watch::lasting("index", async { panic!("a fault") }, dead.clone()).await;
+        watch::lasting("catalog", async {}, dead.clone()).await;
+        [deaths.recv().await.expect("told"), deaths.recv().await.expect("told")]
+    });
+    assert_eq!(told, ["actor died: index panicked: a fault", "actor died: catalog ended by itself"]);
+    // The wheel is such an actor: it never ends.
+    let wheel = Wheel::new(Clock::start(), 5.0);
+    let turned = async_io::block_on(futures_lite::future::or(
+        async {
+            watch::lasting("wheel", wheel.clone().turn(), dead.clone()).await;
+            false
+        },
+        async {
+            wheel.sleep(20.0).await;
+            true
+        },
+    ));
+    assert!(turned && deaths.is_empty());
+}
+
+/// Bad clients by the hundred beside a good one: silent ones, halves of a message, a class that is none, noise. Each check of
+/// the good one is answered.
+#[test]
+fn floods_cost_good_clients_nothing() {
+    let (_pool, pool) = bind();
+    let mut program = Alone::new(&config(
+        &pool,
+        "127.0.0.1:1",
+        "127.0.0.1:1",
+        &[(r#""sockets":1024"#.to_owned(), r#""sockets":384"#.to_owned())],
+    ));
+    let address = program.address.clone();
+    let mut bad: Vec<TcpStream> = Vec::new();
+    let mut slowest = Duration::ZERO;
+    for round in 0..40u8 {
+        for at in 0..20u8 {
+            let Ok(mut stream) = TcpStream::connect(&address) else { continue };
+            let bytes: &[u8] = match at % 4 {
+                0 => b"",
+                1 => b"\x94\x00\x01",
+                2 => b"\x94\x00\x01\xa4none\x91\x80",
+                _ => b"\xc1\xc1\xc1",
+            };
+            let _ = stream.write_all(bytes);
+            bad.push(stream);
+        }
+        // The test's own descriptors are bounded as well.
+        bad.drain(..bad.len().saturating_sub(300));
+        let since = Instant::now();
+        assert_eq!(
+            program.check(),
+            r"\x94\x01\x01\xc0\x92\xc3\x81\xa4load\xa11".replace(r"\x81\xa4load\xa11", r"\x80"),
+            "round {round}"
+        );
+        slowest = slowest.max(since.elapsed());
+    }
+    println!("800 bad connections, 40 good checks, the slowest after {} ms", slowest.as_millis());
+    assert!(slowest < Duration::from_secs(5));
+}
+
+/// Idle clients hold all descriptors that clients may have while the catalog and the pool are down. Both links still come up
+/// afterwards, the server reports, and a good client is served.
+#[test]
+fn idle_clients_may_fill_the_descriptors_while_the_catalog_is_down() {
+    let ((pool, pool_at), (catalog, catalog_at)) = (bind(), bind());
+    let (pool_later, catalog_later) = (pool_at.clone(), catalog_at.clone());
+    drop((pool, catalog));
+    let changes = [(r#""sockets":1024"#.to_owned(), r#""sockets":128"#.to_owned())];
+    let program = Alone::limited(&config(&pool_at, &catalog_at, "127.0.0.1:1", &changes), "128");
+    // Each asks once and then rests.
+    let resting: Vec<Client> = (0..200).filter_map(|_| Client::resting(&program.address)).collect();
+    println!("{} clients asked and rest", resting.len());
+    assert!(resting.len() >= 64, "only {} were taken", resting.len());
+    let pool = TcpListener::bind(&pool_later).expect("its port is free again");
+    let catalog = TcpListener::bind(&catalog_later).expect("its port is free again");
+    let since = Instant::now();
+    let _report = report(&catalog);
+    let mut link = BufReader::new(pool.accept().expect("the link comes").0);
+    let mut bind = String::new();
+    link.read_line(&mut bind).expect("a line");
+    assert!(bind.contains("bind"), "{bind}");
+    link.get_mut().write_all(b"{\"op\":\"bound\",\"end\":\"old\",\"ms\":5000}\n").expect("the link stands");
+    let mut good = Client::new(&program.address);
+    good.ask(1, "route-sheet");
+    link.get_ref().set_read_timeout(Some(HANG)).expect("a time limit");
+    let spawn = loop {
+        let mut line = String::new();
+        link.read_line(&mut line).expect("a line");
+        let Some((_, tag)) = line.trim_end().split_once(r#"{"op":"poll","tag":""#) else { break line };
+        let tag = tag.trim_end_matches("\"}");
+        let polled = format!("{{\"op\":\"polled\",\"tag\":\"{tag}\",\"values\":[0.1,0,0.1,1]}}\n");
+        link.get_mut().write_all(polled.as_bytes()).expect("the link stands");
+    };
+    println!("reported, linked and asked to run after {} ms", since.elapsed().as_millis());
+    assert!(spawn.contains("spawn") && spawn.contains("route-sheet"), "{spawn}");
+}
+
+/// Twenty-four processes that start at once, with the catalog down and the pool late for some: nine in ten are ready within
+/// 10 s. Ready is: it listens, and answers a health check; nobody else has to be up.
+#[test]
+fn nine_in_ten_of_many_starts_are_ready_in_time() {
+    let (pools, catalogs): (Vec<_>, Vec<_>) = (0..24).map(|_| (bind(), bind())).unzip();
+    let (tell, told) = channel();
+    let began = Instant::now();
+    let threads: Vec<_> = (0..24usize)
+        .map(|at| {
+            let pool = if at % 3 == 0 { "127.0.0.1:1".to_owned() } else { pools[at].1.clone() };
+            let catalog = if at % 2 == 0 { "127.0.0.1:1".to_owned() } else { catalogs[at].1.clone() };
+            let tell = tell.clone();
+            std::thread::spawn(move || {
+                let text = config(&pool, &catalog, "127.0.0.1:1", &[]);
+                let mut program = Alone::new(&text);
+                let good = program.check().starts_with(r"\x94\x01\x01\xc0\x92\xc3");
+                tell.send((at, good, began.elapsed())).expect("somebody counts");
+                program
+            })
+        })
+        .collect();
+    let ready: Vec<_> = (0..24).map(|_| told.recv_timeout(HANG).expect("it is ready")).collect();
+    let _programs: Vec<Alone> = threads.into_iter().map(|t| t.join().expect("it started")).collect();
+    let slowest = ready.iter().map(|r| r.2).max().expect("some");
+    let in_time = ready.iter().filter(|(_, good, took)| *good && *took < Duration::from_secs(10)).count();
+    let all: BTreeSet<usize> = ready.iter().map(|r| r.0).collect();
+    println!("{in_time} of {} ready within 10 s, the slowest after {} ms", all.len(), slowest.as_millis());
+    assert!(in_time * 10 >= all.len() * 9);
+}
