--- a/tests/ramp.rs
+++ b/tests/ramp.rs
@@ -1,6 +1,6 @@
 //! A fleet that starts cold as a whole, with callers that know only what they heard and forget it after a second. What each
-//! server is sent in the settings' time is held against N, the crowd that the settings let it survive then, and 2 x sqrt(N)
-//! + 2 for chance. The module runs in every server; callers come upon servers at random and pass one over by the share that
+//! server is sent in the settings' time is held against N, the crowd that the settings let it survive then, and for
+//! chance 2 x sqrt(N) and 2 more. The module runs in every server; callers come upon servers at random and pass one over by the share that
 //! it told them, until they come to a willing one.
 
 mod common;
@@ -148,11 +148,18 @@
             }
             for at in 0..self.servers.len() {
                 let now = self.now;
-                let over: Vec<_> = self.servers[at].runs.extract_if(.., |run| run.0 <= now).collect();
+                let (over, runs) =
+                    std::mem::take(&mut self.servers[at].runs).into_iter().partition(|run| run.0 <= now);
+                self.servers[at].runs = runs;
+                let over: Vec<(f64, f64, u64)> = over;
                 for (_, took_ms, id) in over {
                     self.tell(at, Event::Ended { id, outcome: Outcome::Ok, took_ms }, None);
                 }
-                let timers: Vec<_> = self.servers[at].timers.extract_if(.., |timer| timer.0 <= now).collect();
+                let (timers, later) = std::mem::take(&mut self.servers[at].timers)
+                    .into_iter()
+                    .partition(|timer| timer.0 <= now);
+                self.servers[at].timers = later;
+                let timers: Vec<(f64, u64)> = timers;
                 let running = self.servers[at].runs.len() as f64;
                 let gauges = Gauges {
                     busy: Some((running / self.set.cores).min(1.0)),
