Say once where a start was asked and where connections grow tight

Found on reading the change again: core/events.rs asked twice whether a spawn is the last word, front/list.rs computed the same bound twice.

--- a/src/node/core/events.rs
+++ b/src/node/core/events.rs
@@ -172,10 +172,7 @@
     pub(super) fn on_new_pool(&mut self) {
         let over = |r: &Request| match r.stage {
             Stage::Held | Stage::Reusing(_) => false,
-            _ => {
-                let start_asked = matches!(r.asked.first(), Some(Command::Spawn { .. }));
-                !start_asked || self.set.classes[r.class].effect != Effect::Safe
-            }
+            _ => !r.start_asked() || self.set.classes[r.class].effect != Effect::Safe,
         };
         let over: Vec<RequestId> = self.requests.iter().filter(|(_, r)| over(r)).map(|(id, _)| *id).collect();
         warn!(self.log, "runs ended with the worker pool"; "runs" => over.len());
@@ -194,8 +191,7 @@
         let Some(request) = self.requests.get_mut(&id) else { return };
         // "Nothing was started" says that a run never was only while its start is the last thing asked: what was cut at
         // a call and asked to go on has run, and its key must not be free for a second run.
-        let start_asked = matches!(request.asked.first(), Some(Command::Spawn { .. }));
-        let end = if end == End::Gone && !start_asked { End::Bad } else { end };
+        let end = if end == End::Gone && !request.start_asked() { End::Bad } else { end };
         request.asked.clear();
         let owed = request.handle.is_some();
         if end == End::Cut && owed && self.set.preemption != Preemption::Off {
--- a/src/node/core/mod.rs
+++ b/src/node/core/mod.rs
@@ -72,6 +72,13 @@
     asked: Vec<Command>,
 }
 
+impl Request {
+    /// Its start was asked, and the worker pool has said nothing of it since.
+    fn start_asked(&self) -> bool {
+        matches!(self.asked.first(), Some(Command::Spawn { .. }))
+    }
+}
+
 /// The mailboxes of the other actors.
 pub struct Peers {
     /// The worker pool's link.
--- a/src/node/front/list.rs
+++ b/src/node/front/list.rs
@@ -163,7 +163,12 @@
     }
 
     fn tight(&self) -> bool {
-        self.all.len() > self.most - self.most / FREE_PART
+        self.all.len() > self.untight()
+    }
+
+    /// Connections up to which there is room enough.
+    fn untight(&self) -> usize {
+        self.most - self.most / FREE_PART
     }
 
     fn may_complain(&mut self, now: f64) -> bool {
@@ -182,8 +187,7 @@
                 !(c.lingers.get() && since.is_some_and(|since| now - since >= CROSSING_MS))
             });
             let ending = self.all.values().filter(|(c, _)| !c.life.borrow().takes()).count();
-            let free_from = self.most - self.most / FREE_PART;
-            for _ in free_from..self.all.len() - ending {
+            for _ in self.untight()..self.all.len() - ending {
                 self.make_room(now);
             }
         }
