--- /dev/null
+++ b/crates/config-sync/src/lib.rs
@@ -0,0 +1,14 @@
+//! Distribution of configuration to round servers: one publisher, relays in two levels, subscribers.
+//!
+//! The publisher orders transactions over typed resources ([`resource`]) into revisions and makes each durable before it
+//! tells anyone. Relays and subscribers watch from a revision and receive deltas, or, when their revision is no longer in
+//! the log, only the buckets of the table whose digests differ. Progress is aggregated by zone on the way up.
+//!
+//! Everything that decides is a state machine without I/O, clock or global: `on_event(&mut self, now, event, &mut out)`.
+//! Tasks that own the sockets, files and timers carry the actions out.
+#![forbid(unsafe_code)]
+#![warn(missing_docs)]
+
+pub mod client;
+pub mod message;
+pub mod resource;
