Keep keys of classes apart whose positions differ by a multiple of 256

The key of a keyed request took its class as one byte, so that classes 256 apart shared keys and one took the other's result. The class is now a prefix of four bytes.

A test plays 300 keyed classes with one key through the real server: it failed before (the second class of the first pair was never run) and passes now; the recorded exchanges pass unchanged.

--- a/src/node/front/request.rs
+++ b/src/node/front/request.rs
@@ -66,8 +66,7 @@
             reached,
             held_kb: number("heap").filter(|h| *h > 0.0 && *h < MAX_HELD_KB)?,
             rank: number("crit").filter(|r| (0.0..1.0).contains(r))?,
-            // The class is part of the key: two classes' tries are never tries of one request.
-            key: key.filter(|_| keyed).map(|k| [&[class as u8], k.as_bytes()].concat()),
+            key: key.filter(|_| keyed).map(|k| class_key(class, k)),
             waits: ttl,
             tenant,
             account: account.map(|a| Rc::from(a.as_str())),
@@ -79,3 +78,11 @@
         Some(incoming)
     }
 }
+
+/// A key as the table knows it. The class, in a fixed width, is part of it: two classes' tries are never tries of one
+/// request.
+fn class_key(class: usize, key: &str) -> Vec<u8> {
+    // Lossless: the number of classes is bounded far below.
+    let class = u32::try_from(class).unwrap_or(u32::MAX);
+    [&class.to_be_bytes(), key.as_bytes()].concat()
+}
--- /dev/null
+++ b/tests/key_classes.rs
@@ -0,0 +1,48 @@
+//! Keys of different classes never meet, however many classes there are: the real server with 300 keyed classes.
+
+#[allow(dead_code, reason = "each test program uses a part of it")]
+mod play;
+
+/// Keyed classes in the configuration.
+const CLASSES: usize = 300;
+/// Classes so far apart have the same lowest byte.
+const BYTE_VALUES: usize = 256;
+
+/// A configuration line that puts keyed classes `k0`, `k1` and so on before the ordinary ones.
+fn keyed_classes() -> String {
+    let class = |at: usize| {
+        format!(
+            r#"{{"name":"k{at}","effect":"token","give_up_ms":90000,"target_ms":80000,"memory_span_ms":95000,"worth":5}},"#
+        )
+    };
+    let classes: String = (0..CLASSES).map(class).collect();
+    format!("config \"profiles\":[ -> \"profiles\":[{classes}\n")
+}
+
+/// The client's request `id` of that class under the one key, which has to be run; its result is the class's number.
+fn run_once(script: &mut String, id: usize, class: usize) {
+    use base64::Engine as _;
+    let result = base64::engine::general_purpose::STANDARD.encode(format!("{class:03}"));
+    *script += &format!("a: req {id} k{class} dedupe=same\npool?\n");
+    let finished =
+        format!(r#"{{"op":"finished","seq":{id},"id":"61{id:014}","end":"good","ms":9,"body":"{result}"}}"#);
+    *script += &format!("pool: {finished}\na?\n");
+}
+
+#[test]
+fn classes_with_the_same_lowest_byte_do_not_share_keys() {
+    let mut script = keyed_classes();
+    script += "pool?\npool: {\"op\":\"bound\",\"end\":\"old\",\"ms\":5000}\n";
+    let pairs = (0..CLASSES - BYTE_VALUES).flat_map(|class| [class, class + BYTE_VALUES]);
+    let classes: Vec<usize> = pairs.collect();
+    for (at, class) in classes.iter().enumerate() {
+        run_once(&mut script, at + 1, *class);
+    }
+    let transcript = play::play(&script);
+    for class in classes {
+        let command = format!("\"class\":\"k{class}\"");
+        assert_eq!(transcript.matches(&command).count(), 1, "runs of class {class}");
+        let answer = format!("\\xc4\\x03{class:03}\\x81");
+        assert_eq!(transcript.matches(&answer).count(), 1, "answers of class {class}");
+    }
+}
