--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -7,7 +7,7 @@
 use crate::config::Config;
 use crate::node::catalog::Catalog;
 use crate::node::core::{Core, Peers};
-use crate::node::front::{List, Shared};
+use crate::node::front::{List, Names, Shared};
 use crate::node::index::Index;
 use crate::node::messages::{ToCatalog, ToCore, ToIndex, ToList, ToPool};
 use crate::node::pool::Pool;
@@ -263,9 +263,10 @@
     lasting("core", Box::pin(core.run(core_letters)));
     lasting("wheel", Box::pin(wheel.clone().turn()));
     let shared = Rc::new(Shared {
-        tenants: config.tenants.clone(),
+        tenants: Names::new(&config.tenants),
         passes_deadline: config.settings.passes_deadline,
-        classes: config.classes.iter().cloned().zip(config.settings.classes.iter().cloned()).collect(),
+        classes: config.settings.classes.clone(),
+        class_names: Names::new(&config.classes),
         clock,
         wheel: wheel.clone(),
         core: core_box.clone(),
--- a/src/node/front/mod.rs
+++ b/src/node/front/mod.rs
@@ -6,9 +6,11 @@
 mod answer;
 pub mod life;
 mod list;
+mod names;
 mod request;
 
 pub use list::List;
+pub use names::Names;
 
 use super::messages::{Handle, ToCaller, ToCore};
 use super::wheel::{Clock, Wheel};
@@ -48,10 +50,12 @@
 
 /// What all connections share.
 pub struct Shared {
-    /// The names and settings of the classes, in order.
-    pub classes: Vec<(String, Class)>,
-    /// The names of the tenants, in order; empty at a site that has none.
-    pub tenants: Vec<String>,
+    /// The settings of the classes, in order.
+    pub classes: Vec<Class>,
+    /// The classes by their names.
+    pub class_names: Names,
+    /// The tenants by their names; empty at a site that has none.
+    pub tenants: Names,
     /// Each request tells how long its caller waits.
     pub passes_deadline: bool,
     /// The clock.
--- /dev/null
+++ b/src/node/front/names.rs
@@ -0,0 +1,30 @@
+//! Positions of classes and tenants by their names: a hash lookup for each request, whatever their number.
+
+use std::collections::HashMap;
+
+/// A list's names with their positions.
+#[derive(Clone, Debug, Default)]
+pub struct Names {
+    positions: HashMap<Box<[u8]>, usize>,
+}
+
+impl Names {
+    /// The names in the list's order. Of equal names the first one is found.
+    pub fn new(names: &[String]) -> Names {
+        let mut positions = HashMap::with_capacity(names.len());
+        for (position, name) in names.iter().enumerate() {
+            positions.entry(name.as_bytes().into()).or_insert(position);
+        }
+        Names { positions }
+    }
+
+    /// Where that name stands in the list.
+    pub fn position(&self, name: &[u8]) -> Option<usize> {
+        self.positions.get(name).copied()
+    }
+
+    /// Whether the list has no names.
+    pub fn is_empty(&self) -> bool {
+        self.positions.is_empty()
+    }
+}
--- a/src/node/front/request.rs
+++ b/src/node/front/request.rs
@@ -28,7 +28,7 @@
         method: &[u8],
         args: &[Value],
     ) -> Option<Incoming> {
-        let class = shared.classes.iter().position(|(name, _)| name.as_bytes() == method)?;
+        let class = shared.class_names.position(method)?;
         let [Value::Map(fields), Value::Bin(body)] = args else { return None };
         let named = |name: &str| -> Option<&Value> {
             let found = fields.iter().find(|(k, _)| matches!(k, Value::Str(k) if k == name.as_bytes()));
@@ -41,23 +41,21 @@
         let number = |name: &str| field(name)?.parse::<f64>().ok().filter(|n| n.is_finite());
         let call = field("call").filter(|c| c.len() == 16 && c.bytes().all(|b| b.is_ascii_hexdigit()))?;
         let key = field("dedupe").filter(|k| !k.is_empty() && k.len() <= MAX_KEY);
-        let keyed = shared.classes[class].1.effect == Effect::Keyed;
+        let keyed = shared.classes[class].effect == Effect::Keyed;
         if body.len() > MAX_BODY || self.open.borrow().len() >= MAX_OPEN || keyed && key.is_none() {
             return None;
         }
         let billed = shared.accounts && named("org").is_some();
         let account = if billed { Some(Account::named(field("org")?).ok()?) } else { None };
         let reached = number("recv").filter(|r| *r > 0.0)?;
-        let longest = MAX_WAITS * shared.classes[class].1.give_up_ms;
+        let longest = MAX_WAITS * shared.classes[class].give_up_ms;
         let ttl = match (named("ttl").is_some(), shared.passes_deadline) {
             (false, false) => None,
             _ => Some(number("ttl").filter(|t| *t > 0.0 && *t <= longest)?),
         };
         // A tenant that the settings don't list has no share by which its traffic could be judged.
-        let tenant = match &shared.tenants[..] {
-            [] => 0,
-            tenants => tenants.iter().position(|t| Some(t.as_str()) == field("org"))?,
-        };
+        let tenant =
+            if shared.tenants.is_empty() { 0 } else { shared.tenants.position(field("org")?.as_bytes())? };
         let id = shared.last_id.get() + 1;
         let incoming = Incoming {
             id,
