Judge allowances at a cost that does not grow with the tenants

Each arrival summed over all tenants twice and each timer faded all of their counters. The sum of the allowances is fixed at the start; what tenants sent is counted with forward decay, and the sum over all is kept with a compensation, so that the rest beside a tenant that holds nearly all is exact and not made of rounding errors.

A walk through the classes remains with each arrival.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -24,6 +24,7 @@
 pub mod codec;
 pub mod config;
 pub mod daemon;
+pub mod fading;
 pub mod interface;
 pub mod node;
 pub mod operator;
--- a/src/policy/callers.rs
+++ b/src/policy/callers.rs
@@ -52,8 +52,8 @@
     pub(super) fn step_idle_limit(&mut self, busy: f64, out: &mut Actions) {
         let fade = (-TIMER_MS / RATE_SPAN_MS).exp();
         self.arrivals *= fade;
-        self.over *= fade;
-        self.sent.iter_mut().for_each(|t| t.0 *= fade);
+        self.over_allowance_arrivals *= fade;
+        self.tenant_arrivals.fade(fade);
         self.watched_ms = self.watched_ms * fade + TIMER_MS;
         let uses = self.arrivals / self.watched_ms * self.set.idle_max_ms / self.set.callers;
         let part = (self.other_work / self.set.cores / IDLE_CROWD).min(1.0);
@@ -79,21 +79,17 @@
     /// within is saved up arrival by arrival, which holds at any rate. It guards against a tenant's flood or
     /// burst; it could hurt where a tenant's callers all come here.
     pub(super) fn over_allowance(&mut self, tenant: usize) -> bool {
-        let (Some(sent), Some(allowance)) = (self.sent.get_mut(tenant), self.set.tenants.get(tenant)) else {
-            return false;
-        };
-        sent.0 += 1.0;
-        let sent = sent.0;
-        let all: f64 = self.set.tenants.iter().sum();
-        if all <= 0.0 {
+        let Some(allowance) = self.set.tenants.get(tenant) else { return false };
+        let Some(arrivals) = self.tenant_arrivals.add(tenant) else { return false };
+        if self.all_allowances <= 0.0 {
             return false;
         }
-        let part = (self.sent.iter().map(|t| t.0).sum::<f64>() - sent) / (all - allowance).max(1e-9);
+        let part = arrivals.others / (self.all_allowances - allowance).max(1e-9);
         let even = self.watched_ms / 1000.0 / self.set.servers;
         let expected = allowance * part.max(even);
         let within = expected * ALLOWANCE_SLACK + ALLOWANCE_NOISE * (expected + 1.0).sqrt();
-        let credit = &mut self.sent[tenant].1;
-        *credit = (*credit + within / sent).min(1.0);
+        let credit = &mut self.tenant_credits[tenant];
+        *credit = (*credit + within / arrivals.own).min(1.0);
         let over = *credit < 1.0;
         *credit -= f64::from(u8::from(!over));
         over
--- a/src/policy/events.rs
+++ b/src/policy/events.rs
@@ -42,7 +42,7 @@
         }
         let cost = sane(a.cost_ms.unwrap_or(0.0), 0.0, 1e9);
         let over = self.over_allowance(a.tenant);
-        self.over += f64::from(u8::from(over));
+        self.over_allowance_arrivals += f64::from(u8::from(over));
         // A further try has spent part of its aim, and refusing a first try only brings another one to read.
         let part =
             if over { self.set.over_share_worth } else { 1.0 } * if a.retry { RETRY_PART } else { 1.0 };
--- a/src/policy/level.rs
+++ b/src/policy/level.rs
@@ -141,7 +141,7 @@
     /// A rank's place among all that arrives, what is over an allowance below all else: a step of the cut
     /// refuses the same part of the traffic wherever it stands, and does not overshoot into what is within.
     pub(super) fn place(&self, rank: f64, over: bool) -> f64 {
-        let below = self.over / self.arrivals.max(1.0);
+        let below = self.over_allowance_arrivals / self.arrivals.max(1.0);
         if over { rank * below } else { below + rank * (1.0 - below) }
     }
 }
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -13,6 +13,7 @@
 mod level;
 mod order;
 
+use crate::fading::FadingCounts;
 use crate::interface::*;
 use callers::IDLE_SHORT_MS;
 use std::collections::BTreeMap;
@@ -109,8 +110,12 @@
     /// Usual time of a call, ms.
     usual_call: f64,
     learned: Vec<Learned>,
-    /// Arrivals of each tenant over the span, fading, and its saved part of one within its allowance.
-    sent: Vec<(f64, f64)>,
+    /// Arrivals of each tenant over the span, fading.
+    tenant_arrivals: FadingCounts,
+    /// Each tenant's saved part of an arrival within its allowance.
+    tenant_credits: Vec<f64>,
+    /// The sum of all allowances.
+    all_allowances: f64,
     /// Notice to leave: when it came and when the process stops.
     leaving: Option<(f64, f64)>,
     level: usize,
@@ -137,7 +142,7 @@
     healthy: bool,
     /// Arrivals over the span, those over an allowance, and the time watched, all fading.
     arrivals: f64,
-    over: f64,
+    over_allowance_arrivals: f64,
     watched_ms: f64,
     idle_limit: f64,
     /// How old requests are when they are read, averaged, ms.
@@ -188,7 +193,9 @@
         };
         Policy {
             learned: set.classes.iter().map(guess).collect(),
-            sent: vec![(0.0, 0.0); set.tenants.len()],
+            tenant_arrivals: FadingCounts::new(set.tenants.len()),
+            tenant_credits: vec![0.0; set.tenants.len()],
+            all_allowances: set.tenants.iter().sum(),
             born: now,
             idle_limit: set.idle_max_ms,
             set,
