Read settings from the parsed tree, for 390,000 tenants within 256 MB

The file's settings were flattened into a map of strings, which took 272 MB at 390,000 tenants, and lists past 100,000 items were refused. They are read from the parsed tree under the same paths; the simulator's pairs stay as they are. Objects give back the room that they did not need.

`check` prints the number of names and the first 20 where there are more.

The file is split by matter: bounds, settings, and how they are stated.

--- a/src/codec/json.rs
+++ b/src/codec/json.rs
@@ -139,6 +139,8 @@
             }
             members.push((name, self.value(depth + 1)?));
             if self.accept(b'}') {
+                // A list may have very many objects, each of a few members.
+                members.shrink_to_fit();
                 return Ok(Value::Object(members));
             }
             if !self.accept(b',') {
--- a/src/config.rs
+++ b/src/config.rs
@@ -2,12 +2,21 @@
 //! the settings that it and the simulator's first message state under the same names. It must never guess at a
 //! value that is there but can't be read: it names the key instead. Keys that it does not know are passed over.
 
+mod bounds;
+mod settings;
+mod stated;
+
+pub use bounds::Bounds;
+pub use stated::Pairs;
+
 use crate::codec::json::{self, Value};
-use crate::interface::{Class, Effect, Gauges, Preemption, Settings, Signal};
-use std::collections::HashMap;
+use crate::interface::{Gauges, Settings};
 use std::net::SocketAddr;
 use std::time::Duration;
 
+/// Names of one kind that are printed at most.
+const NAMES_PRINTED: usize = 20;
+
 /// A faulty key.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Fault {
@@ -31,163 +40,6 @@
 
 impl std::error::Error for Fault {}
 
-/// Settings as paths and values: a list of plain values is joined by commas, a list of objects gives its length
-/// under `.count` and its items under `.0`, `.1` and so on.
-#[derive(Clone, Debug, Default)]
-pub struct Pairs(HashMap<String, String>);
-
-impl<'a> FromIterator<(&'a str, &'a str)> for Pairs {
-    fn from_iter<T: IntoIterator<Item = (&'a str, &'a str)>>(pairs: T) -> Self {
-        Pairs(pairs.into_iter().map(|(k, v)| (k.to_owned(), v.to_owned())).collect())
-    }
-}
-
-impl From<&Value> for Pairs {
-    fn from(value: &Value) -> Self {
-        let mut pairs = Pairs::default();
-        pairs.flatten("", value);
-        pairs
-    }
-}
-
-impl Pairs {
-    fn flatten(&mut self, path: &str, value: &Value) {
-        let below = |key: &str| if path.is_empty() { key.to_owned() } else { format!("{path}.{key}") };
-        match value {
-            Value::Object(members) => members.iter().for_each(|(key, v)| self.flatten(&below(key), v)),
-            Value::Array(items) if items.iter().any(|i| matches!(i, Value::Object(_))) => {
-                self.0.insert(below("count"), items.len().to_string());
-                items.iter().enumerate().for_each(|(at, v)| self.flatten(&below(&at.to_string()), v));
-            }
-            Value::Array(items) => {
-                let plain: Vec<String> = items.iter().map(plain).collect();
-                self.0.insert(path.to_owned(), plain.join(","));
-            }
-            Value::Null => {}
-            _ => drop(self.0.insert(path.to_owned(), plain(value))),
-        }
-    }
-
-    fn text(&self, key: &str) -> Option<&str> {
-        self.0.get(key).map(String::as_str)
-    }
-
-    fn read<T: std::str::FromStr>(&self, key: &str, value: &str) -> Result<T, Fault> {
-        value.parse().map_err(|_| Fault::new(key, format!("can't be read: {value}")))
-    }
-
-    fn number(&self, key: &str, default: f64) -> Result<f64, Fault> {
-        self.text(key).map_or(Ok(default), |v| self.read(key, v))
-    }
-
-    fn flag(&self, key: &str) -> Result<bool, Fault> {
-        match self.text(key) {
-            None | Some("0" | "false") => Ok(false),
-            Some("1" | "true") => Ok(true),
-            Some(v) => Err(Fault::new(key, format!("can't be read: {v}"))),
-        }
-    }
-
-    fn listed(&self, key: &str, at: usize) -> Result<f64, Fault> {
-        let value = self.text(key).and_then(|v| v.split(',').nth(at)).filter(|v| !v.is_empty());
-        value.map_or(Ok(0.0), |v| self.read(key, v))
-    }
-
-    fn count(&self, key: &str) -> Result<usize, Fault> {
-        let n: usize = self.text(key).map_or(Ok(0), |v| self.read(key, v))?;
-        if n > 100_000 { Err(Fault::new(key, format!("is too large: {n}"))) } else { Ok(n) }
-    }
-
-    /// The names of a list's items, in order; an item without one can't be told from the others.
-    fn names(&self, list: &str) -> Result<Vec<String>, Fault> {
-        let name = |at| {
-            let key = format!("{list}.{at}.name");
-            let text = self.text(&key).filter(|text| !text.is_empty());
-            text.map(str::to_owned).ok_or_else(|| Fault::new(key, "is missing"))
-        };
-        (0..self.count(&format!("{list}.count"))?).map(name).collect()
-    }
-
-    /// What the gauges are called, in the order in which they come.
-    pub fn gauge_names(&self) -> Vec<String> {
-        self.text("specifics.gauges").unwrap_or("").split(',').map(str::to_owned).collect()
-    }
-
-    /// The settings of an instance.
-    ///
-    /// # Errors
-    /// On a value that can't be read.
-    pub fn settings(&self, seed: u64) -> Result<Settings, Fault> {
-        let base = Settings::default();
-        let mut classes = Vec::new();
-        for at in 0..self.count("profiles.count")? {
-            let of = |key: &str| self.number(&format!("profiles.{at}.{key}"), 0.0);
-            let calls = self.text("specifics.class_calls").and_then(|v| v.split(',').nth(at));
-            classes.push(Class {
-                effect: match self.text(&format!("profiles.{at}.effect")) {
-                    Some("pure") => Effect::Safe,
-                    Some("token") => Effect::Keyed,
-                    _ => Effect::Unsafe,
-                },
-                aim_ms: of("target_ms")?,
-                aim_stretch: of("aim_stretch")?,
-                give_up_ms: of("give_up_ms")?,
-                window_ms: of("memory_span_ms")?,
-                worth: of("worth")?,
-                late_worth: of("late_worth")?,
-                calls: matches!(calls, Some("true" | "1")),
-                skip_worth: self.listed("specifics.class_skip_worth", at)?,
-            });
-        }
-        let mut tenants = Vec::new();
-        for at in 0..self.count("accounts.count")? {
-            tenants.push(self.number(&format!("accounts.{at}.allowance_per_s"), f64::INFINITY)?);
-        }
-        Ok(Settings {
-            seed,
-            servers: self.number("servers", base.servers)?,
-            cores: self.number("specifics.n_cores", base.cores)?,
-            tick_ms: self.number("tick_ms", base.tick_ms)?,
-            cold: self.flag("specifics.cold")?,
-            cold_share: self.number("safety.cold_share", base.cold_share)?,
-            cold_ms: self.number("safety.cold_ms", base.cold_ms)?,
-            answer_slack_ms: self.number("safety.answer_slack_ms", base.answer_slack_ms)?,
-            drain_grace_ms: self.number("safety.drain_grace_ms", base.drain_grace_ms)?,
-            survivable_per_core: self.number("safety.fall_multiple", base.survivable_per_core)?,
-            crowd_window_ms: self.number("safety.tip_after_ms", base.crowd_window_ms)?,
-            memory_kb: self.number("specifics.memory_kb", base.memory_kb)?,
-            run_factor: self.number("specifics.run_factor", base.run_factor)?,
-            key_kb: self.number("specifics.key_kb", base.key_kb)?,
-            signal: match self.text("specifics.say") {
-                Some("share_of") => Signal::Share,
-                None | Some("off") => Signal::Off,
-                _ => Signal::Other,
-            },
-            preemption: match self.text("specifics.preemption") {
-                Some("abort") => Preemption::Abort,
-                Some("suspend") => Preemption::Suspend,
-                _ => Preemption::Off,
-            },
-            dependency: !matches!(self.text("specifics.below"), None | Some("off")),
-            calls_share: match self.text("specifics.below") {
-                Some("shared") => Some(self.number("specifics.calls_out", 0.0)?),
-                _ => None,
-            },
-            calls_window_ms: self.number("specifics.dep_window_ms", base.calls_window_ms)?,
-            linger_ms: self.number("specifics.linger_ms", base.linger_ms)?,
-            fresh_ms: self.number("specifics.fresh_for_ms", base.fresh_ms)?,
-            retry_after: self.flag("policy_limits.retry_after")?,
-            max_retry_after_ms: self.number("policy_limits.max_retry_after_ms", base.max_retry_after_ms)?,
-            passes_deadline: self.flag("specifics.passes_deadline")?,
-            callers: self.number("specifics.callers", base.callers)?,
-            idle_max_ms: self.number("specifics.keepalive_max_ms", base.idle_max_ms)?,
-            over_share_worth: self.number("over_share_worth", base.over_share_worth)?,
-            classes,
-            tenants,
-        })
-    }
-}
-
 /// Sets the gauge of that name; other names are passed over.
 pub fn set_gauge(gauges: &mut Gauges, name: &str, value: f64) {
     match name {
@@ -199,64 +51,6 @@
     }
 }
 
-fn plain(value: &Value) -> String {
-    match value {
-        Value::Str(text) => text.clone(),
-        Value::Number(n) => n.to_string(),
-        Value::Bool(b) => b.to_string(),
-        _ => String::new(),
-    }
-}
-
-/// What the process may hold, scaled to its limits: whatever outside sends, each kind of holding keeps to its part.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Bounds {
-    /// Connections of clients.
-    pub clients: usize,
-    /// Calls below, open and kept connections together.
-    pub calls: usize,
-    /// Requests in the ledger.
-    pub requests: usize,
-    /// Keys in the table.
-    pub keys: usize,
-    /// Bytes of kept results.
-    pub result_bytes: usize,
-    /// Messages that wait for the core, before those who send them wait.
-    pub core_mailbox: usize,
-    /// Log lines that wait for the writer; further ones are dropped and counted.
-    pub log_lines: usize,
-    /// Aggregates that a ledger holds open, if there is one.
-    pub ledger_cells: usize,
-}
-
-impl Bounds {
-    /// What one of each may take with everything around it, bytes. A connection has its buffers and mailbox, a
-    /// request its body, twice while it is encoded.
-    const CLIENT: usize = 32 << 10;
-    const REQUEST: usize = 5 << 10;
-    const KEY: usize = 400;
-    const LOG_LINE: usize = 1 << 10;
-    const LEDGER_CELL: usize = 160;
-    /// Descriptors that are neither a client's nor a call's: some fifteen, and room.
-    const OTHER_DESCRIPTORS: usize = 24;
-
-    /// Bounds for limits. Of the memory, a quarter is for clients, a fifth for results, a sixth for requests and a
-    /// tenth for keys; the rest is for calls, the log and the program itself. Client proxies open half of the
-    /// descriptors at most, and a few of theirs may be only just closing; the rest is for calls.
-    pub fn new(memory_bytes: usize, sockets: usize) -> Bounds {
-        Bounds {
-            clients: (sockets / 2 + sockets / 16).min(memory_bytes / 4 / Self::CLIENT),
-            calls: (sockets * 3 / 8).saturating_sub(Self::OTHER_DESCRIPTORS).max(8),
-            requests: (memory_bytes / 6 / Self::REQUEST).min(10_000),
-            keys: memory_bytes / 10 / Self::KEY,
-            result_bytes: memory_bytes / 5,
-            core_mailbox: (memory_bytes / 32 / Self::REQUEST).clamp(64, 1024),
-            log_lines: (memory_bytes / 64 / Self::LOG_LINE).clamp(64, 1024),
-            ledger_cells: memory_bytes / 32 / Self::LEDGER_CELL,
-        }
-    }
-}
-
 /// What a round server is told at its start.
 #[derive(Clone, Debug)]
 pub struct Config {
@@ -357,6 +151,14 @@
     }
 }
 
+/// Names on one line: all of them, or how many there are and the first few.
+fn listed(names: &[String]) -> String {
+    match names.get(..NAMES_PRINTED) {
+        Some(first) if names.len() > NAMES_PRINTED => format!("{}: {}, ...", names.len(), first.join(", ")),
+        _ => names.join(", "),
+    }
+}
+
 impl std::fmt::Display for Config {
     /// What is in force, a key a line; the bounds are what follows from the limits.
     fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
@@ -364,8 +166,8 @@
         writeln!(f, "name      {}\nlisten    {}\npool      {}", self.name, self.listen, self.pool)?;
         writeln!(f, "directory {}\nindex     {index}", self.directory)?;
         writeln!(f, "stop_ms   {}", self.stop.as_millis())?;
-        writeln!(f, "classes   {}", self.classes.join(", "))?;
-        let tenants = if self.tenants.is_empty() { "none".to_owned() } else { self.tenants.join(", ") };
+        writeln!(f, "classes   {}", listed(&self.classes))?;
+        let tenants = if self.tenants.is_empty() { "none".to_owned() } else { listed(&self.tenants) };
         let waits = if self.settings.passes_deadline { "told by each request" } else { "not told" };
         writeln!(f, "tenants   {tenants}\nwaits     {waits}")?;
         let b = &self.bounds;
