Slopes: fit, probe registry, child processes and the command

The types of a slope stood without anything that fills them. The fit is by least squares of the relative error, a simpler model kept unless the next leaves at most three quarters of its error; figures have six significant digits, so that they read back from JSON as they were.

--- /dev/null
+++ b/crates/scale/src/fit.rs
@@ -0,0 +1,258 @@
+//! Fits of a quantity to a size: constant, linear, logarithmic or power, by least squares of the relative error.
+//!
+//! The relative error is what counts because sizes span decades: a fit of absolute errors would be made by the largest
+//! size alone. Of two models the simpler one is kept unless the other one leaves at most [`GAIN`] of its error.
+
+use crate::slope::{Fit, Model, Point, Slope};
+
+/// A more complex model replaces a simpler one only if its error is at most this part of the simpler one's.
+pub const GAIN: f64 = 0.75;
+
+/// A model whose error is below this is good enough: none more complex is looked at.
+pub const GOOD_ENOUGH: f64 = 0.02;
+
+/// A value counts in relative errors as at least this part of the largest one, so that a value of 0 has an error.
+const LEAST_SCALE: f64 = 1e-3;
+
+/// Steps of the search for the exponent of a power.
+const POWER_STEPS: usize = 80;
+
+/// How far from the exponent of the logarithms that search begins.
+const POWER_SPAN: f64 = 0.5;
+
+/// Significant digits of every figure: enough for any use, and few enough that JSON gives back the same number.
+const DIGITS: usize = 6;
+
+/// The models, the simplest first.
+const MODELS: [Model; 4] = [Model::Constant, Model::Linear, Model::Logarithmic, Model::Power];
+
+/// One value to be fitted, with the scale of its relative error.
+struct Sample {
+    size: f64,
+    value: f64,
+    scale: f64,
+}
+
+/// The medians of `points` as samples.
+fn samples(points: &[Point]) -> Vec<Sample> {
+    let largest = points.iter().map(|point| point.median.abs()).fold(0.0, f64::max);
+    let least = (largest * LEAST_SCALE).max(f64::MIN_POSITIVE);
+    let sample = |point: &Point| Sample {
+        size: point.size,
+        value: point.median,
+        scale: point.median.abs().max(least),
+    };
+    points.iter().map(sample).collect()
+}
+
+impl Fit {
+    /// The fit's value at a size.
+    pub fn at(&self, size: f64) -> f64 {
+        match self.model {
+            Model::Constant => self.intercept,
+            Model::Linear => self.intercept + self.slope * size,
+            Model::Logarithmic => self.intercept + self.slope * size.log2(),
+            Model::Power => self.intercept * size.powf(self.slope),
+        }
+    }
+
+    /// The best fit of one model to the medians of `points`; none if they do not determine it.
+    pub fn of_model(model: Model, points: &[Point]) -> Option<Fit> {
+        let samples = samples(points);
+        let (intercept, slope) = match model {
+            Model::Constant => (scaled_mean(&samples, |_| 1.0)?, 0.0),
+            Model::Linear => line(&samples, |size| size)?,
+            Model::Logarithmic => line(&samples, f64::log2)?,
+            Model::Power => power(&samples)?,
+        };
+        let fit = Fit { model, intercept: rounded(intercept), slope: rounded(slope), relative_error: 0.0 };
+        let relative_error = rounded(error(&samples, |size| fit.at(size)));
+        let fit = Fit { relative_error, ..fit };
+        [intercept, slope, relative_error].iter().all(|number| number.is_finite()).then_some(fit)
+    }
+
+    /// The best fit of all models: the simplest one unless a more complex one is better by [`GAIN`]. A model that is
+    /// negative at the target although no value is, is no candidate.
+    pub fn best(points: &[Point], target_size: f64) -> Fit {
+        let none = Fit { model: Model::Constant, intercept: 0.0, slope: 0.0, relative_error: 0.0 };
+        let may_be_negative = points.iter().any(|point| point.median < 0.0);
+        let possible = |fit: &Fit| may_be_negative || fit.at(target_size) >= 0.0;
+        let mut fits = MODELS.iter().filter_map(|model| Fit::of_model(*model, points)).filter(possible);
+        let Some(mut best) = fits.next() else { return none };
+        for fit in fits {
+            if best.relative_error <= GOOD_ENOUGH {
+                break;
+            }
+            if fit.relative_error <= best.relative_error * GAIN {
+                best = fit;
+            }
+        }
+        best
+    }
+}
+
+/// The factor of `shape` with the least squared relative error.
+fn scaled_mean(samples: &[Sample], shape: impl Fn(f64) -> f64) -> Option<f64> {
+    let (mut numerator, mut denominator) = (0.0, 0.0);
+    for sample in samples {
+        let scaled = shape(sample.size) / sample.scale;
+        numerator += scaled * sample.value / sample.scale;
+        denominator += scaled * scaled;
+    }
+    (denominator > 0.0).then(|| numerator / denominator)
+}
+
+/// The line over `shape` of the size with the least squared relative error: intercept and slope.
+fn line(samples: &[Sample], shape: impl Fn(f64) -> f64) -> Option<(f64, f64)> {
+    let (mut weights, mut sum_x, mut sum_y) = (0.0, 0.0, 0.0);
+    for sample in samples {
+        let weight = 1.0 / (sample.scale * sample.scale);
+        weights += weight;
+        sum_x += weight * shape(sample.size);
+        sum_y += weight * sample.value;
+    }
+    let (mean_x, mean_y) = (sum_x / weights, sum_y / weights);
+    let (mut sum_xx, mut sum_xy) = (0.0, 0.0);
+    for sample in samples {
+        let weight = 1.0 / (sample.scale * sample.scale);
+        let distance = shape(sample.size) - mean_x;
+        sum_xx += weight * distance * distance;
+        sum_xy += weight * distance * (sample.value - mean_y);
+    }
+    let slope = sum_xy / sum_xx;
+    (sum_xx > 0.0).then_some((mean_y - slope * mean_x, slope))
+}
+
+/// The power of the size with the least squared relative error: factor and exponent.
+fn power(samples: &[Sample]) -> Option<(f64, f64)> {
+    if samples.iter().any(|sample| sample.value <= 0.0 || sample.size <= 0.0) {
+        return None;
+    }
+    let logarithms: Vec<Sample> = samples
+        .iter()
+        .map(|sample| Sample { size: sample.size.ln(), value: sample.value.ln(), scale: 1.0 })
+        .collect();
+    let (_, start) = line(&logarithms, |size| size)?;
+    let factor = |exponent: f64| scaled_mean(samples, |size| size.powf(exponent));
+    let cost = |exponent: f64| {
+        factor(exponent).map_or(f64::INFINITY, |factor| error(samples, |size| factor * size.powf(exponent)))
+    };
+    let exponent = least(start - POWER_SPAN, start + POWER_SPAN, cost);
+    Some((factor(exponent)?, exponent))
+}
+
+/// Where `cost` is least between two ends, by ternary search.
+fn least(mut low: f64, mut high: f64, cost: impl Fn(f64) -> f64) -> f64 {
+    for _ in 0..POWER_STEPS {
+        let third = (high - low) / 3.0;
+        if cost(low + third) <= cost(high - third) {
+            high -= third;
+        } else {
+            low += third;
+        }
+    }
+    (low + high) / 2.0
+}
+
+/// The root of the mean squared relative error.
+fn error(samples: &[Sample], value: impl Fn(f64) -> f64) -> f64 {
+    let square = |sample: &Sample| ((value(sample.size) - sample.value) / sample.scale).powi(2);
+    (samples.iter().map(square).sum::<f64>() / samples.len().max(1) as f64).sqrt()
+}
+
+/// What is measured: everything of a [`Slope`] that does not follow from its points.
+#[derive(Clone, Debug)]
+pub struct Quantity {
+    /// `part.quantity.size`.
+    pub id: &'static str,
+    /// In words.
+    pub quantity: &'static str,
+    /// The unit.
+    pub unit: &'static str,
+    /// The size that varies, in words.
+    pub against: &'static str,
+    /// What is held fixed, by name.
+    pub fixed: &'static [(&'static str, f64)],
+    /// The size at the target.
+    pub target_size: f64,
+}
+
+impl Quantity {
+    /// The slope through `points`: its fit, and its value at the target with the error.
+    pub fn slope(&self, points: Vec<Point>) -> Slope {
+        let fit = Fit::best(&points, self.target_size);
+        let at_the_target: Vec<f64> =
+            points.iter().filter(|point| point.size == self.target_size).map(|point| point.median).collect();
+        let measured_at_target = !at_the_target.is_empty();
+        let (at_target, at_target_error) = if measured_at_target {
+            (median(&at_the_target), spread(&at_the_target))
+        } else {
+            let error = fit.relative_error.max(seed_spread(&fit, &points, self.target_size));
+            (fit.at(self.target_size), error)
+        };
+        Slope {
+            id: self.id.to_owned(),
+            quantity: self.quantity.to_owned(),
+            unit: self.unit.to_owned(),
+            against: self.against.to_owned(),
+            fixed: self.fixed.iter().map(|(name, value)| ((*name).to_owned(), *value)).collect(),
+            points,
+            fit,
+            target_size: self.target_size,
+            at_target: rounded(at_target),
+            at_target_error: rounded(at_target_error),
+            measured_at_target,
+        }
+    }
+}
+
+impl Point {
+    /// The point of several runs at one size.
+    pub fn of(size: f64, seed: u64, runs: &[f64]) -> Point {
+        let min = runs.iter().copied().fold(f64::INFINITY, f64::min);
+        Point {
+            size,
+            seed,
+            min: if runs.is_empty() { 0.0 } else { min },
+            median: median(runs),
+            runs: runs.len(),
+        }
+    }
+}
+
+/// A number of [`DIGITS`] significant digits.
+fn rounded(number: f64) -> f64 {
+    format!("{number:.*e}", DIGITS - 1).parse().unwrap_or(number)
+}
+
+/// The median; the mean of the middle two of an even number, 0 of none.
+pub fn median(values: &[f64]) -> f64 {
+    let mut sorted = values.to_vec();
+    sorted.sort_by(f64::total_cmp);
+    let middle = sorted.len() / 2;
+    match sorted.len() {
+        0 => 0.0,
+        length if length % 2 == 1 => sorted[middle],
+        _ => (sorted[middle - 1] + sorted[middle]) / 2.0,
+    }
+}
+
+/// Half the range of `values` as a part of their median.
+pub fn spread(values: &[f64]) -> f64 {
+    let low = values.iter().copied().fold(f64::INFINITY, f64::min);
+    let high = values.iter().copied().fold(f64::NEG_INFINITY, f64::max);
+    let middle = median(values).abs();
+    if middle > 0.0 { (high - low) / 2.0 / middle } else { 0.0 }
+}
+
+/// How far the fits of the same model to the points of each seed alone lie apart at a size.
+fn seed_spread(fit: &Fit, points: &[Point], size: f64) -> f64 {
+    let mut seeds: Vec<u64> = points.iter().map(|point| point.seed).collect();
+    seeds.sort_unstable();
+    seeds.dedup();
+    let of_seed = |seed: &u64| {
+        let own: Vec<Point> = points.iter().filter(|point| point.seed == *seed).cloned().collect();
+        Fit::of_model(fit.model, &own).map(|fit| fit.at(size))
+    };
+    spread(&seeds.iter().filter_map(of_seed).collect::<Vec<f64>>())
+}
--- a/crates/scale/src/main.rs
+++ b/crates/scale/src/main.rs
@@ -1,10 +1,8 @@
 //! Scale tests: what each part costs against its size, the capacity page made from it, and the propagation of
 //! configuration at the size of the target fleet.
 
-mod slope;
-mod slopes;
-
 use clap::{Parser, Subcommand};
+use dunlinspread_scale::{child, slopes};
 use std::process::ExitCode;
 
 /// Scale tests of the parts of dunlinspread.
@@ -19,11 +17,15 @@
 enum Command {
     /// Measure slopes: the cost of each part against its size.
     Slopes(slopes::Options),
+    /// Measure one load in this process and print what it came to; `slopes` starts it.
+    #[command(hide = true)]
+    Child(child::Options),
 }
 
 fn main() -> ExitCode {
     let result = match Cli::parse().command {
         Command::Slopes(options) => slopes::run(&options),
+        Command::Child(options) => child::run(&options),
     };
     match result {
         Ok(()) => ExitCode::SUCCESS,
