--- a/crates/scale/src/fit.rs
+++ b/crates/scale/src/fit.rs
@@ -213,8 +213,8 @@
         Point {
             size,
             seed,
-            min: if runs.is_empty() { 0.0 } else { min },
-            median: median(runs),
+            min: if runs.is_empty() { 0.0 } else { rounded(min) },
+            median: rounded(median(runs)),
             runs: runs.len(),
         }
     }
