--- /dev/null
+++ b/crates/config-sync/src/codec/record.rs
@@ -0,0 +1,170 @@
+//! Records of the stores of publishers and subscribers: transactions and the beginnings of epochs, and a snapshot of a
+//! whole table that stands for all before it.
+
+use super::convert::{digest, position};
+use super::{DecodeError, wire};
+use crate::resource::{Digest, Position, Resource, Transaction};
+use prost::Message as _;
+
+/// The newest version of records.
+pub const RECORD_VERSION: u8 = 1;
+
+/// One record.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Record {
+    /// A new history begins at revision 0 of this epoch, with the table as it is.
+    Epoch(u64),
+    /// A transaction, that follows the one before.
+    Transaction(Transaction),
+}
+
+/// What a snapshot says of the table that follows it.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct SnapshotHeader {
+    /// What it is a snapshot of.
+    pub position: Position,
+    /// The digest of the whole table.
+    pub digest: Digest,
+    /// When its last transaction was accepted, Unix ms.
+    pub published_unix_ms: u64,
+    /// How many resources follow.
+    pub resources: u64,
+}
+
+#[derive(Clone, PartialEq, prost::Message)]
+struct WireRecord {
+    #[prost(oneof = "Kind", tags = "1, 2")]
+    kind: Option<Kind>,
+}
+
+#[derive(Clone, PartialEq, prost::Oneof)]
+enum Kind {
+    #[prost(uint64, tag = "1")]
+    Epoch(u64),
+    #[prost(message, tag = "2")]
+    Transaction(wire::Transaction),
+}
+
+#[derive(Clone, PartialEq, prost::Message)]
+struct WireHeader {
+    #[prost(message, optional, tag = "1")]
+    position: Option<wire::Position>,
+    #[prost(message, optional, tag = "2")]
+    digest: Option<wire::Digest>,
+    #[prost(uint64, tag = "3")]
+    published_unix_ms: u64,
+    #[prost(uint64, tag = "4")]
+    resources: u64,
+}
+
+/// A record's bytes.
+pub fn encode_record(record: &Record) -> Vec<u8> {
+    let kind = match record {
+        Record::Epoch(epoch) => Kind::Epoch(*epoch),
+        Record::Transaction(transaction) => Kind::Transaction(transaction.into()),
+    };
+    let record = WireRecord { kind: Some(kind) };
+    let mut bytes = Vec::with_capacity(1 + record.encoded_len());
+    bytes.push(RECORD_VERSION);
+    record.encode_raw(&mut bytes);
+    bytes
+}
+
+/// Reads a record.
+///
+/// # Errors
+/// On the first fault.
+pub fn decode_record(bytes: &[u8]) -> Result<Record, DecodeError> {
+    let record = WireRecord::decode(versioned(bytes)?)?;
+    match record.kind.ok_or(DecodeError::Missing("record"))? {
+        Kind::Epoch(epoch) => Ok(Record::Epoch(epoch)),
+        Kind::Transaction(transaction) => Ok(Record::Transaction(transaction.try_into()?)),
+    }
+}
+
+/// A snapshot's bytes. `header.resources` has to be the number of resources.
+pub fn encode_snapshot<'a>(
+    header: &SnapshotHeader,
+    resources: impl Iterator<Item = &'a Resource>,
+) -> Vec<u8> {
+    let header = WireHeader {
+        position: Some(header.position.into()),
+        digest: Some(header.digest.into()),
+        published_unix_ms: header.published_unix_ms,
+        resources: header.resources,
+    };
+    let mut bytes = vec![RECORD_VERSION];
+    put(&header, &mut bytes);
+    for resource in resources {
+        put(&wire::Resource::from(resource), &mut bytes);
+    }
+    bytes
+}
+
+fn put(message: &impl prost::Message, bytes: &mut Vec<u8>) {
+    prost::encode_length_delimiter(message.encoded_len(), bytes).expect("a vector grows");
+    message.encode_raw(bytes);
+}
+
+/// Reads a snapshot, one resource after the other, so that nobody holds them twice.
+#[derive(Debug)]
+pub struct SnapshotReader<'a> {
+    header: SnapshotHeader,
+    left: u64,
+    rest: &'a [u8],
+}
+
+impl<'a> SnapshotReader<'a> {
+    /// Reads the header.
+    ///
+    /// # Errors
+    /// On the first fault.
+    pub fn new(bytes: &'a [u8]) -> Result<SnapshotReader<'a>, DecodeError> {
+        let mut rest = versioned(bytes)?;
+        let header = WireHeader::decode_length_delimited(&mut rest)?;
+        let header = SnapshotHeader {
+            position: position("snapshot.position", header.position)?,
+            digest: digest("snapshot.digest", header.digest)?,
+            published_unix_ms: header.published_unix_ms,
+            resources: header.resources,
+        };
+        Ok(SnapshotReader { header, left: header.resources, rest })
+    }
+
+    /// What the snapshot says of itself.
+    pub fn header(&self) -> &SnapshotHeader {
+        &self.header
+    }
+
+    fn read(&mut self) -> Result<Resource, DecodeError> {
+        wire::Resource::decode_length_delimited(&mut self.rest)?.try_into()
+    }
+}
+
+impl Iterator for SnapshotReader<'_> {
+    type Item = Result<Resource, DecodeError>;
+
+    /// The next resource. What is cut short, or goes on past the last resource, ends in an error.
+    fn next(&mut self) -> Option<Self::Item> {
+        if self.left == 0 {
+            let behind = std::mem::take(&mut self.rest).len();
+            let error = DecodeError::Value { field: "snapshot.bytes_behind", value: behind as u64 };
+            return (behind > 0).then_some(Err(error));
+        }
+        self.left -= 1;
+        let read = self.read();
+        if read.is_err() {
+            self.left = 0;
+            self.rest = &[];
+        }
+        Some(read)
+    }
+}
+
+fn versioned(bytes: &[u8]) -> Result<&[u8], DecodeError> {
+    match bytes.split_first() {
+        Some((&RECORD_VERSION, rest)) => Ok(rest),
+        Some((version, _)) => Err(DecodeError::Version(*version)),
+        None => Err(DecodeError::Missing("record")),
+    }
+}
--- a/crates/config-sync/src/lib.rs
+++ b/crates/config-sync/src/lib.rs
@@ -10,6 +10,8 @@
 #![warn(missing_docs)]
 
 pub mod client;
+pub mod codec;
+pub mod frame;
 pub mod message;
 pub mod net;
 pub mod resource;
