Table, delta log, fan-out and publisher of the distribution of configuration

The server's side as state machines without I/O: a persistent table with digests by bucket, a bounded log of deltas, the sessions of a publisher or relay, and the writer that tells a transaction only once it is durable.

--- a/crates/config-sync/src/lib.rs
+++ b/crates/config-sync/src/lib.rs
@@ -10,5 +10,10 @@
 #![warn(missing_docs)]
 
 pub mod client;
+pub mod delta_log;
+pub mod fanout;
 pub mod message;
+pub mod publisher;
 pub mod resource;
+pub mod size;
+pub mod table;
--- /dev/null
+++ b/crates/config-sync/src/publisher.rs
@@ -0,0 +1,266 @@
+//! The one writer. A proposal is checked against the table as it will be after all earlier proposals, given to the
+//! store, and told to anyone only once it is durable.
+//!
+//! Bounded: proposals under way, resources, bytes of a transaction and of a bucket by [`PublisherSettings`]; sessions,
+//! log and progress by [`FanoutSettings`](crate::fanout::FanoutSettings). The tables of proposals under way share all
+//! that they don't change.
+
+mod class_use;
+mod interface;
+
+pub use interface::{ProposeError, PublisherAction, PublisherSettings, RestoreError, ResumeError};
+
+use crate::fanout::{Fanout, FanoutAction, FanoutEvent};
+use crate::message::{Refusal, ZoneProgress};
+use crate::resource::{self, Change, Millis, Position, Transaction};
+use crate::size::{MAX_TRANSACTION_BYTES, changes_bytes, resource_bytes};
+use crate::table::{Table, bucket_of};
+use class_use::{ClassFault, ClassUse};
+use std::collections::VecDeque;
+use std::sync::Arc;
+
+/// A transaction given to the store, with the table after it.
+#[derive(Debug)]
+struct UnderWay {
+    transaction: Arc<Transaction>,
+    table: Table,
+}
+
+/// The one writer, with the sessions of those that watch it.
+#[derive(Debug)]
+pub struct Publisher {
+    settings: PublisherSettings,
+    fanout: Fanout,
+    /// In the order of positions; the first follows the head.
+    under_way: VecDeque<UnderWay>,
+    /// After all that is under way.
+    class_use: ClassUse,
+    halted: bool,
+}
+
+impl Publisher {
+    /// A publisher with an empty table. `epoch` is higher than any that was ever told to anyone.
+    pub fn new(settings: PublisherSettings, epoch: u64) -> Publisher {
+        Publisher::at(settings, Position { epoch, revision: 0 }, Table::new(), 0)
+    }
+
+    /// A publisher that goes on from its store: the table at `position`, whose last transaction was accepted at
+    /// `published_unix_ms`, and the transactions after it. These fill the log of deltas again. Routes to classes that
+    /// are no longer known stay until they are changed.
+    ///
+    /// # Errors
+    /// When a transaction does not follow the one before, or its digest does not fit.
+    pub fn restore(
+        settings: PublisherSettings,
+        position: Position,
+        table: Table,
+        published_unix_ms: u64,
+        transactions: Vec<Transaction>,
+    ) -> Result<Publisher, RestoreError> {
+        let mut replayed = table.clone();
+        let mut head = position;
+        for transaction in &transactions {
+            replay(&mut replayed, head, transaction)?;
+            head = transaction.position;
+        }
+        let transactions = transactions.into_iter().map(Arc::new).collect();
+        let mut publisher = Publisher::at(settings, position, table, published_unix_ms);
+        publisher.class_use = ClassUse::of(&replayed);
+        publisher.fanout.publish(0, transactions, &replayed, &mut Vec::new());
+        Ok(publisher)
+    }
+
+    fn at(
+        settings: PublisherSettings,
+        position: Position,
+        table: Table,
+        published_unix_ms: u64,
+    ) -> Publisher {
+        let class_use = ClassUse::of(&table);
+        let mut fanout = Fanout::new(settings.fanout.clone());
+        fanout.reset(0, position, table, published_unix_ms, &mut Vec::new());
+        Publisher { settings, fanout, under_way: VecDeque::new(), class_use, halted: false }
+    }
+
+    /// What everyone may know: the last durable position.
+    pub fn head(&self) -> Position {
+        self.fanout.head()
+    }
+
+    /// The table at the head.
+    pub fn table(&self) -> &Table {
+        self.fanout.table()
+    }
+
+    /// The sessions, log and progress.
+    pub fn fanout(&self) -> &Fanout {
+        &self.fanout
+    }
+
+    /// When the next [`FanoutEvent::Tick`] has something to do.
+    pub fn deadline(&self) -> Millis {
+        self.fanout.deadline()
+    }
+
+    /// The progress of all subscribers, by zone: the least position that is in force in each.
+    pub fn least_in_force(&self) -> Vec<ZoneProgress> {
+        self.fanout.zones()
+    }
+
+    /// Takes the oldest refusals, as many as one report may name; call again until none is left.
+    pub fn take_refusals(&mut self) -> Vec<Refusal> {
+        self.fanout.take_refusals()
+    }
+
+    /// Proposals that are not durable yet.
+    pub fn under_way(&self) -> usize {
+        self.under_way.len()
+    }
+
+    /// Whether the store failed and no change is taken.
+    pub fn halted(&self) -> bool {
+        self.halted
+    }
+
+    /// Takes in one event of the sessions.
+    pub fn on_event(&mut self, now: Millis, event: FanoutEvent, out: &mut Vec<PublisherAction>) {
+        self.with_fanout(out, |fanout, actions| fanout.on_event(now, event, actions));
+    }
+
+    /// Checks changes and gives them to the store. Nobody is told before [`Publisher::on_durable`].
+    ///
+    /// # Errors
+    /// Why they are refused; nothing is kept then.
+    pub fn propose(
+        &mut self,
+        unix_ms: u64,
+        changes: Vec<Change>,
+        out: &mut Vec<PublisherAction>,
+    ) -> Result<Position, ProposeError> {
+        if self.halted {
+            return Err(ProposeError::Halted);
+        }
+        if self.under_way.len() >= self.settings.max_under_way {
+            return Err(ProposeError::TooManyUnderWay(self.under_way.len()));
+        }
+        let last = self.last_proposed();
+        let revision = last.revision.checked_add(1).ok_or(ProposeError::EpochOver)?;
+        let position = Position { revision, ..last };
+        let before = self.last_table().clone();
+        let table = self.checked(&before, &changes)?;
+        self.class_use.apply(&before, &changes);
+        let digest = table.digest();
+        let transaction = Arc::new(Transaction { position, changes, digest, published_unix_ms: unix_ms });
+        self.under_way.push_back(UnderWay { transaction: transaction.clone(), table });
+        out.push(PublisherAction::Persist { transaction });
+        Ok(position)
+    }
+
+    /// The store holds everything up to `position`: the head moves there, and those that watch are told. A position
+    /// that is not under way changes nothing.
+    pub fn on_durable(&mut self, now: Millis, position: Position, out: &mut Vec<PublisherAction>) {
+        let mut durable = Vec::new();
+        let mut table = None;
+        while self.under_way.front().is_some_and(|first| first.transaction.position <= position) {
+            let Some(first) = self.under_way.pop_front() else { break };
+            durable.push(first.transaction);
+            table = Some(first.table);
+        }
+        if let Some(table) = table {
+            self.with_fanout(out, |fanout, actions| fanout.publish(now, durable, &table, actions));
+        }
+    }
+
+    /// The store failed. What is under way is undecided, since some of it may have reached the disk; no further
+    /// proposal is taken until [`Publisher::resume`].
+    pub fn on_persist_failed(&mut self) {
+        self.halted = true;
+    }
+
+    /// The store was opened again and ends at `durable`: what is under way up to there is told, the rest is dropped and
+    /// its positions are returned, so that the proposers can be told. Their revisions are used again.
+    ///
+    /// # Errors
+    /// When the store can't end there: before the head, or after the last proposal. Still halted then.
+    pub fn resume(
+        &mut self,
+        now: Millis,
+        durable: Position,
+        out: &mut Vec<PublisherAction>,
+    ) -> Result<Vec<Position>, ResumeError> {
+        let (head, last) = (self.head(), self.last_proposed());
+        if durable < head || durable > last {
+            return Err(ResumeError { said: durable, head, last });
+        }
+        self.on_durable(now, durable, out);
+        let dropped = self.under_way.drain(..).map(|dropped| dropped.transaction.position).collect();
+        self.class_use = ClassUse::of(self.fanout.table());
+        self.halted = false;
+        Ok(dropped)
+    }
+
+    fn last_proposed(&self) -> Position {
+        self.under_way.back().map_or_else(|| self.head(), |last| last.transaction.position)
+    }
+
+    fn last_table(&self) -> &Table {
+        self.under_way.back().map_or_else(|| self.fanout.table(), |last| &last.table)
+    }
+
+    /// The table after `changes`, if they are acceptable.
+    fn checked(&self, before: &Table, changes: &[Change]) -> Result<Table, ProposeError> {
+        resource::check(changes)?;
+        let bytes = changes_bytes(changes);
+        if bytes > MAX_TRANSACTION_BYTES {
+            return Err(ProposeError::TooLarge(bytes));
+        }
+        let mut after = before.clone();
+        after.apply(changes);
+        if after.shares_with(before) {
+            return Err(ProposeError::NoChange);
+        }
+        self.check_room(&after, changes)?;
+        match self.class_use.check(before, &after, changes, &self.settings.known_classes) {
+            Ok(()) => Ok(after),
+            Err(ClassFault::Unknown(invalid)) => Err(invalid.into()),
+            Err(ClassFault::InUse { class, routes }) => Err(ProposeError::ClassInUse { class, routes }),
+        }
+    }
+
+    fn check_room(&self, after: &Table, changes: &[Change]) -> Result<(), ProposeError> {
+        let (found, max) = (after.len(), self.settings.max_resources);
+        if found > max {
+            return Err(ProposeError::TableFull { found, max });
+        }
+        let max = self.settings.max_bucket_bytes;
+        for change in changes {
+            let bucket = bucket_of(&change.key());
+            let bytes = after.bucket(bucket).iter().map(resource_bytes).sum();
+            if bytes > max {
+                return Err(ProposeError::BucketFull { bucket, bytes, max });
+            }
+        }
+        Ok(())
+    }
+
+    fn with_fanout(
+        &mut self,
+        out: &mut Vec<PublisherAction>,
+        step: impl FnOnce(&mut Fanout, &mut Vec<FanoutAction>),
+    ) {
+        let mut actions = Vec::new();
+        step(&mut self.fanout, &mut actions);
+        out.extend(actions.into_iter().map(PublisherAction::Fanout));
+    }
+}
+
+/// Applies one stored transaction.
+fn replay(table: &mut Table, head: Position, transaction: &Transaction) -> Result<(), RestoreError> {
+    let position = transaction.position;
+    if position.epoch != head.epoch || Some(position.revision) != head.revision.checked_add(1) {
+        return Err(RestoreError::DoesNotFollow { head, found: position });
+    }
+    table.apply(&transaction.changes);
+    let (found, wanted) = (table.digest(), transaction.digest);
+    if found == wanted { Ok(()) } else { Err(RestoreError::Digest { position, found, wanted }) }
+}
