--- a/crates/config-sync/src/lib.rs
+++ b/crates/config-sync/src/lib.rs
@@ -11,7 +11,12 @@
 
 pub mod client;
 pub mod codec;
+pub mod delta_log;
+pub mod fanout;
 pub mod frame;
 pub mod message;
 pub mod net;
+pub mod publisher;
 pub mod resource;
+pub mod size;
+pub mod table;
