--- /dev/null
+++ b/crates/config-sync/src/follower/messages.rs
@@ -0,0 +1,225 @@
+//! What a follower does with the messages of its server.
+
+use super::{
+    Advance, DisconnectReason, Follower, FollowerAction, Link, SessionFault, Staging, disconnect, send,
+};
+use crate::message::{BucketContent, ToClient, ToServer};
+use crate::resource::{Digest, Millis, Position, Transaction};
+use crate::table::Table;
+use std::sync::Arc;
+
+/// The fields of [`ToClient::SnapshotEnd`].
+struct SnapshotEnd {
+    position: Position,
+    digest: Digest,
+    pieces: u32,
+    published_unix_ms: u64,
+}
+
+/// Whether a table at `position` holds the transaction already.
+fn is_known(position: Position, transaction: Position) -> bool {
+    transaction.epoch == position.epoch && transaction.revision <= position.revision
+}
+
+impl Follower {
+    /// Takes a message of the open session.
+    pub(super) fn on_message(&mut self, now: Millis, message: ToClient, out: &mut Vec<FollowerAction>) {
+        self.session.heard_at = now;
+        self.session.heard = true;
+        let result = match message {
+            ToClient::Deltas(transactions) => {
+                self.on_deltas(now, transactions, out);
+                Ok(())
+            }
+            ToClient::Resync { head } => {
+                self.on_resync(now, head, out);
+                Ok(())
+            }
+            ToClient::Heartbeat { head } => {
+                self.on_heartbeat(now, head, out);
+                Ok(())
+            }
+            ToClient::Busy { retry_after_ms } => {
+                self.on_busy(now, retry_after_ms, out);
+                Ok(())
+            }
+            ToClient::Piece { sequence, buckets } => self.on_piece(now, sequence, buckets, out),
+            ToClient::SnapshotEnd { position, digest, pieces, published_unix_ms } => {
+                self.on_snapshot_end(now, SnapshotEnd { position, digest, pieces, published_unix_ms }, out)
+            }
+        };
+        if let Err(fault) = result {
+            self.counters.faults += 1;
+            self.leave(now, fault.into(), out);
+        }
+    }
+
+    fn on_heartbeat(&mut self, now: Millis, head: Position, out: &mut Vec<FollowerAction>) {
+        if head < self.position {
+            self.leave_behind(now, head, out);
+        } else if head == self.position {
+            self.at_head(now);
+        }
+    }
+
+    /// Notes that the table is at the server's head. The state before the first transaction is no head.
+    fn at_head(&mut self, now: Millis) {
+        if self.position == Position::default() {
+            return;
+        }
+        self.session.progress_at = now;
+        self.session.proven = true;
+        self.at_head_at = Some(now);
+        self.candidates.session_proven();
+    }
+
+    fn leave_behind(&mut self, now: Millis, head: Position, out: &mut Vec<FollowerAction>) {
+        self.counters.servers_behind += 1;
+        self.leave(now, DisconnectReason::ServerBehind { head, position: self.position }, out);
+    }
+
+    fn on_busy(&mut self, now: Millis, retry_after_ms: u64, out: &mut Vec<FollowerAction>) {
+        self.counters.busy += 1;
+        let delay = self.candidates.busy(retry_after_ms);
+        disconnect(out, DisconnectReason::Busy(delay));
+        self.wait(now, delay);
+    }
+
+    fn on_deltas(
+        &mut self,
+        now: Millis,
+        transactions: Vec<Arc<Transaction>>,
+        out: &mut Vec<FollowerAction>,
+    ) {
+        if matches!(self.link, Link::Fetching(_)) {
+            return;
+        }
+        let before = self.table.clone();
+        let mut applied = Vec::with_capacity(transactions.len());
+        let mut fault = None;
+        for transaction in transactions {
+            if is_known(self.position, transaction.position) {
+                continue;
+            }
+            if let Err(found) = self.apply(&transaction) {
+                fault = Some(found);
+                break;
+            }
+            applied.push(transaction);
+        }
+        if !applied.is_empty() {
+            self.counters.transactions += applied.len() as u64;
+            self.at_head(now);
+            out.push(FollowerAction::Advanced(Advance::Deltas { before, transactions: applied }));
+        }
+        if let Some(fault) = fault {
+            self.repair(now, fault, out);
+        }
+    }
+
+    /// Applies one transaction if it follows and its digest fits; else changes nothing.
+    fn apply(&mut self, transaction: &Transaction) -> Result<(), SessionFault> {
+        if transaction.position != self.position.next() {
+            return Err(SessionFault::Gap { position: self.position, found: transaction.position });
+        }
+        let mut table = self.table.clone();
+        table.apply(&transaction.changes);
+        if table.digest() != transaction.digest {
+            self.counters.digest_mismatches += 1;
+            return Err(SessionFault::TransactionDigest(transaction.position));
+        }
+        if table.len() > self.settings.max_resources {
+            return Err(SessionFault::TooManyResources(self.settings.max_resources));
+        }
+        self.table = table;
+        self.position = transaction.position;
+        Ok(())
+    }
+
+    /// Something did not fit: a snapshot from the same server, or at the second time another server.
+    fn repair(&mut self, now: Millis, fault: SessionFault, out: &mut Vec<FollowerAction>) {
+        if self.session.repaired {
+            self.counters.faults += 1;
+            self.leave(now, fault.into(), out);
+            return;
+        }
+        self.session.repaired = true;
+        self.fetch(out);
+    }
+
+    fn on_resync(&mut self, now: Millis, head: Position, out: &mut Vec<FollowerAction>) {
+        if head < self.position {
+            self.leave_behind(now, head, out);
+            return;
+        }
+        self.fetch(out);
+    }
+
+    fn fetch(&mut self, out: &mut Vec<FollowerAction>) {
+        self.counters.resyncs += 1;
+        self.link = Link::Fetching(Staging::new(self.settings.max_resources));
+        let whole = self.fetch_whole || self.table.is_empty();
+        let bucket_digests = if whole { Vec::new() } else { self.table.bucket_digests() };
+        send(out, ToServer::FetchDifferences { bucket_digests });
+    }
+
+    fn on_piece(
+        &mut self,
+        now: Millis,
+        sequence: u32,
+        buckets: Vec<BucketContent>,
+        out: &mut Vec<FollowerAction>,
+    ) -> Result<(), SessionFault> {
+        let Link::Fetching(staging) = &mut self.link else {
+            return Err(SessionFault::UnexpectedSnapshot);
+        };
+        staging.take(sequence, buckets)?;
+        self.session.progress_at = now;
+        send(out, ToServer::PieceTaken { sequence });
+        Ok(())
+    }
+
+    fn on_snapshot_end(
+        &mut self,
+        now: Millis,
+        end: SnapshotEnd,
+        out: &mut Vec<FollowerAction>,
+    ) -> Result<(), SessionFault> {
+        let Link::Fetching(staging) = std::mem::replace(&mut self.link, Link::Following) else {
+            return Err(SessionFault::UnexpectedSnapshot);
+        };
+        if end.position < self.position {
+            self.leave_behind(now, end.position, out);
+            return Ok(());
+        }
+        let base = if self.fetch_whole { Table::new() } else { self.table.clone() };
+        let table = staging.finish(&base, end.position, end.digest, end.pieces).inspect_err(|fault| {
+            if matches!(fault, SessionFault::SnapshotDigest(_)) {
+                self.counters.digest_mismatches += 1;
+                self.fetch_whole = true;
+            }
+        })?;
+        self.fetch_whole = false;
+        self.counters.snapshots += 1;
+        self.take_snapshot(now, &end, table, out);
+        Ok(())
+    }
+
+    fn take_snapshot(
+        &mut self,
+        now: Millis,
+        end: &SnapshotEnd,
+        table: Table,
+        out: &mut Vec<FollowerAction>,
+    ) {
+        let unchanged = end.position == self.position && table.digest() == self.table.digest();
+        let before = std::mem::replace(&mut self.table, table);
+        self.position = end.position;
+        self.at_head(now);
+        if !unchanged {
+            let (position, published_unix_ms) = (end.position, end.published_unix_ms);
+            out.push(FollowerAction::Advanced(Advance::Snapshot { before, position, published_unix_ms }));
+        }
+    }
+}
+
--- a/crates/config-sync/src/lib.rs
+++ b/crates/config-sync/src/lib.rs
@@ -9,6 +9,8 @@
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
+pub mod backoff;
 pub mod client;
 pub mod message;
 pub mod resource;
+pub mod selection;
--- /dev/null
+++ b/crates/config-sync/src/relay.rs
@@ -0,0 +1,172 @@
+//! A relay: a [`Follower`] towards the publisher or the relay above, a [`Fanout`] towards those below.
+//!
+//! Deltas are passed on as soon as they are applied. A snapshot from above moves the head of the fan-out in one step;
+//! sessions below it resync by bucket digests. Cut off from above, a relay goes on serving what it has, and its
+//! heartbeats say its head.
+
+use crate::fanout::{Fanout, FanoutAction, FanoutEvent, FanoutSettings};
+use crate::follower::{
+    Advance, Follower, FollowerAction, FollowerCounters, FollowerEvent, FollowerSettings, LinkAction,
+};
+use crate::message::ToServer;
+use crate::progress::ProgressReporter;
+use crate::resource::{Millis, Position};
+use crate::table::Table;
+
+/// How a relay is set up.
+#[derive(Clone, Debug)]
+pub struct RelaySettings {
+    /// The side towards the publisher.
+    pub follower: FollowerSettings,
+    /// The side towards the clients.
+    pub fanout: FanoutSettings,
+    /// The least time between two reports of progress, ms.
+    pub progress_ms: u64,
+}
+
+impl RelaySettings {
+    /// The defaults around these two sides.
+    pub fn new(follower: FollowerSettings, fanout: FanoutSettings) -> RelaySettings {
+        RelaySettings { follower, fanout, progress_ms: 250 }
+    }
+}
+
+/// What happens to a relay.
+#[derive(Clone, Debug)]
+pub enum RelayEvent {
+    /// On the link to the server above.
+    Upstream(FollowerEvent),
+    /// On a session with a client below.
+    Downstream(FanoutEvent),
+    /// Time has passed, for both sides; needed at [`Relay::deadline`] at the latest.
+    Tick,
+}
+
+/// What a relay wants done.
+#[derive(Clone, Debug)]
+pub enum RelayAction {
+    /// For the connection to the server above.
+    Upstream(LinkAction),
+    /// For a session with a client below.
+    Downstream(FanoutAction),
+}
+
+/// A relay.
+pub struct Relay {
+    follower: Follower,
+    fanout: Fanout,
+    reporter: ProgressReporter,
+    /// Kept to spare an allocation for each event.
+    follower_actions: Vec<FollowerAction>,
+    fanout_actions: Vec<FanoutAction>,
+}
+
+impl Relay {
+    /// Begins with nothing and fetches it from above.
+    pub fn new(settings: RelaySettings, now: Millis) -> Relay {
+        Relay {
+            follower: Follower::new(settings.follower, now, Position::default(), Table::new()),
+            fanout: Fanout::new(settings.fanout),
+            reporter: ProgressReporter::new(settings.progress_ms),
+            follower_actions: Vec::new(),
+            fanout_actions: Vec::new(),
+        }
+    }
+
+    /// Takes an event and appends what is to be done, in order.
+    pub fn on_event(&mut self, now: Millis, event: RelayEvent, out: &mut Vec<RelayAction>) {
+        match event {
+            RelayEvent::Upstream(event) => self.on_upstream(now, event, out),
+            RelayEvent::Downstream(event) => self.on_downstream(now, event, out),
+            RelayEvent::Tick => {
+                self.on_upstream(now, FollowerEvent::Tick, out);
+                self.on_downstream(now, FanoutEvent::Tick, out);
+            }
+        }
+        self.report(now, out);
+    }
+
+    /// When the next tick is needed at the latest. While a session with the server above is open, progress from below is
+    /// looked at once in its interval.
+    pub fn deadline(&self) -> Millis {
+        let deadline = self.follower.deadline().min(self.fanout.deadline());
+        if self.follower.is_open() { deadline.min(self.reporter.next_at()) } else { deadline }
+    }
+
+    /// The side towards the publisher.
+    pub fn follower(&self) -> &Follower {
+        &self.follower
+    }
+
+    /// The side towards the clients.
+    pub fn fanout(&self) -> &Fanout {
+        &self.fanout
+    }
+
+    /// What it serves.
+    pub fn position(&self) -> Position {
+        self.follower.position()
+    }
+
+    /// Counters of the side towards the publisher.
+    pub fn follower_counters(&self) -> FollowerCounters {
+        self.follower.counters()
+    }
+
+    /// Refusals from below that were not passed on because too many waited.
+    pub fn refusals_dropped(&self) -> u64 {
+        self.reporter.refusals_dropped()
+    }
+
+    fn on_upstream(&mut self, now: Millis, event: FollowerEvent, out: &mut Vec<RelayAction>) {
+        let mut actions = std::mem::take(&mut self.follower_actions);
+        self.follower.on_event(now, event, &mut actions);
+        for action in actions.drain(..) {
+            match action {
+                FollowerAction::Link(action) => {
+                    if matches!(action, LinkAction::Send(ToServer::Watch { .. })) {
+                        self.reporter.session_opened(now);
+                    }
+                    out.push(RelayAction::Upstream(action));
+                }
+                FollowerAction::Advanced(advance) => self.pass_on(now, advance, out),
+            }
+        }
+        self.follower_actions = actions;
+    }
+
+    fn pass_on(&mut self, now: Millis, advance: Advance, out: &mut Vec<RelayAction>) {
+        let mut actions = std::mem::take(&mut self.fanout_actions);
+        let table = self.follower.table();
+        match advance {
+            Advance::Deltas { transactions, .. } => {
+                self.fanout.publish(now, transactions, table, &mut actions);
+            }
+            Advance::Snapshot { position, published_unix_ms, .. } => {
+                self.fanout.reset(now, position, table.clone(), published_unix_ms, &mut actions);
+            }
+        }
+        out.extend(actions.drain(..).map(RelayAction::Downstream));
+        self.fanout_actions = actions;
+    }
+
+    fn on_downstream(&mut self, now: Millis, event: FanoutEvent, out: &mut Vec<RelayAction>) {
+        let mut actions = std::mem::take(&mut self.fanout_actions);
+        self.fanout.on_event(now, event, &mut actions);
+        out.extend(actions.drain(..).map(RelayAction::Downstream));
+        self.fanout_actions = actions;
+        for refusal in self.fanout.take_refusals() {
+            self.reporter.refuse(refusal);
+        }
+    }
+
+    /// Tells the server above how far the subscribers below have come, by zone.
+    fn report(&mut self, now: Millis, out: &mut Vec<RelayAction>) {
+        if !self.follower.is_open() {
+            return;
+        }
+        if let Some(progress) = self.reporter.report(now, || self.fanout.zones()) {
+            out.push(RelayAction::Upstream(LinkAction::Send(progress)));
+        }
+    }
+}
--- /dev/null
+++ b/crates/config-sync/src/subscriber.rs
@@ -0,0 +1,362 @@
+//! The subscriber in a round server: a [`Follower`] whose table, the mirror, always follows the publisher, and a
+//! [`Judge`] that says what of it can come in force.
+//!
+//! In force is the mirror but for the keys that are held back: a transaction that the judge refuses stays out whole, its
+//! keys keep their old values, and a later transaction that touches such a key is judged anew. Where that is not
+//! possible (a refused snapshot, or more keys held back than the settings allow) the subscriber stops: what is in force
+//! stays as it is, at its position, while the mirror goes on. With each later step the whole difference is judged again,
+//! and once it is accepted it comes in force in one step.
+
+mod api;
+mod held_back;
+mod persistence;
+
+pub use api::{SubscriberAction, SubscriberCounters, SubscriberEvent, SubscriberSettings};
+pub use persistence::{Persist, PersistedState};
+
+use crate::client::{Judge, Update};
+use crate::follower::{Advance, Follower, FollowerAction, FollowerEvent, LinkAction};
+use crate::message::{Refusal, ToServer, ZoneProgress};
+use crate::progress::ProgressReporter;
+use crate::resource::{Change, Key, Millis, Position, Resource, Transaction};
+use crate::table::Table;
+use held_back::HeldBack;
+use persistence::WaitingRecords;
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+/// The longest reason that is reported, in bytes.
+const MAX_REASON: usize = 256;
+
+/// What the owner was told to put in force.
+struct InForce {
+    position: Position,
+    published_unix_ms: u64,
+    held_back: HeldBack,
+    /// While stopped: the mirror as it was at `position`.
+    stopped_at: Option<Table>,
+    /// While stopped: the last reason that was reported.
+    stop_reason: Option<Arc<str>>,
+}
+
+/// The subscriber in a round server.
+pub struct Subscriber {
+    follower: Follower,
+    judge: Box<dyn Judge>,
+    member: Arc<str>,
+    zone: Arc<str>,
+    max_held_back: usize,
+    in_force: InForce,
+    /// The last position that the owner confirmed.
+    applied: Position,
+    waiting_records: WaitingRecords,
+    reporter: ProgressReporter,
+    /// Whether something may have to be reported once the interval has passed.
+    report_pending: bool,
+    counters: SubscriberCounters,
+    /// Kept to spare an allocation for each event.
+    follower_actions: Vec<FollowerAction>,
+}
+
+impl Subscriber {
+    /// Begins with the state that was kept, if there is one: it comes in force at once, before any server is asked.
+    pub fn new(
+        settings: SubscriberSettings,
+        judge: Box<dyn Judge>,
+        kept: Option<PersistedState>,
+        now: Millis,
+        out: &mut Vec<SubscriberAction>,
+    ) -> Subscriber {
+        let kept = kept.unwrap_or_default();
+        let member = settings.follower.member.name.clone();
+        let zone = settings.follower.member.zone.clone();
+        let mut subscriber = Subscriber {
+            follower: Follower::new(settings.follower, now, kept.position, kept.mirror.clone()),
+            judge,
+            member,
+            zone,
+            max_held_back: settings.max_held_back,
+            in_force: InForce {
+                position: Position::default(),
+                published_unix_ms: 0,
+                held_back: HeldBack::default(),
+                stopped_at: None,
+                stop_reason: None,
+            },
+            applied: Position::default(),
+            waiting_records: WaitingRecords::default(),
+            reporter: ProgressReporter::new(settings.progress_ms),
+            report_pending: false,
+            counters: SubscriberCounters::default(),
+            follower_actions: Vec::new(),
+        };
+        if kept.position != Position::default() {
+            subscriber.restore(kept, out);
+        }
+        subscriber
+    }
+
+    /// Takes an event and appends what is to be done, in order.
+    pub fn on_event(&mut self, now: Millis, event: SubscriberEvent, out: &mut Vec<SubscriberAction>) {
+        match event {
+            SubscriberEvent::Link(event) => self.on_link(now, event, out),
+            SubscriberEvent::Applied(position) => self.on_applied(position, out),
+        }
+        self.report(now, out);
+    }
+
+    /// When the next tick is needed at the latest.
+    pub fn deadline(&self) -> Millis {
+        let follower = self.follower.deadline();
+        if self.report_pending && self.follower.is_open() {
+            return follower.min(self.reporter.next_at());
+        }
+        follower
+    }
+
+    /// The link and the mirror.
+    pub fn follower(&self) -> &Follower {
+        &self.follower
+    }
+
+    /// The last position that the owner confirmed.
+    pub fn applied(&self) -> Position {
+        self.applied
+    }
+
+    /// How long ago it last knew itself at the head of its server.
+    pub fn age_ms(&self, now: Millis) -> Option<Millis> {
+        self.follower.age_ms(now)
+    }
+
+    /// The keys that are held back.
+    pub fn held_back(&self) -> usize {
+        self.in_force.held_back.len()
+    }
+
+    /// Whether it takes no changes because they can't be held back key by key.
+    pub fn is_stopped(&self) -> bool {
+        self.in_force.stopped_at.is_some()
+    }
+
+    /// The value that the owner was last told to have in force for `key`.
+    pub fn in_force(&self, key: &Key) -> Option<&Resource> {
+        match self.in_force.held_back.get(key) {
+            Some(value) => value,
+            None => self.in_force.stopped_at.as_ref().unwrap_or(self.follower.table()).get(key),
+        }
+    }
+
+    /// Its counters.
+    pub fn counters(&self) -> SubscriberCounters {
+        self.counters
+    }
+
+    /// Takes over a table of equal digest for the mirror; see [`Follower::share_table`].
+    pub fn share_table(&mut self, other: &Table) -> bool {
+        self.follower.share_table(other)
+    }
+
+    fn on_link(&mut self, now: Millis, event: FollowerEvent, out: &mut Vec<SubscriberAction>) {
+        let mut actions = std::mem::take(&mut self.follower_actions);
+        self.follower.on_event(now, event, &mut actions);
+        for action in actions.drain(..) {
+            match action {
+                FollowerAction::Link(action) => {
+                    if matches!(action, LinkAction::Send(ToServer::Watch { .. })) {
+                        self.reporter.session_opened(now);
+                    }
+                    out.push(SubscriberAction::Link(action));
+                }
+                FollowerAction::Advanced(advance) => self.on_advance(advance, out),
+            }
+        }
+        self.follower_actions = actions;
+    }
+
+    fn on_applied(&mut self, position: Position, out: &mut Vec<SubscriberAction>) {
+        if position > self.in_force.position || position < self.applied {
+            return;
+        }
+        self.applied = position;
+        self.report_pending = true;
+        while let Some(record) = self.waiting_records.pop(position) {
+            out.push(SubscriberAction::Persist(record));
+        }
+    }
+
+    fn on_advance(&mut self, advance: Advance, out: &mut Vec<SubscriberAction>) {
+        self.report_pending = true;
+        let stopped_at = self.in_force.stopped_at.take();
+        match (advance, stopped_at) {
+            (Advance::Deltas { before, transactions }, None) => {
+                self.take_transactions(before, &transactions, out);
+            }
+            (Advance::Deltas { transactions, .. }, Some(stopped_at)) => {
+                let published = transactions.last().map_or(0, |last| last.published_unix_ms);
+                self.take_difference(stopped_at, published, out);
+            }
+            (Advance::Snapshot { before, published_unix_ms, .. }, stopped_at) => {
+                self.take_difference(stopped_at.unwrap_or(before), published_unix_ms, out);
+            }
+        }
+    }
+
+    /// Judges transactions one by one; what comes in force of them goes out as one update.
+    fn take_transactions(
+        &mut self,
+        before: Table,
+        transactions: &[Arc<Transaction>],
+        out: &mut Vec<SubscriberAction>,
+    ) {
+        let mut mirror = before;
+        let mut changes = BTreeMap::new();
+        let mut taken = 0;
+        for transaction in transactions {
+            let refused = match self.judge.judge(&transaction.changes) {
+                Ok(()) => false,
+                Err(reason) => {
+                    self.counters.refused_transactions += 1;
+                    self.refuse(transaction.position, &reason);
+                    true
+                }
+            };
+            if refused && !self.can_hold(&transaction.changes) {
+                self.stop(mirror, transaction.position);
+                break;
+            }
+            self.take_transaction(transaction, refused, &mut mirror, &mut changes);
+            taken += 1;
+        }
+        if taken > 0 {
+            self.put_in_force(changes.into_values().collect(), out);
+        }
+    }
+
+    fn can_hold(&self, changes: &[Change]) -> bool {
+        self.in_force.held_back.len_with(changes) <= self.max_held_back
+    }
+
+    fn take_transaction(
+        &mut self,
+        transaction: &Arc<Transaction>,
+        refused: bool,
+        mirror: &mut Table,
+        changes: &mut BTreeMap<Key, Change>,
+    ) {
+        let held_back = &mut self.in_force.held_back;
+        if refused {
+            held_back.hold(&transaction.changes, mirror);
+        } else {
+            held_back.release(&transaction.changes);
+            changes.extend(transaction.changes.iter().map(|change| (change.key(), change.clone())));
+        }
+        mirror.apply(&transaction.changes);
+        self.in_force.position = transaction.position;
+        self.in_force.published_unix_ms = transaction.published_unix_ms;
+        let record = Persist::Append { transaction: transaction.clone(), refused };
+        let in_force = &self.in_force;
+        self.waiting_records.push(transaction.position, record, || in_force.to_persisted(mirror));
+    }
+
+    /// No more changes are taken until the whole difference to the mirror is accepted.
+    fn stop(&mut self, mirror: Table, position: Position) {
+        self.in_force.stopped_at = Some(mirror);
+        let reason = format!("more than {} keys held back: no change is taken any more", self.max_held_back);
+        self.refuse(position, &reason);
+    }
+
+    /// Judges all that differs between `base` and the mirror as one change.
+    fn take_difference(&mut self, base: Table, published_unix_ms: u64, out: &mut Vec<SubscriberAction>) {
+        let changes = base.changes_to(self.follower.table());
+        if !changes.is_empty() {
+            if let Err(reason) = self.judge.judge(&changes) {
+                self.refuse_difference(base, &reason);
+                return;
+            }
+        }
+        self.in_force.held_back.release(&changes);
+        self.in_force.stop_reason = None;
+        self.in_force.position = self.follower.position();
+        self.in_force.published_unix_ms = published_unix_ms;
+        let record = Persist::Replace(self.in_force.to_persisted(self.follower.table()));
+        self.waiting_records.push(self.in_force.position, record, PersistedState::default);
+        self.put_in_force(changes, out);
+    }
+
+    /// The old state stays; the reason is reported when it is not the one that was reported last.
+    fn refuse_difference(&mut self, base: Table, reason: &str) {
+        self.counters.refused_differences += 1;
+        self.in_force.stopped_at = Some(base);
+        if self.in_force.stop_reason.as_deref() != Some(reason) {
+            self.in_force.stop_reason = Some(reason.into());
+            self.refuse(self.follower.position(), reason);
+        }
+    }
+
+    /// Takes the kept state: its mirror is the follower's already.
+    fn restore(&mut self, kept: PersistedState, out: &mut Vec<SubscriberAction>) {
+        let mut table = kept.mirror;
+        table.apply(&kept.held_back);
+        let changes: Vec<Change> = table.iter().cloned().map(Change::Put).collect();
+        if let Err(reason) = self.judge.judge(&changes) {
+            self.refuse_difference(Table::new(), &reason);
+            return;
+        }
+        self.in_force.held_back = HeldBack::from_changes(&kept.held_back);
+        self.in_force.position = kept.position;
+        self.in_force.published_unix_ms = kept.published_unix_ms;
+        self.put_in_force(changes, out);
+    }
+
+    fn put_in_force(&mut self, changes: Vec<Change>, out: &mut Vec<SubscriberAction>) {
+        self.counters.updates += 1;
+        out.push(SubscriberAction::InForce(Update {
+            position: self.in_force.position,
+            changes,
+            published_unix_ms: self.in_force.published_unix_ms,
+        }));
+    }
+
+    fn refuse(&mut self, position: Position, reason: &str) {
+        let reason = truncated(reason, MAX_REASON).into();
+        self.reporter.refuse(Refusal { member: self.member.clone(), position, reason });
+    }
+
+    fn report(&mut self, now: Millis, out: &mut Vec<SubscriberAction>) {
+        if !self.follower.is_open() || now < self.reporter.next_at() {
+            return;
+        }
+        let refusing = !self.in_force.held_back.is_empty() || self.is_stopped();
+        let progress = ZoneProgress {
+            zone: self.zone.clone(),
+            subscribers: 1,
+            least: self.applied,
+            refusing: u32::from(refusing),
+        };
+        if let Some(message) = self.reporter.report(now, || vec![progress]) {
+            out.push(SubscriberAction::Link(LinkAction::Send(message)));
+        }
+        self.report_pending = self.reporter.has_refusals();
+    }
+}
+
+impl InForce {
+    fn to_persisted(&self, mirror: &Table) -> PersistedState {
+        PersistedState {
+            position: self.position,
+            published_unix_ms: self.published_unix_ms,
+            mirror: mirror.clone(),
+            held_back: self.held_back.to_changes(),
+        }
+    }
+}
+
+/// The longest beginning of `text` of at most `limit` bytes that ends between characters.
+fn truncated(text: &str, limit: usize) -> &str {
+    let mut end = text.len().min(limit);
+    while !text.is_char_boundary(end) {
+        end -= 1;
+    }
+    &text[..end]
+}
--- /dev/null
+++ b/crates/config-sync/src/subscriber/held_back.rs
@@ -0,0 +1,85 @@
+//! The keys whose newest change a server refused, with the values that stay in force for them.
+
+use crate::resource::{Change, Key, Resource};
+use crate::table::Table;
+use std::collections::HashMap;
+
+/// A bounded map of the keys that are held back.
+#[derive(Clone, Debug, Default)]
+pub(super) struct HeldBack {
+    /// What is in force for each: a value, or that there is none.
+    in_force: HashMap<Key, Option<Resource>>,
+}
+
+impl HeldBack {
+    pub(super) fn from_changes(changes: &[Change]) -> HeldBack {
+        let mut held_back = HeldBack::default();
+        for change in changes {
+            let value = match change {
+                Change::Put(resource) => Some(resource.clone()),
+                Change::Delete(_) => None,
+            };
+            held_back.in_force.insert(change.key(), value);
+        }
+        held_back
+    }
+
+    /// The changes that lead from the mirror to what is in force, by key.
+    pub(super) fn to_changes(&self) -> Vec<Change> {
+        let mut changes: Vec<Change> = self
+            .in_force
+            .iter()
+            .map(|(key, value)| match value {
+                Some(resource) => Change::Put(resource.clone()),
+                None => Change::Delete(key.clone()),
+            })
+            .collect();
+        changes.sort_by_cached_key(Change::key);
+        changes
+    }
+
+    pub(super) fn len(&self) -> usize {
+        self.in_force.len()
+    }
+
+    pub(super) fn is_empty(&self) -> bool {
+        self.in_force.is_empty()
+    }
+
+    /// What is in force for a key that is held back.
+    pub(super) fn get(&self, key: &Key) -> Option<Option<&Resource>> {
+        self.in_force.get(key).map(Option::as_ref)
+    }
+
+    /// The keys of changes that came in force are no longer held back.
+    pub(super) fn release(&mut self, changes: &[Change]) {
+        if self.in_force.is_empty() {
+            return;
+        }
+        for change in changes {
+            self.in_force.remove(&change.key());
+        }
+    }
+
+    /// How many keys there would be with those of `changes`.
+    pub(super) fn len_with(&self, changes: &[Change]) -> usize {
+        let added = changes.iter().filter(|change| !self.in_force.contains_key(&change.key())).count();
+        self.in_force.len() + added
+    }
+
+    /// Keeps what is in force for the keys of refused changes; `mirror` is the table before them. A key whose refused
+    /// value is the one in force anyway is not held back.
+    pub(super) fn hold(&mut self, changes: &[Change], mirror: &Table) {
+        for change in changes {
+            let key = change.key();
+            let in_force = self.in_force.remove(&key).unwrap_or_else(|| mirror.get(&key).cloned());
+            let refused = match change {
+                Change::Put(resource) => Some(resource),
+                Change::Delete(_) => None,
+            };
+            if in_force.as_ref() != refused {
+                self.in_force.insert(key, in_force);
+            }
+        }
+    }
+}
