--- a/crates/config-sync/src/lib.rs
+++ b/crates/config-sync/src/lib.rs
@@ -9,6 +9,7 @@
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
+pub mod backoff;
 pub mod client;
 pub mod codec;
 pub mod delta_log;
@@ -18,5 +19,6 @@
 pub mod net;
 pub mod publisher;
 pub mod resource;
+pub mod selection;
 pub mod size;
 pub mod table;
