--- a/crates/config-sync/src/frame.rs
+++ b/crates/config-sync/src/frame.rs
@@ -18,9 +18,9 @@
 pub const TAG_BYTES: usize = 32;
 /// Bytes before the payload.
 pub const HEADER_BYTES: usize = LENGTH_BYTES + 1 + TAG_BYTES;
-/// The longest payload: the largest transaction (1,000 changes of the longest names, 269,000 bytes) behind deltas that
-/// were just short of being sent (128 KiB) fits.
-pub const MAX_PAYLOAD: usize = 448 * 1024;
+/// The longest payload. The largest transaction ([`crate::size::MAX_TRANSACTION_BYTES`]), the fullest deltas and the
+/// largest bucket that a publisher admits fit.
+pub const MAX_PAYLOAD: usize = 256 * 1024;
 /// The longest frame.
 pub const MAX_FRAME: usize = HEADER_BYTES + MAX_PAYLOAD;
 /// The shortest and longest fleet key, in bytes.
--- a/crates/config-sync/src/net/mod.rs
+++ b/crates/config-sync/src/net/mod.rs
@@ -2,8 +2,10 @@
 //! `async-executor`: a publisher or relay on a thread of its own, subscribers as futures, thousands of them on one
 //! executor if wanted.
 
+mod clock;
 mod publisher;
 mod relay;
+mod socket;
 mod subscriber;
 
 pub use publisher::{OpenError, Pending, ProposeFailure, PublisherNode, PublisherNodeSettings};
