--- a/crates/config-sync/src/lib.rs
+++ b/crates/config-sync/src/lib.rs
@@ -11,6 +11,15 @@
 
 pub mod backoff;
 pub mod client;
+pub mod delta_log;
+pub mod fanout;
+pub mod follower;
 pub mod message;
+mod progress;
+pub mod publisher;
+pub mod relay;
 pub mod resource;
 pub mod selection;
+pub mod size;
+pub mod subscriber;
+pub mod table;
