--- a/crates/config-sync/src/follower/candidates.rs
+++ b/crates/config-sync/src/follower/candidates.rs
@@ -29,7 +29,8 @@
     pub(super) fn new(settings: &FollowerSettings) -> Candidates {
         let ranked = ranked(&settings.member, &settings.servers);
         let nearness: Vec<_> = ranked.iter().map(|server| proximity(&settings.member, server)).collect();
-        let nearer = nearness.iter().map(|own| nearness.iter().filter(|other| *other < own).count()).collect();
+        let nearer =
+            nearness.iter().map(|own| nearness.iter().filter(|other| *other < own).count()).collect();
         Candidates {
             ranked,
             nearer,
--- a/crates/config-sync/src/follower/messages.rs
+++ b/crates/config-sync/src/follower/messages.rs
@@ -85,12 +85,7 @@
         self.wait(now, delay);
     }
 
-    fn on_deltas(
-        &mut self,
-        now: Millis,
-        transactions: Vec<Arc<Transaction>>,
-        out: &mut Vec<FollowerAction>,
-    ) {
+    fn on_deltas(&mut self, now: Millis, transactions: Vec<Arc<Transaction>>, out: &mut Vec<FollowerAction>) {
         if matches!(self.link, Link::Fetching(_)) {
             return;
         }
@@ -205,13 +200,7 @@
         Ok(())
     }
 
-    fn take_snapshot(
-        &mut self,
-        now: Millis,
-        end: &SnapshotEnd,
-        table: Table,
-        out: &mut Vec<FollowerAction>,
-    ) {
+    fn take_snapshot(&mut self, now: Millis, end: &SnapshotEnd, table: Table, out: &mut Vec<FollowerAction>) {
         let unchanged = end.position == self.position && table.digest() == self.table.digest();
         let before = std::mem::replace(&mut self.table, table);
         self.position = end.position;
@@ -222,4 +211,3 @@
         }
     }
 }
-
--- a/crates/config-sync/src/progress.rs
+++ b/crates/config-sync/src/progress.rs
@@ -21,7 +21,13 @@
 
 impl ProgressReporter {
     pub(crate) fn new(interval_ms: Millis) -> ProgressReporter {
-        ProgressReporter { interval_ms, told: None, next_at: 0, refusals: VecDeque::new(), refusals_dropped: 0 }
+        ProgressReporter {
+            interval_ms,
+            told: None,
+            next_at: 0,
+            refusals: VecDeque::new(),
+            refusals_dropped: 0,
+        }
     }
 
     /// A new session knows nothing, and is told at once.
--- a/crates/config-sync/src/relay.rs
+++ b/crates/config-sync/src/relay.rs
@@ -155,8 +155,16 @@
         self.fanout.on_event(now, event, &mut actions);
         out.extend(actions.drain(..).map(RelayAction::Downstream));
         self.fanout_actions = actions;
-        for refusal in self.fanout.take_refusals() {
-            self.reporter.refuse(refusal);
+        self.collect_refusals();
+    }
+
+    fn collect_refusals(&mut self) {
+        loop {
+            let refusals = self.fanout.take_refusals();
+            if refusals.is_empty() {
+                return;
+            }
+            refusals.into_iter().for_each(|refusal| self.reporter.refuse(refusal));
         }
     }
 
