--- a/crates/config-sync/src/lib.rs
+++ b/crates/config-sync/src/lib.rs
@@ -9,6 +9,8 @@
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
+mod progress;
+
 pub mod backoff;
 pub mod client;
 pub mod codec;
@@ -18,7 +20,6 @@
 pub mod frame;
 pub mod message;
 pub mod net;
-mod progress;
 pub mod publisher;
 pub mod relay;
 pub mod resource;
