--- a/crates/config-sync/src/codec/record.rs
+++ b/crates/config-sync/src/codec/record.rs
@@ -3,8 +3,9 @@
 
 use super::convert::{digest, position};
 use super::{DecodeError, wire};
-use crate::resource::{Digest, Position, Resource, Transaction};
+use crate::resource::{Change, Digest, Position, Resource, Transaction};
 use prost::Message as _;
+use std::sync::Arc;
 
 /// The newest version of records.
 pub const RECORD_VERSION: u8 = 1;
@@ -15,11 +16,16 @@
     /// A new history begins at revision 0 of this epoch, with the table as it is.
     Epoch(u64),
     /// A transaction, that follows the one before.
-    Transaction(Transaction),
+    Transaction {
+        /// The transaction.
+        transaction: Arc<Transaction>,
+        /// Whether the round server whose state this is refused it; never in a publisher's store.
+        refused: bool,
+    },
 }
 
 /// What a snapshot says of the table that follows it.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct SnapshotHeader {
     /// What it is a snapshot of.
     pub position: Position,
@@ -29,11 +35,13 @@
     pub published_unix_ms: u64,
     /// How many resources follow.
     pub resources: u64,
+    /// What leads from the table to what was in force in a round server; empty in a publisher's store.
+    pub held_back: Vec<Change>,
 }
 
 #[derive(Clone, PartialEq, prost::Message)]
 struct WireRecord {
-    #[prost(oneof = "Kind", tags = "1, 2")]
+    #[prost(oneof = "Kind", tags = "1, 2, 3")]
     kind: Option<Kind>,
 }
 
@@ -43,6 +51,8 @@
     Epoch(u64),
     #[prost(message, tag = "2")]
     Transaction(wire::Transaction),
+    #[prost(message, tag = "3")]
+    RefusedTransaction(wire::Transaction),
 }
 
 #[derive(Clone, PartialEq, prost::Message)]
@@ -55,13 +65,18 @@
     published_unix_ms: u64,
     #[prost(uint64, tag = "4")]
     resources: u64,
+    #[prost(message, repeated, tag = "5")]
+    held_back: Vec<wire::Change>,
 }
 
 /// A record's bytes.
 pub fn encode_record(record: &Record) -> Vec<u8> {
     let kind = match record {
         Record::Epoch(epoch) => Kind::Epoch(*epoch),
-        Record::Transaction(transaction) => Kind::Transaction(transaction.into()),
+        Record::Transaction { transaction, refused: false } => Kind::Transaction((&**transaction).into()),
+        Record::Transaction { transaction, refused: true } => {
+            Kind::RefusedTransaction((&**transaction).into())
+        }
     };
     let record = WireRecord { kind: Some(kind) };
     let mut bytes = Vec::with_capacity(1 + record.encoded_len());
@@ -78,10 +93,15 @@
     let record = WireRecord::decode(versioned(bytes)?)?;
     match record.kind.ok_or(DecodeError::Missing("record"))? {
         Kind::Epoch(epoch) => Ok(Record::Epoch(epoch)),
-        Kind::Transaction(transaction) => Ok(Record::Transaction(transaction.try_into()?)),
+        Kind::Transaction(transaction) => transaction_record(transaction, false),
+        Kind::RefusedTransaction(transaction) => transaction_record(transaction, true),
     }
 }
 
+fn transaction_record(transaction: wire::Transaction, refused: bool) -> Result<Record, DecodeError> {
+    Ok(Record::Transaction { transaction: Arc::new(transaction.try_into()?), refused })
+}
+
 /// A snapshot's bytes. `header.resources` has to be the number of resources.
 pub fn encode_snapshot<'a>(
     header: &SnapshotHeader,
@@ -92,6 +112,7 @@
         digest: Some(header.digest.into()),
         published_unix_ms: header.published_unix_ms,
         resources: header.resources,
+        held_back: header.held_back.iter().map(wire::Change::from).collect(),
     };
     let mut bytes = vec![RECORD_VERSION];
     put(&header, &mut bytes);
@@ -127,8 +148,9 @@
             digest: digest("snapshot.digest", header.digest)?,
             published_unix_ms: header.published_unix_ms,
             resources: header.resources,
+            held_back: header.held_back.into_iter().map(Change::try_from).collect::<Result<_, _>>()?,
         };
-        Ok(SnapshotReader { header, left: header.resources, rest })
+        Ok(SnapshotReader { left: header.resources, header, rest })
     }
 
     /// What the snapshot says of itself.
--- a/crates/config-sync/src/lib.rs
+++ b/crates/config-sync/src/lib.rs
@@ -25,5 +25,6 @@
 pub mod resource;
 pub mod selection;
 pub mod size;
+pub mod state_store;
 pub mod subscriber;
 pub mod table;
--- /dev/null
+++ b/crates/config-sync/src/net/link.rs
@@ -0,0 +1,182 @@
+//! The client's side of a connection: connects, sends and receives as the state machine asks.
+
+use super::socket::{ConnectionError, Turn, try_read, try_write};
+use crate::client::Server;
+use crate::codec::{decode_to_client, encode_to_server};
+use crate::frame::{FrameDecoder, FrameKey};
+use crate::message::{ToClient, ToServer};
+use async_io::Async;
+use futures_lite::future::{or, pending};
+use std::collections::VecDeque;
+use std::future::Future;
+use std::io;
+use std::net::TcpStream;
+use std::pin::Pin;
+use std::sync::Arc;
+
+/// A server that leaves so many bytes unread is given up: requests are few and small.
+const MAX_UNSENT_BYTES: usize = 512 * 1024;
+
+/// What happens on a link.
+#[derive(Debug)]
+pub(super) enum LinkEvent {
+    /// The connection is made.
+    Connected,
+    /// It could not be made.
+    ConnectFailed(io::Error),
+    /// A message arrived.
+    Received(ToClient),
+    /// The connection ended.
+    Disconnected(ConnectionError),
+}
+
+type Connecting = Pin<Box<dyn Future<Output = io::Result<Async<TcpStream>>> + Send>>;
+
+enum State {
+    Closed,
+    Connecting(Connecting),
+    Open(Box<OpenLink>),
+}
+
+/// A link, open or not.
+pub(super) struct Link {
+    key: FrameKey,
+    state: State,
+    traffic: Traffic,
+}
+
+/// Bytes over all connections of a link.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub(super) struct Traffic {
+    pub(super) bytes_in: u64,
+    pub(super) bytes_out: u64,
+}
+
+impl Link {
+    /// A link without a connection.
+    pub(super) fn new(key: FrameKey) -> Link {
+        Link { key, state: State::Closed, traffic: Traffic::default() }
+    }
+
+    /// Begins to connect, in place of any connection there was.
+    pub(super) fn connect(&mut self, server: &Server) {
+        let address = server.address;
+        self.state = State::Connecting(Box::pin(Async::<TcpStream>::connect(address)));
+    }
+
+    /// Gives up the connection.
+    pub(super) fn disconnect(&mut self) {
+        self.state = State::Closed;
+    }
+
+    /// Queues a message; without a connection it is dropped.
+    pub(super) fn send(&mut self, message: &ToServer) {
+        let State::Open(open) = &mut self.state else { return };
+        match self.key.seal(|out| encode_to_server(message, out)) {
+            Ok(frame) => open.queue(frame),
+            Err(too_long) => open.failed = Some(io::Error::other(too_long).into()),
+        }
+    }
+
+    /// Bytes so far.
+    pub(super) fn traffic(&self) -> Traffic {
+        self.traffic
+    }
+
+    /// The next event. May be dropped at any time and called again; nothing is lost.
+    pub(super) async fn next(&mut self) -> LinkEvent {
+        match &mut self.state {
+            State::Closed => pending().await,
+            State::Connecting(connecting) => match connecting.await {
+                Ok(stream) => {
+                    // Without it small messages wait; that is all.
+                    let _ = stream.get_ref().set_nodelay(true);
+                    self.state = State::Open(Box::new(OpenLink::new(stream, self.key.clone())));
+                    LinkEvent::Connected
+                }
+                Err(error) => {
+                    self.state = State::Closed;
+                    LinkEvent::ConnectFailed(error)
+                }
+            },
+            State::Open(open) => match open.next(&mut self.traffic).await {
+                Ok(message) => LinkEvent::Received(message),
+                Err(error) => {
+                    self.state = State::Closed;
+                    LinkEvent::Disconnected(error)
+                }
+            },
+        }
+    }
+}
+
+struct OpenLink {
+    stream: Async<TcpStream>,
+    decoder: FrameDecoder,
+    unsent: VecDeque<Arc<[u8]>>,
+    /// Bytes of the first frame that were sent.
+    sent: usize,
+    unsent_bytes: usize,
+    turn: Turn,
+    failed: Option<ConnectionError>,
+}
+
+impl OpenLink {
+    fn new(stream: Async<TcpStream>, key: FrameKey) -> OpenLink {
+        OpenLink {
+            stream,
+            decoder: FrameDecoder::new(key),
+            unsent: VecDeque::new(),
+            sent: 0,
+            unsent_bytes: 0,
+            turn: Turn::default(),
+            failed: None,
+        }
+    }
+
+    fn queue(&mut self, frame: Arc<[u8]>) {
+        self.unsent_bytes += frame.len();
+        self.unsent.push_back(frame);
+        if self.unsent_bytes > MAX_UNSENT_BYTES {
+            self.failed = Some(ConnectionError::Unread(self.unsent_bytes));
+        }
+    }
+
+    async fn next(&mut self, traffic: &mut Traffic) -> Result<ToClient, ConnectionError> {
+        loop {
+            self.turn.step().await;
+            if let Some(failed) = self.failed.take() {
+                return Err(failed);
+            }
+            let flushed = self.flush(traffic);
+            if let Some(payload) = self.decoder.next_payload()? {
+                return Ok(decode_to_client(payload)?);
+            }
+            // What the server said before it closed counts, also if it no longer reads.
+            if let Some(count) = try_read(&self.stream, &mut self.decoder)? {
+                traffic.bytes_in += count as u64;
+                continue;
+            }
+            flushed?;
+            if self.unsent.is_empty() {
+                self.stream.readable().await?;
+            } else {
+                or(self.stream.readable(), self.stream.writable()).await?;
+            }
+        }
+    }
+
+    fn flush(&mut self, traffic: &mut Traffic) -> Result<(), ConnectionError> {
+        while let Some(frame) = self.unsent.front() {
+            let Some(count) = try_write(&self.stream, &frame[self.sent..])? else { return Ok(()) };
+            traffic.bytes_out += count as u64;
+            self.sent += count;
+            self.unsent_bytes -= count;
+            if self.sent == frame.len() {
+                self.unsent.pop_front();
+                self.sent = 0;
+            }
+        }
+        Ok(())
+    }
+}
--- a/crates/config-sync/src/net/mod.rs
+++ b/crates/config-sync/src/net/mod.rs
@@ -3,13 +3,19 @@
 //! executor if wanted.
 
 mod clock;
+mod link;
 mod publisher;
 mod relay;
+mod shared_tables;
 mod socket;
+mod state_keeper;
 mod subscriber;
+mod subscriber_handle;
+mod update_queue;
 
 pub use publisher::{OpenError, Pending, ProposeFailure, PublisherNode, PublisherNodeSettings};
 pub use relay::{RelayNode, RelayNodeSettings};
-pub use subscriber::{
-    Confirmation, Observer, SharedTables, SubscriberHandle, SubscriberStatus, SubscriberTask,
-};
+pub use shared_tables::SharedTables;
+pub use subscriber::{Confirmation, Observer, SubscriberTask};
+pub use subscriber_handle::{SubscriberHandle, SubscriberStatus};
+pub(crate) use update_queue::update_queue;
--- /dev/null
+++ b/crates/config-sync/src/net/state_keeper.rs
@@ -0,0 +1,208 @@
+//! Keeps a subscriber's state on disk, on a thread of its own: the subscriber never waits for the disk. A disk that is
+//! slow, full or broken costs a line in the log and the state's age after a restart, nothing else.
+
+use crate::resource::Millis;
+use crate::size::transaction_bytes;
+use crate::state_store::StateStore;
+use crate::subscriber::{Persist, PersistedState, Subscriber};
+use dunlinspread_store::{Disk, RealDisk, StoreError};
+use slog::{Logger, error, warn};
+use std::path::{Path, PathBuf};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::mpsc::{Receiver, SyncSender, sync_channel};
+use std::thread::JoinHandle;
+
+/// Records that may wait for the disk; past them the whole state is written once there is room.
+const MAX_WAITING: usize = 64;
+/// After so many transactions, or bytes of them, the whole state takes their place.
+const MAX_APPENDED: u64 = 4096;
+const MAX_APPENDED_BYTES: usize = 16 << 20;
+/// After a failure the disk is tried again this much later, ms.
+const RETRY_MS: Millis = 30_000;
+/// Where the files of a damaged state are put, within its directory.
+const SET_ASIDE: &str = "damaged";
+
+/// The subscriber's end.
+pub(super) struct StateKeeper {
+    records: Option<SyncSender<Persist>>,
+    failed: Arc<AtomicBool>,
+    thread: Option<JoinHandle<()>>,
+    /// The whole state is to be written before any further record.
+    whole_due: bool,
+    not_before: Millis,
+    appended: u64,
+    appended_bytes: usize,
+}
+
+impl StateKeeper {
+    /// Opens the store in a directory, with the state in it. None if it can't be kept there, which is logged.
+    pub(super) fn open(
+        directory: &Path,
+        owner: &str,
+        log: &Logger,
+    ) -> (Option<StateKeeper>, Option<PersistedState>) {
+        let opened = open_or_set_aside(directory, owner, log);
+        let (store, state) = match opened {
+            Ok(opened) => opened,
+            Err(why) => {
+                error!(log, "config: the state on disk can't be used, a restart will begin with nothing";
+                    "directory" => %directory.display(), "why" => why);
+                return (None, None);
+            }
+        };
+        match StateKeeper::start(store, directory.to_owned(), owner.to_owned(), log.clone()) {
+            Ok(keeper) => (Some(keeper), state),
+            Err(why) => {
+                error!(log, "config: no thread to keep the state on disk"; "why" => %why);
+                (None, state)
+            }
+        }
+    }
+
+    fn start(
+        store: StateStore,
+        directory: PathBuf,
+        owner: String,
+        log: Logger,
+    ) -> std::io::Result<StateKeeper> {
+        let (records, inbox) = sync_channel(MAX_WAITING);
+        let failed = Arc::new(AtomicBool::new(false));
+        let mut disk = DiskThread { store: Some(store), directory, owner, log, failed: failed.clone() };
+        let run = move || disk.run(&inbox);
+        let thread = std::thread::Builder::new().name("config-state".to_owned()).spawn(run)?;
+        Ok(StateKeeper {
+            records: Some(records),
+            failed,
+            thread: Some(thread),
+            whole_due: false,
+            not_before: 0,
+            appended: 0,
+            appended_bytes: 0,
+        })
+    }
+
+    /// Hands a record to the thread; never waits.
+    pub(super) fn keep(&mut self, record: Persist) {
+        match &record {
+            Persist::Replace(_) => (self.whole_due, self.appended, self.appended_bytes) = (false, 0, 0),
+            Persist::Append { transaction, .. } => {
+                self.appended += 1;
+                self.appended_bytes += transaction_bytes(transaction);
+            }
+        }
+        let full = self.appended > MAX_APPENDED || self.appended_bytes > MAX_APPENDED_BYTES;
+        self.whole_due |= full || !self.hand_over(record);
+    }
+
+    /// Writes the whole state if that is due and possible.
+    pub(super) fn catch_up(&mut self, now: Millis, subscriber: &Subscriber) {
+        if self.failed.swap(false, Ordering::Relaxed) {
+            (self.whole_due, self.not_before) = (true, now + RETRY_MS);
+        }
+        if !self.whole_due || now < self.not_before {
+            return;
+        }
+        if let Some(state) = subscriber.confirmed_state() {
+            self.keep(Persist::Replace(state));
+        }
+    }
+
+    fn hand_over(&self, record: Persist) -> bool {
+        !self.whole_due && self.records.as_ref().is_some_and(|records| records.try_send(record).is_ok())
+    }
+}
+
+impl Drop for StateKeeper {
+    /// What was handed over is still written.
+    fn drop(&mut self) {
+        self.records = None;
+        if let Some(thread) = self.thread.take() {
+            let _ = thread.join();
+        }
+    }
+}
+
+struct DiskThread {
+    /// None after a failure, until a whole state comes.
+    store: Option<StateStore>,
+    directory: PathBuf,
+    owner: String,
+    log: Logger,
+    failed: Arc<AtomicBool>,
+}
+
+impl DiskThread {
+    fn run(&mut self, inbox: &Receiver<Persist>) {
+        while let Ok(first) = inbox.recv() {
+            let mut batch = vec![first];
+            batch.extend(inbox.try_iter().take(MAX_WAITING));
+            if let Err(why) = self.keep(&batch) {
+                warn!(self.log, "config: the state can't be written to disk, tried again later"; "why" => why);
+                self.store = None;
+                self.failed.store(true, Ordering::Relaxed);
+            }
+        }
+        if let Some(store) = self.store.take() {
+            if let Err(why) = store.close() {
+                warn!(self.log, "config: the state on disk was not closed in good order"; "why" => %why);
+            }
+        }
+    }
+
+    fn keep(&mut self, batch: &[Persist]) -> Result<(), String> {
+        if let Some(store) = &mut self.store {
+            return store.keep(batch).map_err(|error| error.to_string());
+        }
+        let whole = batch.iter().position(|record| matches!(record, Persist::Replace(_)));
+        let Some(whole) = whole else { return Ok(()) };
+        let (mut store, _) = open_or_set_aside(&self.directory, &self.owner, &self.log)?;
+        store.keep(&batch[whole..]).map_err(|error| error.to_string())?;
+        self.store = Some(store);
+        Ok(())
+    }
+}
+
+/// Opens the store. The files of a damaged one are put aside: what they held is fetched anew.
+fn open_or_set_aside(
+    directory: &Path,
+    owner: &str,
+    log: &Logger,
+) -> Result<(StateStore, Option<PersistedState>), String> {
+    std::fs::create_dir_all(directory).map_err(|error| error.to_string())?;
+    let disk = RealDisk::new(directory).map_err(|error| error.to_string())?;
+    let disk: Arc<dyn Disk> = Arc::new(disk);
+    let damage = match StateStore::open(disk.clone(), owner) {
+        Ok(opened) => return Ok(opened),
+        Err(damage @ (StoreError::Damaged { .. } | StoreError::Gap { .. } | StoreError::Rejected { .. })) => {
+            damage
+        }
+        Err(other) => return Err(other.to_string()),
+    };
+    set_aside(directory).map_err(|error| format!("{damage}; and it can't be put aside: {error}"))?;
+    warn!(log, "config: the state on disk was damaged and is put aside, all is fetched anew";
+        "why" => %damage, "to" => %directory.join(SET_ASIDE).display());
+    StateStore::open(disk, owner).map_err(|error| error.to_string())
+}
+
+/// Moves the files of a store into a directory below it, in place of those of an earlier time.
+fn set_aside(directory: &Path) -> std::io::Result<()> {
+    let to = directory.join(SET_ASIDE);
+    if to.exists() {
+        std::fs::remove_dir_all(&to)?;
+    }
+    std::fs::create_dir(&to)?;
+    for entry in std::fs::read_dir(directory)? {
+        let name = entry?.file_name();
+        let is_store_file =
+            name.to_str().is_some_and(|name| name.ends_with(".log") || name.ends_with(".snp"));
+        if is_store_file {
+            std::fs::rename(directory.join(&name), to.join(&name))?;
+        }
+    }
+    sync_directory(directory)
+}
+
+fn sync_directory(directory: &Path) -> std::io::Result<()> {
+    std::fs::File::open(directory)?.sync_all()
+}
--- a/crates/config-sync/src/net/subscriber.rs
+++ b/crates/config-sync/src/net/subscriber.rs
@@ -1,8 +1,18 @@
 //! A subscriber as a future: its connection, its timer, its state on disk, and whoever puts updates in force.
 
+use super::clock::{Alarm, Clock};
+use super::link::{Link, LinkEvent};
+use super::shared_tables::SharedTables;
+use super::state_keeper::StateKeeper;
+use super::subscriber_handle::{Shared, SubscriberHandle};
 use crate::client::{ClientSettings, Judge, Update};
-use crate::resource::{Digest, Position};
-use slog::Logger;
+use crate::follower::{DisconnectReason, FollowerEvent, FollowerSettings, LinkAction};
+use crate::frame::FrameKey;
+use crate::resource::{Millis, Position};
+use crate::subscriber::{PersistedState, Subscriber, SubscriberAction, SubscriberEvent, SubscriberSettings};
+use async_channel::Receiver;
+use futures_lite::future::or;
+use slog::{Logger, debug, info, warn};
 use std::io;
 use std::sync::Arc;
 
@@ -18,85 +28,232 @@
 /// Puts updates in force.
 pub trait Observer: Send {
     /// The next update, in order; called on the subscriber's executor, so it must not wait.
-    fn in_force(&mut self, update: &Update) -> Confirmation;
-}
-
-/// Tables that subscribers of one process share when they are equal, so that thousands cost the memory of one.
-#[derive(Clone, Default)]
-pub struct SharedTables {
-    _private: Arc<()>,
-}
-
-/// What a subscriber is at.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
-pub struct SubscriberStatus {
-    /// The position that is confirmed in force.
-    pub in_force: Position,
-    /// The position of its mirror of the publisher's table.
-    pub mirrored: Position,
-    /// The digest of the mirror.
-    pub digest: Digest,
-    /// The server that it is connected to.
-    pub server: Option<Arc<str>>,
-    /// Connections made.
-    pub connections: u64,
-    /// Snapshots applied.
-    pub snapshots: u64,
-    /// Deltas that did not fit, so that it fetched the differences.
-    pub resyncs: u64,
-    /// Connections closed for a bad frame.
-    pub bad_frames: u64,
-    /// Bytes received.
-    pub bytes_in: u64,
-    /// Bytes sent.
-    pub bytes_out: u64,
+    fn in_force(&mut self, update: Update) -> Confirmation;
 }
 
 /// A subscriber that is not yet running: [`SubscriberTask::run`] is its future.
 pub struct SubscriberTask {
-    _private: (),
+    subscriber: Subscriber,
+    link: Link,
+    clock: Clock,
+    alarm: Alarm,
+    observer: Box<dyn Observer>,
+    tables: Option<SharedTables>,
+    /// The position at which the table was shared last.
+    shared_at: Position,
+    keeper: Option<StateKeeper>,
+    shared: Arc<Shared>,
+    wakes: Receiver<()>,
+    /// A failure to connect is news once.
+    connect_failed: bool,
+    log: Logger,
 }
 
-/// The way to a subscriber from any thread. When all of its clones are dropped, the task ends.
-#[derive(Clone)]
-pub struct SubscriberHandle {
-    _private: (),
+enum Step {
+    Link(LinkEvent),
+    Woken,
+    Rang,
+    Ended,
 }
 
 impl SubscriberTask {
-    /// Reads the state on disk, if settings name a directory. The first update then stands for all of it.
+    /// Reads the state on disk, if settings name a directory, and puts it in force: the observer hears of it before this
+    /// returns.
     ///
     /// # Errors
-    /// If the settings are not right or the state's store can't be opened at all.
+    /// If the settings are not right. A state on disk that can't be used is logged and put aside.
     pub fn new(
-        _settings: ClientSettings,
-        _judge: Box<dyn Judge>,
-        _observer: Box<dyn Observer>,
-        _tables: Option<SharedTables>,
-        _log: Logger,
+        settings: ClientSettings,
+        judge: Box<dyn Judge>,
+        observer: Box<dyn Observer>,
+        tables: Option<SharedTables>,
+        log: Logger,
+    ) -> io::Result<(SubscriberTask, SubscriberHandle)> {
+        let (keeper, kept) = match &settings.state_directory {
+            Some(directory) => StateKeeper::open(directory, &settings.member.name, &log),
+            None => (None, None),
+        };
+        SubscriberTask::begin(settings, judge, observer, tables, log, kept, keeper)
+    }
+
+    /// The same, beginning with a state that the caller has, and with none on disk.
+    ///
+    /// # Errors
+    /// If the settings are not right.
+    pub fn with_state(
+        settings: ClientSettings,
+        judge: Box<dyn Judge>,
+        observer: Box<dyn Observer>,
+        tables: Option<SharedTables>,
+        log: Logger,
+        state: PersistedState,
     ) -> io::Result<(SubscriberTask, SubscriberHandle)> {
-        todo!("the task is written in the next commits")
+        SubscriberTask::begin(settings, judge, observer, tables, log, Some(state), None)
+    }
+
+    fn begin(
+        settings: ClientSettings,
+        judge: Box<dyn Judge>,
+        observer: Box<dyn Observer>,
+        tables: Option<SharedTables>,
+        log: Logger,
+        kept: Option<PersistedState>,
+        keeper: Option<StateKeeper>,
+    ) -> io::Result<(SubscriberTask, SubscriberHandle)> {
+        let key = FrameKey::new(&settings.fleet_key)
+            .map_err(|error| io::Error::new(io::ErrorKind::InvalidInput, error))?;
+        let clock = Clock::start();
+        let follower = FollowerSettings::new(settings.member, settings.servers, settings.seed);
+        let mut actions = Vec::new();
+        let subscriber =
+            Subscriber::new(SubscriberSettings::new(follower), judge, kept, clock.now(), &mut actions);
+        let (shared, wakes) = Shared::new(clock);
+        let mut task = SubscriberTask {
+            subscriber,
+            link: Link::new(key),
+            clock,
+            alarm: Alarm::new(clock),
+            observer,
+            tables,
+            shared_at: Position::default(),
+            keeper,
+            shared: shared.clone(),
+            wakes,
+            connect_failed: false,
+            log,
+        };
+        task.carry_out(clock.now(), &mut actions);
+        let handle = SubscriberHandle::new(shared);
+        Ok((task, handle))
     }
 
     /// Follows until all handles are dropped.
-    pub async fn run(self) {
-        todo!("the task is written in the next commits")
+    pub async fn run(mut self) {
+        let mut actions = Vec::new();
+        let mut event = Some(SubscriberEvent::Link(FollowerEvent::Tick));
+        loop {
+            let now = self.clock.now();
+            if let Some(event) = event.take() {
+                self.subscriber.on_event(now, event, &mut actions);
+            }
+            self.carry_out(now, &mut actions);
+            // Never at once again, whatever is due: other tasks run on this executor.
+            self.alarm.set(self.subscriber.deadline().max(now + 1));
+            event = match self.next_step().await {
+                Step::Link(event) => Some(SubscriberEvent::Link(self.told(event))),
+                Step::Woken => Some(SubscriberEvent::Applied(self.shared.confirmed())),
+                Step::Rang => Some(SubscriberEvent::Link(FollowerEvent::Tick)),
+                Step::Ended => return,
+            };
+        }
+    }
+
+    async fn next_step(&mut self) -> Step {
+        let woken = async {
+            match self.wakes.recv().await {
+                Ok(()) => Step::Woken,
+                Err(_) => Step::Ended,
+            }
+        };
+        let rang = async {
+            self.alarm.rings().await;
+            Step::Rang
+        };
+        let told = async { Step::Link(self.link.next().await) };
+        or(woken, or(rang, told)).await
+    }
+
+    /// Logs what the link says and hands it on.
+    fn told(&mut self, event: LinkEvent) -> FollowerEvent {
+        match event {
+            LinkEvent::Connected => {
+                self.connect_failed = false;
+                self.shared.update(|status| status.connections += 1);
+                FollowerEvent::Connected
+            }
+            LinkEvent::ConnectFailed(why) => {
+                if !std::mem::replace(&mut self.connect_failed, true) {
+                    info!(self.log, "config: a server does not accept connections"; "why" => %why);
+                }
+                FollowerEvent::ConnectFailed
+            }
+            LinkEvent::Received(message) => FollowerEvent::Received(message),
+            LinkEvent::Disconnected(why) => {
+                if why.is_bad_frame() {
+                    warn!(self.log, "config: connection to a server closed"; "why" => %why);
+                    self.shared.update(|status| status.bad_frames += 1);
+                } else {
+                    info!(self.log, "config: connection to a server lost"; "why" => %why);
+                }
+                self.shared.update(|status| status.server = None);
+                FollowerEvent::Disconnected
+            }
+        }
+    }
+
+    fn carry_out(&mut self, now: Millis, actions: &mut Vec<SubscriberAction>) {
+        while !actions.is_empty() {
+            let mut confirmed = None;
+            for action in actions.drain(..) {
+                match action {
+                    SubscriberAction::Link(action) => self.on_link_action(action),
+                    SubscriberAction::InForce(update) => {
+                        let position = update.position;
+                        if self.observer.in_force(update) == Confirmation::Now {
+                            confirmed = Some(position);
+                        }
+                    }
+                    SubscriberAction::Persist(record) => {
+                        if let Some(keeper) = &mut self.keeper {
+                            keeper.keep(record);
+                        }
+                    }
+                }
+            }
+            if let Some(position) = confirmed {
+                self.subscriber.on_event(now, SubscriberEvent::Applied(position), actions);
+            }
+        }
+        if let Some(keeper) = &mut self.keeper {
+            keeper.catch_up(now, &self.subscriber);
+        }
+        self.share_table();
+        self.shared.publish(now, &self.subscriber, self.link.traffic());
     }
-}
 
-impl SubscriberHandle {
-    /// That update, and all before it, are in force. Never blocks.
-    pub fn applied(&self, _position: Position) {
-        todo!("the task is written in the next commits")
+    fn share_table(&mut self) {
+        let position = self.subscriber.follower().position();
+        if let (Some(tables), true) = (&self.tables, position != self.shared_at) {
+            tables.share(&mut self.subscriber);
+            self.shared_at = position;
+        }
     }
 
-    /// How long ago it last knew that it had all there is, ms; none before the first time.
-    pub fn age_ms(&self) -> Option<u64> {
-        todo!("the task is written in the next commits")
+    fn on_link_action(&mut self, action: LinkAction) {
+        match action {
+            LinkAction::Connect(server) => {
+                debug!(self.log, "config: connecting"; "server" => &*server.name);
+                self.link.connect(&server);
+                self.shared.update(|status| status.server = Some(server.name));
+            }
+            LinkAction::Send(message) => self.link.send(&message),
+            LinkAction::Disconnect(reason) => {
+                self.log_disconnect(&reason);
+                self.link.disconnect();
+                self.shared.update(|status| status.server = None);
+            }
+        }
     }
 
-    /// What it is at.
-    pub fn status(&self) -> SubscriberStatus {
-        todo!("the task is written in the next commits")
+    fn log_disconnect(&self, reason: &DisconnectReason) {
+        match reason {
+            DisconnectReason::Fault(fault) => {
+                warn!(self.log, "config: server left, the settings stay as they are"; "why" => %fault);
+            }
+            DisconnectReason::Silent(_) | DisconnectReason::Stalled(_) => {
+                info!(self.log, "config: server left"; "why" => %reason);
+            }
+            _ => debug!(self.log, "config: server left"; "why" => %reason),
+        }
     }
 }
--- a/crates/config-sync/src/resource.rs
+++ b/crates/config-sync/src/resource.rs
@@ -23,7 +23,7 @@
 impl Position {
     /// The position after the next transaction of the same epoch.
     pub fn next(self) -> Position {
-        Position { revision: self.revision + 1, ..self }
+        Position { revision: self.revision.saturating_add(1), ..self }
     }
 }
 
--- a/crates/config-sync/src/subscriber.rs
+++ b/crates/config-sync/src/subscriber.rs
@@ -8,6 +8,7 @@
 //! and once it is accepted it comes in force in one step.
 
 mod api;
+mod confirmed;
 mod held_back;
 mod persistence;
 
--- a/crates/config-sync/tests/codec.rs
+++ b/crates/config-sync/tests/codec.rs
@@ -7,14 +7,17 @@
     DecodeError, Record, SnapshotHeader, SnapshotReader, decode_record, decode_to_client, decode_to_server,
     encode_record, encode_snapshot, encode_to_client, encode_to_server,
 };
+use dunlinspread_config_sync::fanout::FanoutSettings;
 use dunlinspread_config_sync::frame::{FrameKey, MAX_PAYLOAD};
 use dunlinspread_config_sync::message::{
-    BUCKETS, BucketContent, MAX_REPORTED_REFUSALS, MAX_REPORTED_ZONES, Member, Refusal, Role, ToClient,
-    ToServer, ZoneProgress,
+    BUCKETS, BucketContent, MAX_REPORTED_REFUSALS, MAX_REPORTED_ZONES, Member, PIECE_BYTES, Refusal, Role,
+    ToClient, ToServer, ZoneProgress,
 };
+use dunlinspread_config_sync::publisher::PublisherSettings;
 use dunlinspread_config_sync::resource::{
     Change, Digest, Key, MAX_CHANGES, MAX_NAME, Position, Resource, Transaction,
 };
+use dunlinspread_config_sync::size::{MAX_TRANSACTION_BYTES, resource_bytes, transaction_bytes};
 use proptest::collection::vec;
 use proptest::prelude::*;
 use std::sync::Arc;
@@ -37,17 +40,29 @@
     Change::Put(Resource::Route { route: name("r"), class: name("c") })
 }
 
+fn stored(transaction: Transaction, refused: bool) -> Record {
+    Record::Transaction { transaction: Arc::new(transaction), refused }
+}
+
 fn transaction(changes: Vec<Change>) -> Transaction {
     let position = Position { epoch: u64::MAX, revision: u64::MAX };
     Transaction { position, changes, digest: Digest(u128::MAX), published_unix_ms: u64::MAX }
 }
 
 #[test]
-fn the_largest_transaction_behind_almost_full_deltas_fits_in_a_frame() {
-    let largest = Arc::new(transaction((0..MAX_CHANGES).map(route).collect()));
-    let alone = client_bytes(&ToClient::Deltas(vec![largest])).len();
-    assert!(alone > 250_000, "{alone}");
-    assert!(alone + 128 * 1024 <= MAX_PAYLOAD, "{alone}");
+fn the_largest_transaction_the_fullest_deltas_and_the_largest_bucket_fit_in_a_frame() {
+    let fanout = FanoutSettings::default();
+    let bucket_bytes = PublisherSettings::default().max_bucket_bytes;
+    // Estimates from above, which the property below holds against the encoding.
+    let room = MAX_PAYLOAD - 1024;
+    assert!(MAX_TRANSACTION_BYTES <= room);
+    assert!(fanout.max_message_bytes <= room);
+    assert!(bucket_bytes.max(PIECE_BYTES) <= room);
+    let changes: Vec<Change> = (0..MAX_TRANSACTION_BYTES / 300).map(route).collect();
+    let largest = Arc::new(transaction(changes));
+    assert!(transaction_bytes(&largest) > MAX_TRANSACTION_BYTES * 9 / 10);
+    let key = FrameKey::new(FLEET_KEY).expect("a good key");
+    key.seal(|out| encode_to_client(&ToClient::Deltas(vec![largest]), out)).expect("it fits");
 }
 
 #[test]
@@ -115,7 +130,7 @@
     for changes in [vec![], vec![zero], vec![long], twice, many] {
         let message = ToClient::Deltas(vec![Arc::new(transaction(changes.clone()))]);
         assert!(decode_to_client(&client_bytes(&message)).is_err(), "{changes:?}");
-        assert!(decode_record(&encode_record(&Record::Transaction(transaction(changes)))).is_err());
+        assert!(decode_record(&encode_record(&stored(transaction(changes), false))).is_err());
     }
 }
 
@@ -137,7 +152,7 @@
 
 fn read_snapshot(bytes: &[u8]) -> Result<(SnapshotHeader, Vec<Resource>), DecodeError> {
     let reader = SnapshotReader::new(bytes)?;
-    let header = *reader.header();
+    let header = reader.header().clone();
     Ok((header, reader.collect::<Result<_, _>>()?))
 }
 
@@ -157,9 +172,25 @@
         prop_assert_eq!(decode_to_client(&bytes), Ok(message));
     }
 
+    #[test]
+    fn the_estimates_of_sizes_are_from_above(
+        transactions in vec(support::transaction().prop_map(Arc::new), 1..4),
+        resources in vec(support::resource(), 0..6),
+    ) {
+        let estimate: usize = transactions.iter().map(|transaction| transaction_bytes(transaction)).sum();
+        let bytes = client_bytes(&ToClient::Deltas(transactions)).len();
+        prop_assert!(bytes <= estimate + 8, "{} over {}", bytes, estimate);
+        let estimate: usize = resources.iter().map(resource_bytes).sum();
+        let bucket = BucketContent { bucket: BUCKETS as u16 - 1, resources };
+        let bytes = client_bytes(&ToClient::Piece { sequence: u32::MAX, buckets: vec![bucket] }).len();
+        prop_assert!(bytes <= estimate + 32, "{} over {}", bytes, estimate);
+    }
+
     #[test]
     fn records_come_back(transaction in support::transaction(), epoch in any::<u64>()) {
-        for record in [Record::Transaction(transaction), Record::Epoch(epoch)] {
+        let records =
+            [stored(transaction.clone(), false), stored(transaction, true), Record::Epoch(epoch)];
+        for record in records {
             let bytes = encode_record(&record);
             prop_assert_eq!(decode_record(&bytes), Ok(record));
         }
@@ -170,8 +201,11 @@
         resources in vec(support::resource(), 0..12),
         position in support::position(),
         digest in support::digest(),
+        held_back in vec(support::change(), 0..3),
     ) {
-        let header = SnapshotHeader { position, digest, published_unix_ms: 7, resources: resources.len() as u64 };
+        let resources_count = resources.len() as u64;
+        let header =
+            SnapshotHeader { position, digest, published_unix_ms: 7, resources: resources_count, held_back };
         let bytes = encode_snapshot(&header, resources.iter());
         prop_assert_eq!(read_snapshot(&bytes), Ok((header, resources)));
         for cut in 0..bytes.len() {
