--- a/crates/config-sync/src/delta_log.rs
+++ b/crates/config-sync/src/delta_log.rs
@@ -114,8 +114,13 @@
     /// The transactions that lead from `position` to the head; nothing if the log doesn't reach back there, or if
     /// `position` is of another epoch or after the head.
     pub fn since(&self, position: Position) -> Option<Vec<Arc<Transaction>>> {
+        Some(self.after(position)?.cloned().collect())
+    }
+
+    /// The same without a copy.
+    pub fn after(&self, position: Position) -> Option<impl Iterator<Item = &Arc<Transaction>>> {
         let steps = self.steps_to(position)?;
-        Some(self.transactions.range(steps..).cloned().collect())
+        Some(self.transactions.range(steps..))
     }
 
     /// How many of the transactions held lie between the base and `position`.
--- a/crates/config-sync/src/fanout.rs
+++ b/crates/config-sync/src/fanout.rs
@@ -23,9 +23,9 @@
 use rand_chacha::ChaCha8Rng;
 use session::{Session, Stage};
 use snapshot::SharedPieces;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
-use watch::CatchUp;
+use watch::SharedDeltas;
 
 /// The server's side of all sessions.
 #[derive(Debug)]
@@ -40,11 +40,16 @@
     flushed: Position,
     last_flush: Option<Millis>,
     last_heartbeat: Option<Millis>,
+    last_tick: Option<Millis>,
     sessions: BTreeMap<SessionId, Session>,
+    /// The session of each member that watches.
+    names: BTreeMap<Arc<str>, SessionId>,
+    /// Sessions that catch up with the log.
+    catching_up: BTreeSet<SessionId>,
     /// Sessions whose stage takes a place for a snapshot.
     places_taken: usize,
     progress: Progress,
-    catch_up: Option<CatchUp>,
+    shared_deltas: SharedDeltas,
     shared_pieces: SharedPieces,
     random: ChaCha8Rng,
 }
@@ -59,10 +64,13 @@
             flushed: Position::default(),
             last_flush: None,
             last_heartbeat: None,
+            last_tick: None,
             sessions: BTreeMap::new(),
+            names: BTreeMap::new(),
+            catching_up: BTreeSet::new(),
             places_taken: 0,
             progress: Progress::new(settings.max_zones, settings.max_refusals),
-            catch_up: None,
+            shared_deltas: SharedDeltas::default(),
             shared_pieces: SharedPieces::default(),
             random: ChaCha8Rng::seed_from_u64(settings.seed),
             settings,
@@ -117,7 +125,9 @@
     /// When the next [`FanoutEvent::Tick`] has something to do; at once if there was none yet.
     pub fn deadline(&self) -> Millis {
         let heartbeat = self.last_heartbeat.map_or(0, |last| last.saturating_add(self.settings.heartbeat_ms));
-        if self.flushed == self.head() { heartbeat } else { heartbeat.min(self.flush_due()) }
+        let flush = if self.flushed == self.head() { Millis::MAX } else { self.flush_due() };
+        let catch_up = if self.catching_up.is_empty() { Millis::MAX } else { self.catch_up_due() };
+        heartbeat.min(flush).min(catch_up)
     }
 
     /// Takes one event in.
@@ -126,11 +136,7 @@
             FanoutEvent::Opened(id) => self.on_opened(now, id, out),
             FanoutEvent::Received(id, message) => self.on_received(now, id, message, out),
             FanoutEvent::Closed(id) => self.forget(id),
-            FanoutEvent::Backlog { session, bytes } => {
-                if bytes > self.settings.max_backlog_bytes {
-                    self.close(session, CloseReason::Slow { bytes }, out);
-                }
-            }
+            FanoutEvent::Backlog { session, bytes } => self.on_backlog(session, bytes, out),
             FanoutEvent::Tick => self.on_tick(now, out),
         }
     }
@@ -175,12 +181,13 @@
         self.table = table;
         self.published_unix_ms = published_unix_ms;
         self.flushed = position;
-        self.catch_up = None;
+        self.shared_deltas.clear();
         self.shared_pieces.clear();
         let ids: Vec<SessionId> = self.sessions.keys().copied().collect();
         for id in ids {
             match self.sessions.get(&id).map(|session| &session.stage) {
                 Some(Stage::Live) => self.begin(now, id, had.0, had.1, out),
+                Some(Stage::CatchingUp { .. }) => self.require_resync(now, id, out),
                 Some(&Stage::Ahead { position, digest }) => self.begin(now, id, position, digest, out),
                 _ => {}
             }
@@ -213,12 +220,24 @@
         }
     }
 
+    fn on_backlog(&mut self, id: SessionId, bytes: usize, out: &mut Vec<FanoutAction>) {
+        let Some(session) = self.sessions.get_mut(&id) else { return };
+        session.backlog_bytes = bytes;
+        if bytes > self.settings.max_backlog_bytes {
+            self.close(id, CloseReason::Slow { bytes }, out);
+        }
+    }
+
     fn on_tick(&mut self, now: Millis, out: &mut Vec<FanoutAction>) {
         let heartbeat_due =
             self.last_heartbeat.is_none_or(|last| now >= last.saturating_add(self.settings.heartbeat_ms));
         if heartbeat_due || now >= self.flush_due() {
             self.flush(now, out);
         }
+        if now >= self.catch_up_due() {
+            self.last_tick = Some(now);
+            self.catch_all_up(now, out);
+        }
         if heartbeat_due {
             self.last_heartbeat = Some(now);
             self.close_silent(now, out);
@@ -249,7 +268,7 @@
             Stage::Opened => (self.settings.silence_ms, CloseReason::NoWatch),
             Stage::Resync => (self.settings.silence_ms, CloseReason::NoFetch),
             Stage::Snapshot(_) => (self.settings.stall_ms, CloseReason::Stalled),
-            Stage::Live | Stage::Ahead { .. } => return None,
+            Stage::Live | Stage::CatchingUp { .. } | Stage::Ahead { .. } => return None,
         };
         (now > session.since.saturating_add(limit)).then_some(why)
     }
@@ -258,6 +277,10 @@
         self.last_flush.map_or(0, |last| last.saturating_add(self.settings.flush_ms))
     }
 
+    fn catch_up_due(&self) -> Millis {
+        self.last_tick.map_or(0, |last| last.saturating_add(self.settings.flush_ms))
+    }
+
     fn busy(&mut self) -> ToClient {
         let least = self.settings.busy_retry_ms;
         ToClient::Busy { retry_after_ms: self.random.random_range(least..=least.saturating_mul(2)) }
@@ -279,12 +302,21 @@
         let Some(session) = self.sessions.remove(&id) else { return };
         self.progress.withdraw(&session.reported);
         self.places_taken -= usize::from(session.stage.takes_place());
+        self.catching_up.remove(&id);
+        if let Some(member) = &session.member {
+            self.names.remove(&member.name);
+        }
     }
 
     fn set_stage(&mut self, now: Millis, id: SessionId, stage: Stage) {
         let Some(session) = self.sessions.get_mut(&id) else { return };
         self.places_taken += usize::from(stage.takes_place());
         self.places_taken -= usize::from(session.stage.takes_place());
+        if matches!(stage, Stage::CatchingUp { .. }) {
+            self.catching_up.insert(id);
+        } else {
+            self.catching_up.remove(&id);
+        }
         session.stage = stage;
         session.since = now;
     }
--- a/crates/config-sync/src/fanout/interface.rs
+++ b/crates/config-sync/src/fanout/interface.rs
@@ -26,9 +26,8 @@
     pub max_snapshots: usize,
     /// The most unsent bytes of a session; past them it is closed, and resyncs when it comes again.
     pub max_backlog_bytes: usize,
-    /// The most bytes of deltas sent to a session at once when it begins; one that lags farther gets a `Resync`.
-    pub max_catch_up_bytes: usize,
-    /// The most bytes of transactions in one message, unless a single one is larger.
+    /// The most bytes of transactions in one message, unless a single one is larger. A session that catches up with the
+    /// log gets one message each `flush_ms`, and none while it has more than this unsent.
     pub max_message_bytes: usize,
     /// The most zones that progress is kept of.
     pub max_zones: usize,
@@ -52,7 +51,6 @@
             max_sessions: 2_048,
             max_snapshots: 64,
             max_backlog_bytes: 2 * 1024 * 1024,
-            max_catch_up_bytes: 512 * 1024,
             max_message_bytes: 128 * 1024,
             max_zones: MAX_REPORTED_ZONES,
             max_refusals: 1_024,
@@ -72,7 +70,7 @@
     Received(SessionId, ToServer),
     /// A connection ended by itself. Not needed after [`FanoutAction::Close`].
     Closed(SessionId),
-    /// How many bytes of a session are not sent yet.
+    /// How many bytes of a session are not sent yet; wanted whenever it has changed much, and when it is 0 again.
     Backlog {
         /// The session.
         session: SessionId,
@@ -126,6 +124,9 @@
     /// It did not confirm a piece of its snapshot in time.
     #[error("a snapshot's piece was not confirmed in time")]
     Stalled,
+    /// The same member watches in a newer session.
+    #[error("the member watches in a newer session")]
+    Replaced,
     /// It belongs to, or reports, a zone past those that progress is kept of.
     #[error("more zones than progress is kept of")]
     TooManyZones,
--- a/crates/config-sync/src/fanout/session.rs
+++ b/crates/config-sync/src/fanout/session.rs
@@ -11,6 +11,11 @@
     Opened,
     /// It has everything up to the last flush.
     Live,
+    /// It is sent the log, message by message, and has it up to this position.
+    CatchingUp {
+        /// What it was sent.
+        position: Position,
+    },
     /// It has more than this server; it is served as soon as the head reaches what it has.
     Ahead {
         /// What it has.
@@ -43,6 +48,8 @@
     pub(super) pieces_sent: u32,
     /// Those that it confirmed.
     pub(super) pieces_taken: u32,
+    /// Its unsent bytes as last told.
+    pub(super) backlog_bytes: usize,
     /// What it contributes to the progress of zones.
     pub(super) reported: Vec<ZoneProgress>,
 }
@@ -55,6 +62,7 @@
             member: None,
             pieces_sent: 0,
             pieces_taken: 0,
+            backlog_bytes: 0,
             reported: Vec::new(),
         }
     }
--- a/crates/config-sync/src/fanout/snapshot.rs
+++ b/crates/config-sync/src/fanout/snapshot.rs
@@ -99,7 +99,7 @@
         }
         match self.sessions.get(&id).map(|session| &session.stage) {
             // A client that finds its table spoilt may ask without a `Resync`.
-            Some(Stage::Resync | Stage::Live) => {}
+            Some(Stage::Resync | Stage::Live | Stage::CatchingUp { .. }) => {}
             _ => return self.close(id, ProtocolFault::UnexpectedFetch.into(), out),
         }
         if !self.has_place(id) {
--- a/crates/config-sync/src/fanout/watch.rs
+++ b/crates/config-sync/src/fanout/watch.rs
@@ -1,19 +1,39 @@
 //! How a session begins, and how deltas go out.
 
 use super::session::Stage;
-use super::{Fanout, FanoutAction, SessionId};
+use super::{CloseReason, Fanout, FanoutAction, SessionId};
 use crate::message::{Member, ToClient};
 use crate::resource::{Digest, Millis, Position, Transaction};
 use crate::size::transaction_bytes;
-use std::sync::Arc;
+use std::collections::BTreeMap;
+use std::sync::{Arc, Weak};
 
-/// The messages that lead from one position to the last flush: many sessions that begin at the same position share them.
-/// Bounded by `max_catch_up_bytes`.
-#[derive(Debug)]
-pub(super) struct CatchUp {
-    from: Position,
-    to: Position,
-    messages: Vec<Arc<ToClient>>,
+/// Entries of [`SharedDeltas`] after which those of messages that nobody holds any more are cleared away.
+const SHARED_DELTAS: usize = 1_024;
+
+/// Messages of deltas that are still on their way to someone, by the position that they start from, so that many
+/// sessions that begin at the same position share them. Holds no message alive; bounded by those alive, and by
+/// [`SHARED_DELTAS`] beside them.
+#[derive(Debug, Default)]
+pub(super) struct SharedDeltas {
+    messages: BTreeMap<Position, Weak<ToClient>>,
+}
+
+impl SharedDeltas {
+    fn get(&self, from: Position) -> Option<Arc<ToClient>> {
+        self.messages.get(&from)?.upgrade()
+    }
+
+    fn remember(&mut self, from: Position, message: &Arc<ToClient>) {
+        if self.messages.len() >= SHARED_DELTAS {
+            self.messages.retain(|_, message| message.strong_count() > 0);
+        }
+        self.messages.insert(from, Arc::downgrade(message));
+    }
+
+    pub(super) fn clear(&mut self) {
+        self.messages.clear();
+    }
 }
 
 impl Fanout {
@@ -26,9 +46,13 @@
         digest: Digest,
         out: &mut Vec<FanoutAction>,
     ) {
+        if let Some(&older) = self.names.get(&member.name) {
+            self.close(older, CloseReason::Replaced, out);
+        }
         if !self.count_in(id, &member, out) {
             return;
         }
+        self.names.insert(member.name.clone(), id);
         if let Some(session) = self.sessions.get_mut(&id) {
             session.member = Some(member);
         }
@@ -52,11 +76,42 @@
         if position > self.flushed {
             self.flush(now, out);
         }
-        let Some(messages) = self.catch_up(position, digest) else {
+        if self.log.digest_at(position) != Some(digest) {
+            return self.require_resync(now, id, out);
+        }
+        self.catch_up(now, id, position, out);
+    }
+
+    /// Sends the next message to a session that has everything up to `position`, or makes it a live one.
+    pub(super) fn catch_up(
+        &mut self,
+        now: Millis,
+        id: SessionId,
+        position: Position,
+        out: &mut Vec<FanoutAction>,
+    ) {
+        if position == self.flushed {
+            return self.set_stage(now, id, Stage::Live);
+        }
+        let Some((message, reached)) = self.deltas_from(position) else {
             return self.require_resync(now, id, out);
         };
-        self.set_stage(now, id, Stage::Live);
-        out.extend(messages.into_iter().map(|message| FanoutAction::Send { session: id, message }));
+        let stage =
+            if reached == self.flushed { Stage::Live } else { Stage::CatchingUp { position: reached } };
+        self.set_stage(now, id, stage);
+        out.push(FanoutAction::Send { session: id, message });
+    }
+
+    /// Sends one more message to each session that catches up and has little unsent.
+    pub(super) fn catch_all_up(&mut self, now: Millis, out: &mut Vec<FanoutAction>) {
+        let ids: Vec<SessionId> = self.catching_up.iter().copied().collect();
+        for id in ids {
+            let Some(session) = self.sessions.get(&id) else { continue };
+            let Stage::CatchingUp { position } = session.stage else { continue };
+            if session.backlog_bytes <= self.settings.max_message_bytes {
+                self.catch_up(now, id, position, out);
+            }
+        }
     }
 
     /// Sends the transactions after the last flush to all live sessions, and begins with those that were ahead and no
@@ -65,7 +120,7 @@
         if self.flushed == self.head() {
             return;
         }
-        let messages = self.log.since(self.flushed).map(|transactions| self.batches(transactions));
+        let messages = self.messages_to_head();
         self.flushed = self.head();
         self.last_flush = Some(now);
         let ids: Vec<SessionId> = self.sessions.keys().copied().collect();
@@ -84,43 +139,44 @@
         }
     }
 
-    /// The messages from `position` to the last flush; nothing if the digest differs, the log doesn't reach back there,
-    /// or they are too many.
-    fn catch_up(&mut self, position: Position, digest: Digest) -> Option<Vec<Arc<ToClient>>> {
-        if self.log.digest_at(position) != Some(digest) {
-            return None;
+    /// What leads from the last flush to the head; nothing if the log was compacted in between.
+    fn messages_to_head(&self) -> Option<Vec<Arc<ToClient>>> {
+        let mut position = self.flushed;
+        let mut messages = Vec::new();
+        while position < self.head() {
+            let (message, reached) = self.next_deltas(position, self.head())?;
+            messages.push(message);
+            position = reached;
         }
-        if let Some(known) = &self.catch_up {
-            if known.from == position && known.to == self.flushed {
-                return Some(known.messages.clone());
+        Some(messages)
+    }
+
+    /// A message from `position` on, at most to the last flush, and the position that it leads to.
+    fn deltas_from(&mut self, position: Position) -> Option<(Arc<ToClient>, Position)> {
+        if let Some(message) = self.shared_deltas.get(position) {
+            if let ToClient::Deltas(transactions) = &*message {
+                let reached = transactions.last()?.position;
+                return Some((message, reached));
             }
         }
-        let mut transactions = self.log.since(position)?;
-        transactions.retain(|transaction| transaction.position <= self.flushed);
-        let bytes: usize = transactions.iter().map(|transaction| transaction_bytes(transaction)).sum();
-        if bytes > self.settings.max_catch_up_bytes {
-            return None;
-        }
-        let messages = self.batches(transactions);
-        self.catch_up = Some(CatchUp { from: position, to: self.flushed, messages: messages.clone() });
-        Some(messages)
+        let (message, reached) = self.next_deltas(position, self.flushed)?;
+        self.shared_deltas.remember(position, &message);
+        Some((message, reached))
     }
 
-    /// Cuts transactions into messages of bounded size.
-    fn batches(&self, transactions: Vec<Arc<Transaction>>) -> Vec<Arc<ToClient>> {
-        let mut batches: Vec<Vec<Arc<Transaction>>> = Vec::new();
-        let mut room = 0;
-        for transaction in transactions {
-            let bytes = transaction_bytes(&transaction);
-            match batches.last_mut() {
-                Some(batch) if bytes <= room => batch.push(transaction),
-                _ => {
-                    batches.push(vec![transaction]);
-                    room = self.settings.max_message_bytes;
-                }
+    /// As many of the transactions after `position`, up to `end`, as fit into one message; one at least.
+    fn next_deltas(&self, position: Position, end: Position) -> Option<(Arc<ToClient>, Position)> {
+        let mut batch: Vec<Arc<Transaction>> = Vec::new();
+        let mut bytes = 0;
+        for transaction in self.log.after(position)? {
+            bytes += transaction_bytes(transaction);
+            let full = bytes > self.settings.max_message_bytes && !batch.is_empty();
+            if full || transaction.position > end {
+                break;
             }
-            room = room.saturating_sub(bytes);
+            batch.push(transaction.clone());
         }
-        batches.into_iter().map(|batch| Arc::new(ToClient::Deltas(batch))).collect()
+        let reached = batch.last()?.position;
+        Some((Arc::new(ToClient::Deltas(batch)), reached))
     }
 }
