--- a/crates/config-sync/tests/client_support/mod.rs
+++ b/crates/config-sync/tests/client_support/mod.rs
@@ -1,6 +1,8 @@
 //! Shared by the tests of followers, subscribers and relays: a publisher's history, and servers to watch.
 #![allow(dead_code, reason = "each test binary uses its part")]
 
+pub mod subscribed;
+
 use dunlinspread_config_sync::client::Server;
 use dunlinspread_config_sync::follower::{
     Advance, DisconnectReason, Follower, FollowerAction, FollowerEvent, FollowerSettings, LinkAction,
