--- a/crates/config-sync/src/net/mod.rs
+++ b/crates/config-sync/src/net/mod.rs
@@ -3,9 +3,15 @@
 //! executor if wanted.
 
 mod clock;
+mod encoder;
 mod link;
+mod node;
+mod notify;
 mod publisher;
+mod publisher_core;
+mod publisher_store;
 mod relay;
+mod sessions;
 mod shared_tables;
 mod socket;
 mod state_keeper;
@@ -13,6 +19,7 @@
 mod subscriber_handle;
 mod update_queue;
 
+pub use node::NodeStatus;
 pub use publisher::{OpenError, Pending, ProposeFailure, PublisherNode, PublisherNodeSettings};
 pub use relay::{RelayNode, RelayNodeSettings};
 pub use shared_tables::SharedTables;
--- a/crates/config-sync/src/net/publisher.rs
+++ b/crates/config-sync/src/net/publisher.rs
@@ -1,13 +1,26 @@
 //! The publisher as a process: its store, its listener, and a handle through which changes are proposed.
 
+use super::node::NodeStatus;
+use super::publisher_core::{Command, Core, run};
+use super::publisher_store::{self, StoreFault};
+use crate::fanout::FanoutSettings;
+use crate::frame::FrameKey;
 use crate::message::{Refusal, ZoneProgress};
+use crate::net::clock::unix_ms;
+use crate::publisher::{ProposeError, PublisherSettings, RestoreError};
 use crate::resource::{Change, Position};
-use dunlinspread_store::StoreError;
+use async_channel::{Sender, TrySendError, bounded};
+use async_io::Async;
+use dunlinspread_store::{Disk, RealDisk, StoreError};
 use slog::Logger;
 use std::io;
-use std::net::SocketAddr;
+use std::net::{SocketAddr, TcpListener};
 use std::path::Path;
 use std::sync::Arc;
+use std::thread::JoinHandle;
+
+/// Commands that wait for the publisher's thread.
+const MAX_COMMANDS: usize = 1024;
 
 /// How a publisher is set up.
 #[derive(Clone, Debug)]
@@ -42,6 +55,14 @@
             seed: 0,
         }
     }
+
+    fn publisher_settings(&self) -> PublisherSettings {
+        PublisherSettings {
+            known_classes: self.known_classes.iter().cloned().collect(),
+            fanout: FanoutSettings { seed: self.seed, ..FanoutSettings::default() },
+            ..PublisherSettings::default()
+        }
+    }
 }
 
 /// Why a publisher can't be opened.
@@ -50,7 +71,10 @@
     /// The store can't be read or written.
     #[error("the publisher's store: {0}")]
     Store(#[from] StoreError),
-    /// The address can't be listened on, or there can be no thread.
+    /// What is stored does not fit together.
+    #[error("the publisher's store: {0}")]
+    Restore(#[from] RestoreError),
+    /// The settings, the address or the thread.
     #[error("publisher: {what}: {source}")]
     Io {
         /// What was tried.
@@ -60,13 +84,27 @@
     },
 }
 
+impl From<StoreFault> for OpenError {
+    fn from(fault: StoreFault) -> OpenError {
+        match fault {
+            StoreFault::Store(error) => OpenError::Store(error),
+            StoreFault::Restore(error) => OpenError::Restore(error),
+        }
+    }
+}
+
+fn io_error(what: &'static str) -> impl Fn(io::Error) -> OpenError {
+    move |source| OpenError::Io { what, source }
+}
+
 /// Why a proposal is not published.
 #[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
 pub enum ProposeFailure {
     /// The publisher refused it; nothing was written or told.
-    #[error("{0}")]
-    Refused(String),
-    /// It could not be made durable: it may or may not be there after a restart, and nobody was told.
+    #[error(transparent)]
+    Refused(#[from] ProposeError),
+    /// It could not be made durable, and nobody was told. After a failure of the disk, other than a full one, it may be
+    /// there when the publisher is opened again.
     #[error("the store failed: {0}")]
     NotDurable(String),
     /// The publisher has ended.
@@ -100,19 +138,55 @@
 /// A running publisher. Dropping it ends its threads; all that was proposed and durable is there when it is opened again.
 pub struct PublisherNode {
     address: SocketAddr,
+    commands: Sender<Command>,
+    thread: Option<JoinHandle<()>>,
 }
 
 impl PublisherNode {
     /// Opens the store in `directory`, a new one if nothing is there, and listens.
     ///
     /// # Errors
-    /// Of the store, the socket and the thread.
+    /// Of the settings, the store, the socket and the thread.
     pub fn open(
-        _settings: PublisherNodeSettings,
-        _directory: &Path,
-        _log: Logger,
+        settings: PublisherNodeSettings,
+        directory: &Path,
+        log: Logger,
     ) -> Result<PublisherNode, OpenError> {
-        todo!("the node is written in the next commits")
+        std::fs::create_dir_all(directory).map_err(io_error("making the store's directory"))?;
+        let disk = RealDisk::new(directory)?;
+        PublisherNode::open_on(settings, Arc::new(disk), log)
+    }
+
+    /// The same on any disk.
+    ///
+    /// # Errors
+    /// As [`PublisherNode::open`].
+    pub fn open_on(
+        settings: PublisherNodeSettings,
+        disk: Arc<dyn Disk>,
+        log: Logger,
+    ) -> Result<PublisherNode, OpenError> {
+        let key = FrameKey::new(&settings.fleet_key)
+            .map_err(|error| io_error("settings")(io::Error::new(io::ErrorKind::InvalidInput, error)))?;
+        let new_epoch = unix_ms() / 1000;
+        let publisher_settings = settings.publisher_settings();
+        let opened =
+            publisher_store::open(disk, &settings.name, publisher_settings, new_epoch, settings.begin_epoch)?;
+        let listener =
+            Async::<TcpListener>::bind(settings.listen).map_err(io_error("listening on its address"))?;
+        let address = listener.get_ref().local_addr().map_err(io_error("reading its address"))?;
+        let (commands, inbox) = bounded(MAX_COMMANDS);
+        let (reports, progress) = async_channel::unbounded();
+        let thread = std::thread::Builder::new()
+            .name("publisher".to_owned())
+            .spawn(move || {
+                match Core::new(opened, settings.snapshot_every, key.clone(), reports, log.clone()) {
+                    Ok(core) => run(core, &listener, &key, &inbox, &progress, &log),
+                    Err(why) => slog::error!(log, "config: no thread for the store"; "why" => %why),
+                }
+            })
+            .map_err(io_error("starting its thread"))?;
+        Ok(PublisherNode { address, commands, thread: Some(thread) })
     }
 
     /// Where it listens.
@@ -120,9 +194,19 @@
         self.address
     }
 
-    /// Proposes changes without waiting for the store.
-    pub fn submit(&self, _changes: Vec<Change>) -> Pending {
-        todo!("the node is written in the next commits")
+    /// Proposes changes without waiting for the store. Never blocks.
+    pub fn submit(&self, changes: Vec<Change>) -> Pending {
+        let (reply, answer) = bounded(1);
+        let refused = match self.commands.try_send(Command::Propose { changes, reply: reply.clone() }) {
+            Ok(()) => None,
+            Err(TrySendError::Full(_)) => Some(ProposeError::TooManyUnderWay(MAX_COMMANDS).into()),
+            Err(TrySendError::Closed(_)) => Some(ProposeFailure::Ended),
+        };
+        if let Some(refused) = refused {
+            // The answer has room for one.
+            let _ = reply.try_send(Err(refused));
+        }
+        Pending { answer }
     }
 
     /// Proposes changes and waits until they are durable.
@@ -135,16 +219,36 @@
 
     /// The newest durable position.
     pub fn head(&self) -> Position {
-        todo!("the node is written in the next commits")
+        self.status().head
     }
 
-    /// How far each zone has come.
+    /// How far each zone has come: the least position in force.
     pub fn progress(&self) -> Vec<ZoneProgress> {
-        todo!("the node is written in the next commits")
+        self.status().zones
+    }
+
+    /// How it is doing; all zero once it has ended.
+    pub fn status(&self) -> NodeStatus {
+        self.ask(Command::Status)
     }
 
-    /// The refusals reported since the last call; the oldest are dropped past a bound.
+    /// The refusals reported since the last call. They are bounded; what found no room is only counted.
     pub fn take_refusals(&self) -> Vec<Refusal> {
-        todo!("the node is written in the next commits")
+        self.ask(Command::TakeRefusals)
+    }
+
+    fn ask<T: Default>(&self, command: impl FnOnce(Sender<T>) -> Command) -> T {
+        let (reply, answer) = bounded(1);
+        let asked = self.commands.send_blocking(command(reply)).is_ok();
+        if asked { answer.recv_blocking().unwrap_or_default() } else { T::default() }
+    }
+}
+
+impl Drop for PublisherNode {
+    fn drop(&mut self) {
+        self.commands.close();
+        if let Some(thread) = self.thread.take() {
+            let _ = thread.join();
+        }
     }
 }
--- /dev/null
+++ b/crates/config-sync/src/net/publisher_core.rs
@@ -0,0 +1,329 @@
+//! The publisher's thread: carries out what its state machine decides.
+
+use super::clock::{Clock, unix_ms};
+use super::node::{Node, NodeStatus, Ticker, accept, tick};
+use super::publisher::ProposeFailure;
+use super::publisher_store::{Opened, PublisherStore, Reply};
+use super::sessions::Sessions;
+use crate::fanout::FanoutEvent;
+use crate::frame::FrameKey;
+use crate::message::Refusal;
+use crate::publisher::{Publisher, PublisherAction};
+use crate::resource::{Change, Millis};
+use crate::state_store::write_snapshot;
+use async_channel::{Receiver, Sender};
+use async_executor::LocalExecutor;
+use async_io::{Async, block_on};
+use dunlinspread_store::{Failure, Progress};
+use futures_lite::future::or;
+use slog::{Logger, error, info, warn};
+use std::cell::{Cell, RefCell};
+use std::io;
+use std::net::TcpListener;
+use std::rc::Rc;
+
+/// What a publisher's owner asks for.
+pub(super) enum Command {
+    Propose { changes: Vec<Change>, reply: Reply },
+    Status(Sender<NodeStatus>),
+    TakeRefusals(Sender<Vec<Refusal>>),
+}
+
+/// What happened at the disk.
+pub(super) enum DiskReport {
+    Progress(Progress),
+    /// A snapshot's bytes are ready to be written.
+    Encoded {
+        before: u64,
+        content: Vec<u8>,
+    },
+}
+
+/// How far compaction is.
+struct Compaction {
+    /// Transactions after which a snapshot is taken.
+    every: u64,
+    /// Transactions since the last one.
+    appended: u64,
+    /// When the last durable transaction was accepted.
+    published_unix_ms: u64,
+    under_way: bool,
+}
+
+/// The publisher with its store and sessions.
+pub(super) struct Core {
+    publisher: RefCell<Publisher>,
+    sessions: RefCell<Sessions>,
+    store: RefCell<PublisherStore>,
+    compaction: RefCell<Compaction>,
+    /// The disk failed so that nothing more can be written until a restart.
+    poisoned: Cell<bool>,
+    reports: Sender<DiskReport>,
+    ticker: Ticker,
+    log: Logger,
+}
+
+/// Runs until the commands are closed.
+pub(super) fn run(
+    core: Core,
+    listener: &Async<TcpListener>,
+    key: &FrameKey,
+    commands: &Receiver<Command>,
+    reports: &Receiver<DiskReport>,
+    log: &Logger,
+) {
+    let core = Rc::new(core);
+    let executor = LocalExecutor::new();
+    let command = async {
+        while let Ok(command) = commands.recv().await {
+            core.on_command(command);
+        }
+    };
+    let report = async {
+        while let Ok(report) = reports.recv().await {
+            core.on_report(report);
+        }
+    };
+    let serve = or(accept(listener, &core, &executor, key, log), tick(&*core));
+    block_on(executor.run(or(or(command, report), serve)));
+    // The sessions hold the core.
+    drop(executor);
+    if let Ok(core) = Rc::try_unwrap(core).map_err(drop) {
+        if let Err(why) = core.store.into_inner().close() {
+            warn!(log, "config: the publisher's store was not closed in good order"; "why" => %why);
+        }
+    }
+}
+
+impl Core {
+    pub(super) fn new(
+        opened: Opened,
+        snapshot_every: u64,
+        key: FrameKey,
+        reports: Sender<DiskReport>,
+        log: Logger,
+    ) -> io::Result<Core> {
+        let Opened { publisher, log: records, appended } = opened;
+        let told = reports.clone();
+        let store = PublisherStore::start(records, move |progress| {
+            // Fails when the publisher ends, which then waits for the writer and not for its reports.
+            let _ = told.try_send(DiskReport::Progress(progress));
+        })?;
+        Ok(Core {
+            publisher: RefCell::new(publisher),
+            sessions: RefCell::new(Sessions::new(key, log.clone())),
+            store: RefCell::new(store),
+            compaction: RefCell::new(Compaction {
+                every: snapshot_every.max(1),
+                appended,
+                published_unix_ms: 0,
+                under_way: false,
+            }),
+            poisoned: Cell::new(false),
+            reports,
+            ticker: Ticker::new(Clock::start()),
+            log,
+        })
+    }
+
+    fn now(&self) -> Millis {
+        self.ticker.clock.now()
+    }
+
+    fn on_command(&self, command: Command) {
+        // Who asked may have gone meanwhile.
+        match command {
+            Command::Propose { changes, reply } => self.propose(changes, reply),
+            Command::Status(reply) => drop(reply.try_send(self.status())),
+            Command::TakeRefusals(reply) => drop(reply.try_send(self.take_refusals())),
+        }
+    }
+
+    fn propose(&self, changes: Vec<Change>, reply: Reply) {
+        let mut actions = Vec::new();
+        let proposed = self.publisher.borrow_mut().propose(unix_ms(), changes, &mut actions);
+        if let Err(refused) = proposed {
+            let _ = reply.try_send(Err(refused.into()));
+            return;
+        }
+        if self.carry_out(actions) {
+            self.store.borrow_mut().answer_last_to(reply);
+        } else {
+            let _ = reply.try_send(Err(ProposeFailure::NotDurable("its mailbox is full".to_owned())));
+        }
+    }
+
+    /// Carries actions out, and what follows from them; false if the store had no room for a transaction.
+    fn carry_out(&self, actions: Vec<PublisherAction>) -> bool {
+        let now = self.now();
+        let mut stored = true;
+        let mut actions = actions;
+        let mut told = Vec::new();
+        while !actions.is_empty() {
+            for action in actions.drain(..) {
+                match action {
+                    PublisherAction::Persist { transaction } => {
+                        stored &= self.store.borrow_mut().append(transaction);
+                    }
+                    PublisherAction::Fanout(action) => {
+                        self.sessions.borrow_mut().carry_out(now, action, &mut told);
+                    }
+                }
+            }
+            let mut publisher = self.publisher.borrow_mut();
+            for event in told.drain(..) {
+                publisher.on_event(now, event, &mut actions);
+            }
+        }
+        if !stored {
+            self.publisher.borrow_mut().on_persist_failed();
+            self.resume_if_settled(None);
+        }
+        self.ticker.set(self.deadline());
+        stored
+    }
+
+    fn on_report(&self, report: DiskReport) {
+        match report {
+            DiskReport::Progress(Progress::Durable { through, next }) => self.on_durable(through, next),
+            DiskReport::Progress(Progress::Failed { through, why, era, .. }) => {
+                self.on_failed(through, &why, era);
+            }
+            DiskReport::Progress(Progress::Snapshot { before, failed }) => self.on_snapshot(before, failed),
+            DiskReport::Encoded { before, content } => {
+                if !self.store.borrow_mut().snapshot(before, content) {
+                    self.compaction.borrow_mut().under_way = false;
+                }
+            }
+        }
+    }
+
+    fn on_durable(&self, through: u64, next: u64) {
+        let Some(durable) = self.store.borrow_mut().durable(through) else { return };
+        let mut actions = Vec::new();
+        self.publisher.borrow_mut().on_durable(self.now(), durable.position, &mut actions);
+        self.carry_out(actions);
+        for (position, reply) in durable.replies {
+            let _ = reply.try_send(Ok(position));
+        }
+        let mut compaction = self.compaction.borrow_mut();
+        compaction.appended += durable.count;
+        compaction.published_unix_ms = durable.published_unix_ms;
+        drop(compaction);
+        self.compact(next);
+        // One that had no room may wait for this.
+        self.resume_if_settled(None);
+    }
+
+    fn on_failed(&self, through: u64, why: &Failure, era: u64) {
+        let what = match why {
+            Failure::NoSpace => "the disk is full, this was not written".to_owned(),
+            Failure::NotTried => "an earlier one failed, this was not written".to_owned(),
+            Failure::Poisoned(why) => format!("{why}; no change is taken until a restart"),
+        };
+        error!(self.log, "config: a change can't be stored and is not published"; "why" => &what);
+        self.publisher.borrow_mut().on_persist_failed();
+        for reply in self.store.borrow_mut().failed(through) {
+            let _ = reply.try_send(Err(ProposeFailure::NotDurable(what.clone())));
+        }
+        if matches!(why, Failure::Poisoned(_)) {
+            self.poisoned.set(true);
+        }
+        self.resume_if_settled(Some(era));
+    }
+
+    /// Takes changes again once it is known that none of those under way was written.
+    fn resume_if_settled(&self, era: Option<u64>) {
+        let settled = self.publisher.borrow().halted() && self.store.borrow().is_idle();
+        if !settled || self.poisoned.get() {
+            return;
+        }
+        let mut actions = Vec::new();
+        let head = self.publisher.borrow().head();
+        let resumed = self.publisher.borrow_mut().resume(self.now(), head, &mut actions);
+        match resumed {
+            Ok(_) => {
+                if let Some(era) = era {
+                    self.store.borrow_mut().resume(era);
+                }
+            }
+            Err(why) => error!(self.log, "config: the publisher can't go on"; "why" => %why),
+        }
+    }
+
+    /// Begins a snapshot if one is due. It is encoded on a thread of its own.
+    fn compact(&self, before: u64) {
+        let mut compaction = self.compaction.borrow_mut();
+        if compaction.under_way || compaction.appended < compaction.every {
+            return;
+        }
+        let (table, position) = {
+            let publisher = self.publisher.borrow();
+            (publisher.table().clone(), publisher.head())
+        };
+        let reports = self.reports.clone();
+        let published_unix_ms = compaction.published_unix_ms;
+        let encode = move || {
+            let content = write_snapshot(position, published_unix_ms, &table, &[]);
+            // Fails when the publisher ends.
+            let _ = reports.try_send(DiskReport::Encoded { before, content });
+        };
+        match std::thread::Builder::new().name("config-snapshot".to_owned()).spawn(encode) {
+            Ok(_) => (compaction.under_way, compaction.appended) = (true, 0),
+            Err(why) => warn!(self.log, "config: no thread for a snapshot"; "why" => %why),
+        }
+    }
+
+    fn on_snapshot(&self, before: u64, failed: Option<Failure>) {
+        self.compaction.borrow_mut().under_way = false;
+        match failed {
+            None => info!(self.log, "config: the publisher's log was compacted"; "before" => before),
+            Some(why) => {
+                warn!(self.log, "config: the publisher's log can't be compacted, tried again later";
+                    "why" => format!("{why:?}"));
+            }
+        }
+    }
+
+    fn take_refusals(&self) -> Vec<Refusal> {
+        let mut publisher = self.publisher.borrow_mut();
+        let mut all = Vec::new();
+        loop {
+            let some = publisher.take_refusals();
+            if some.is_empty() {
+                return all;
+            }
+            all.extend(some);
+        }
+    }
+
+    fn status(&self) -> NodeStatus {
+        let publisher = self.publisher.borrow();
+        let sessions = self.sessions.borrow();
+        NodeStatus::of_fanout(publisher.fanout(), &sessions)
+    }
+}
+
+impl Node for Core {
+    fn sessions(&self) -> &RefCell<Sessions> {
+        &self.sessions
+    }
+
+    fn ticker(&self) -> &Ticker {
+        &self.ticker
+    }
+
+    fn deadline(&self) -> Millis {
+        self.publisher.borrow().deadline()
+    }
+
+    fn on_tick(&self) {
+        self.on_session_event(FanoutEvent::Tick);
+    }
+
+    fn on_session_event(&self, event: FanoutEvent) {
+        let mut actions = Vec::new();
+        self.publisher.borrow_mut().on_event(self.now(), event, &mut actions);
+        self.carry_out(actions);
+    }
+}
--- a/crates/config-sync/src/net/relay.rs
+++ b/crates/config-sync/src/net/relay.rs
@@ -1,11 +1,32 @@
 //! A relay as a process: it follows a server and serves others.
 
+use super::clock::Clock;
+use super::link::{Link, LinkEvent, Traffic};
+use super::node::{Node, NodeStatus, Ticker, accept, tick};
+use super::notify::LocalNotify;
+use super::sessions::Sessions;
 use crate::client::Server;
+use crate::fanout::{FanoutEvent, FanoutSettings};
+use crate::follower::{FollowerEvent, FollowerSettings, LinkAction};
+use crate::frame::FrameKey;
 use crate::message::{Member, ZoneProgress};
-use crate::resource::Position;
-use slog::Logger;
+use crate::relay::{Relay, RelayAction, RelayEvent, RelaySettings};
+use crate::resource::{Millis, Position};
+use async_channel::{Receiver, Sender, bounded};
+use async_executor::LocalExecutor;
+use async_io::{Async, block_on};
+use futures_lite::future::or;
+use slog::{Logger, info, warn};
+use std::cell::{Cell, RefCell};
+use std::collections::VecDeque;
 use std::io;
-use std::net::SocketAddr;
+use std::net::{SocketAddr, TcpListener};
+use std::rc::Rc;
+use std::sync::Arc;
+use std::thread::JoinHandle;
+
+/// Questions that wait for the relay's thread.
+const MAX_QUESTIONS: usize = 64;
 
 /// How a relay is set up.
 #[derive(Clone, Debug)]
@@ -25,6 +46,8 @@
 /// A running relay. Dropping it ends its thread. It keeps nothing on disk.
 pub struct RelayNode {
     address: SocketAddr,
+    questions: Sender<Sender<NodeStatus>>,
+    thread: Option<JoinHandle<()>>,
 }
 
 impl RelayNode {
@@ -32,8 +55,16 @@
     ///
     /// # Errors
     /// If the settings are not right, the address can't be listened on or there can be no thread.
-    pub fn start(_settings: RelayNodeSettings, _log: Logger) -> io::Result<RelayNode> {
-        todo!("the node is written in the next commits")
+    pub fn start(settings: RelayNodeSettings, log: Logger) -> io::Result<RelayNode> {
+        let key = FrameKey::new(&settings.fleet_key)
+            .map_err(|error| io::Error::new(io::ErrorKind::InvalidInput, error))?;
+        let listener = Async::<TcpListener>::bind(settings.listen)?;
+        let address = listener.get_ref().local_addr()?;
+        let (questions, inbox) = bounded(MAX_QUESTIONS);
+        let thread = std::thread::Builder::new()
+            .name("relay".to_owned())
+            .spawn(move || run(settings, &key, &listener, &inbox, &log))?;
+        Ok(RelayNode { address, questions, thread: Some(thread) })
     }
 
     /// Where it listens.
@@ -43,11 +74,204 @@
 
     /// What it serves.
     pub fn head(&self) -> Position {
-        todo!("the node is written in the next commits")
+        self.status().head
     }
 
     /// How far the zones below it have come.
     pub fn progress(&self) -> Vec<ZoneProgress> {
-        todo!("the node is written in the next commits")
+        self.status().zones
+    }
+
+    /// How it is doing; all zero once it has ended.
+    pub fn status(&self) -> NodeStatus {
+        let (reply, answer) = bounded(1);
+        let asked = self.questions.send_blocking(reply).is_ok();
+        if asked { answer.recv_blocking().unwrap_or_default() } else { NodeStatus::default() }
+    }
+}
+
+impl Drop for RelayNode {
+    fn drop(&mut self) {
+        self.questions.close();
+        if let Some(thread) = self.thread.take() {
+            let _ = thread.join();
+        }
+    }
+}
+
+fn run(
+    settings: RelayNodeSettings,
+    key: &FrameKey,
+    listener: &Async<TcpListener>,
+    questions: &Receiver<Sender<NodeStatus>>,
+    log: &Logger,
+) {
+    let core = Rc::new(Core::new(settings, key, log));
+    let executor = LocalExecutor::new();
+    let answer = async {
+        while let Ok(reply) = questions.recv().await {
+            // Who asked may have gone meanwhile.
+            let _ = reply.try_send(core.status());
+        }
+    };
+    let serve = or(accept(listener, &core, &executor, key, log), tick(&*core));
+    block_on(executor.run(or(answer, or(core.follow(Link::new(key.clone())), serve))));
+}
+
+/// What is known of the connection to the server above.
+#[derive(Default)]
+struct Upstream {
+    actions: RefCell<VecDeque<LinkAction>>,
+    changed: LocalNotify,
+    server: RefCell<Option<Arc<str>>>,
+    connections: Cell<u64>,
+    traffic: Cell<Traffic>,
+    /// A failure to connect is news once.
+    connect_failed: Cell<bool>,
+}
+
+/// The relay with its connections.
+struct Core {
+    relay: RefCell<Relay>,
+    sessions: RefCell<Sessions>,
+    upstream: Upstream,
+    ticker: Ticker,
+    log: Logger,
+}
+
+impl Core {
+    fn new(settings: RelayNodeSettings, key: &FrameKey, log: &Logger) -> Core {
+        let clock = Clock::start();
+        let follower = FollowerSettings::new(settings.member, settings.servers, settings.seed);
+        let fanout = FanoutSettings { seed: settings.seed, ..FanoutSettings::default() };
+        let relay = Relay::new(RelaySettings::new(follower, fanout), clock.now());
+        Core {
+            relay: RefCell::new(relay),
+            sessions: RefCell::new(Sessions::new(key.clone(), log.clone())),
+            upstream: Upstream::default(),
+            ticker: Ticker::new(clock),
+            log: log.clone(),
+        }
+    }
+
+    fn on_event(&self, event: RelayEvent) {
+        let now = self.ticker.clock.now();
+        let mut events = vec![event];
+        let (mut actions, mut told) = (Vec::new(), Vec::new());
+        while !events.is_empty() {
+            for event in events.drain(..) {
+                self.relay.borrow_mut().on_event(now, event, &mut actions);
+            }
+            for action in actions.drain(..) {
+                match action {
+                    RelayAction::Upstream(action) => {
+                        self.upstream.actions.borrow_mut().push_back(action);
+                        self.upstream.changed.notify();
+                    }
+                    RelayAction::Downstream(action) => {
+                        self.sessions.borrow_mut().carry_out(now, action, &mut told);
+                    }
+                }
+            }
+            events.extend(told.drain(..).map(RelayEvent::Downstream));
+        }
+        self.ticker.set(self.deadline());
+    }
+
+    /// Owns the connection to the server above, for ever.
+    async fn follow<T>(&self, mut link: Link) -> T {
+        loop {
+            self.apply_actions(&mut link);
+            self.upstream.traffic.set(link.traffic());
+            let asked = async {
+                self.upstream.changed.wait().await;
+                None
+            };
+            let told = async { Some(link.next().await) };
+            if let Some(event) = or(asked, told).await {
+                let event = self.told(event);
+                self.on_event(RelayEvent::Upstream(event));
+            }
+        }
+    }
+
+    fn apply_actions(&self, link: &mut Link) {
+        for action in self.upstream.actions.borrow_mut().drain(..) {
+            match action {
+                LinkAction::Connect(server) => {
+                    link.connect(&server);
+                    self.upstream.server.replace(Some(server.name));
+                }
+                LinkAction::Send(message) => link.send(&message),
+                LinkAction::Disconnect(reason) => {
+                    info!(self.log, "config: server above left"; "why" => %reason);
+                    link.disconnect();
+                    self.upstream.server.replace(None);
+                }
+            }
+        }
+    }
+
+    /// Logs what the link says and hands it on.
+    fn told(&self, event: LinkEvent) -> FollowerEvent {
+        let upstream = &self.upstream;
+        match event {
+            LinkEvent::Connected => {
+                upstream.connect_failed.set(false);
+                upstream.connections.set(upstream.connections.get() + 1);
+                FollowerEvent::Connected
+            }
+            LinkEvent::ConnectFailed(why) => {
+                if !upstream.connect_failed.replace(true) {
+                    info!(self.log, "config: a server above does not accept connections"; "why" => %why);
+                }
+                FollowerEvent::ConnectFailed
+            }
+            LinkEvent::Received(message) => FollowerEvent::Received(message),
+            LinkEvent::Disconnected(why) => {
+                if why.is_bad_frame() {
+                    warn!(self.log, "config: connection to the server above closed"; "why" => %why);
+                } else {
+                    info!(self.log, "config: connection to the server above lost"; "why" => %why);
+                }
+                upstream.server.replace(None);
+                FollowerEvent::Disconnected
+            }
+        }
+    }
+
+    fn status(&self) -> NodeStatus {
+        let relay = self.relay.borrow();
+        let traffic = self.upstream.traffic.get();
+        NodeStatus {
+            upstream_connections: self.upstream.connections.get(),
+            upstream_bytes_in: traffic.bytes_in,
+            upstream_bytes_out: traffic.bytes_out,
+            upstream: self.upstream.server.borrow().clone(),
+            age_ms: relay.follower().age_ms(self.ticker.clock.now()),
+            ..NodeStatus::of_fanout(relay.fanout(), &self.sessions.borrow())
+        }
+    }
+}
+
+impl Node for Core {
+    fn sessions(&self) -> &RefCell<Sessions> {
+        &self.sessions
+    }
+
+    fn ticker(&self) -> &Ticker {
+        &self.ticker
+    }
+
+    fn deadline(&self) -> Millis {
+        self.relay.borrow().deadline()
+    }
+
+    fn on_tick(&self) {
+        self.on_event(RelayEvent::Tick);
+    }
+
+    fn on_session_event(&self, event: FanoutEvent) {
+        self.on_event(RelayEvent::Downstream(event));
     }
 }
--- a/crates/config-sync/src/net/socket.rs
+++ b/crates/config-sync/src/net/socket.rs
@@ -30,6 +30,9 @@
     /// The other end does not read what it is sent.
     #[error("the other end does not read: {0} bytes unsent")]
     Unread(usize),
+    /// The session was ended while something was still to be sent.
+    #[error("ended with bytes unsent")]
+    Abandoned,
 }
 
 impl ConnectionError {
--- a/crates/config-sync/src/state_store.rs
+++ b/crates/config-sync/src/state_store.rs
@@ -80,7 +80,8 @@
     if found == wanted { Ok(()) } else { Err(StateError::Digest { position, found, wanted }) }
 }
 
-fn replay(
+/// Applies a transaction that has to follow, and checks the table's digest after it.
+pub(crate) fn replay(
     state: &mut PersistedState,
     transaction: Arc<Transaction>,
     refused: bool,
@@ -93,6 +94,18 @@
     check_digest(&state.mirror, position, digest)
 }
 
+/// The longest name that a store keeps as it is.
+const MAX_OWNER: usize = 79;
+
+/// Whose store it is, by the name of a member: a long name is shortened, and kept apart by its hash.
+pub(crate) fn owner_of(name: &str) -> String {
+    if name.len() <= MAX_OWNER {
+        return name.to_owned();
+    }
+    let kept: String = name.chars().take(12).collect();
+    format!("{kept}#{:032x}", xxhash_rust::xxh3::xxh3_128(name.as_bytes()))
+}
+
 fn visit(state: &mut Option<PersistedState>, visited: Visit<'_>) -> Result<(), StateError> {
     match visited {
         Visit::Snapshot(_, bytes) => {
@@ -129,7 +142,7 @@
         owner: &str,
     ) -> Result<(StateStore, Option<PersistedState>), StoreError> {
         let mut state = None;
-        let options = Options::new(owner);
+        let options = Options::new(&owner_of(owner));
         let (log, _) = Log::open(disk, options, |visited| {
             visit(&mut state, visited).map_err(|error| error.to_string())
         })?;
