--- a/crates/config-sync/tests/server_support/mod.rs
+++ b/crates/config-sync/tests/server_support/mod.rs
@@ -150,7 +150,7 @@
         self.client(id).closed
     }
 
-    fn deliver(&mut self, actions: Vec<FanoutAction>) -> Vec<(SessionId, ToServer)> {
+    pub fn deliver(&mut self, actions: Vec<FanoutAction>) -> Vec<(SessionId, ToServer)> {
         let mut answers = Vec::new();
         for action in actions {
             match action {
