--- a/crates/config-sync/src/net/node.rs
+++ b/crates/config-sync/src/net/node.rs
@@ -105,9 +105,10 @@
         Ticker { clock, armed_at: Cell::new(0), earlier: LocalNotify::default() }
     }
 
-    /// After each event: the next tick is needed at `deadline`.
+    /// After each event: the next tick is needed at `deadline`. One that is near anyway is early enough.
     pub(super) fn set(&self, deadline: Millis) {
-        if deadline < self.armed_at.get() {
+        let armed_at = self.armed_at.get();
+        if deadline < armed_at && self.clock.now() + LEAST_TICK_MS < armed_at {
             self.earlier.notify();
         }
     }
