--- a/crates/config-sync/src/subscriber.rs
+++ b/crates/config-sync/src/subscriber.rs
@@ -52,8 +52,6 @@
     applied: Position,
     waiting_records: WaitingRecords,
     reporter: ProgressReporter,
-    /// Whether something may have to be reported once the interval has passed.
-    report_pending: bool,
     counters: SubscriberCounters,
     /// Kept to spare an allocation for each event.
     follower_actions: Vec<FollowerAction>,
@@ -87,7 +85,6 @@
             applied: Position::default(),
             waiting_records: WaitingRecords::default(),
             reporter: ProgressReporter::new(settings.progress_ms),
-            report_pending: false,
             counters: SubscriberCounters::default(),
             follower_actions: Vec::new(),
         };
@@ -108,11 +105,8 @@
 
     /// When the next tick is needed at the latest.
     pub fn deadline(&self) -> Millis {
-        let follower = self.follower.deadline();
-        if self.report_pending && self.follower.is_open() {
-            return follower.min(self.reporter.next_at());
-        }
-        follower
+        let report = self.reporter.deadline().filter(|_| self.follower.is_open());
+        self.follower.deadline().min(report.unwrap_or(Millis::MAX))
     }
 
     /// The link and the mirror.
@@ -180,14 +174,12 @@
             return;
         }
         self.applied = position;
-        self.report_pending = true;
         while let Some(record) = self.waiting_records.pop(position) {
             out.push(SubscriberAction::Persist(record));
         }
     }
 
     fn on_advance(&mut self, advance: Advance, out: &mut Vec<SubscriberAction>) {
-        self.report_pending = true;
         let stopped_at = self.in_force.stopped_at.take();
         match (advance, stopped_at) {
             (Advance::Deltas { before, transactions }, None) => {
@@ -269,13 +261,10 @@
 
     /// Judges all that differs between `base` and the mirror as one change.
     fn take_difference(&mut self, base: Table, published_unix_ms: u64, out: &mut Vec<SubscriberAction>) {
-        let changes = base.changes_to(self.follower.table());
-        if !changes.is_empty() {
-            if let Err(reason) = self.judge.judge(&changes) {
-                self.refuse_difference(base, &reason);
-                return;
-            }
-        }
+        let changes = match self.acceptable_difference(&base) {
+            Ok(changes) => changes,
+            Err(reason) => return self.refuse_difference(base, &reason),
+        };
         self.in_force.held_back.release(&changes);
         self.in_force.stop_reason = None;
         self.in_force.position = self.follower.position();
@@ -285,6 +274,24 @@
         self.put_in_force(changes, out);
     }
 
+    /// What can come in force of the difference: with the keys that are held back, since a snapshot does not say which
+    /// of them were set again to the same value; or, where that is refused, without them.
+    fn acceptable_difference(&self, base: &Table) -> Result<Vec<Change>, String> {
+        let mirror = self.follower.table();
+        let changes = base.changes_to(mirror);
+        if !self.in_force.held_back.is_empty() {
+            let mut with_held_back = changes.clone();
+            with_held_back.extend(self.in_force.held_back.changes_to(mirror, &changes));
+            if self.judge.judge(&with_held_back).is_ok() {
+                return Ok(with_held_back);
+            }
+        }
+        if !changes.is_empty() {
+            self.judge.judge(&changes)?;
+        }
+        Ok(changes)
+    }
+
     /// The old state stays; the reason is reported when it is not the one that was reported last.
     fn refuse_difference(&mut self, base: Table, reason: &str) {
         self.counters.refused_differences += 1;
@@ -325,7 +332,7 @@
     }
 
     fn report(&mut self, now: Millis, out: &mut Vec<SubscriberAction>) {
-        if !self.follower.is_open() || now < self.reporter.next_at() {
+        if !self.follower.is_open() {
             return;
         }
         let refusing = !self.in_force.held_back.is_empty() || self.is_stopped();
@@ -338,7 +345,6 @@
         if let Some(message) = self.reporter.report(now, || vec![progress]) {
             out.push(SubscriberAction::Link(LinkAction::Send(message)));
         }
-        self.report_pending = self.reporter.has_refusals();
     }
 }
 
