--- a/crates/config-sync/src/net/link.rs
+++ b/crates/config-sync/src/net/link.rs
@@ -1,6 +1,6 @@
 //! The client's side of a connection: connects, sends and receives as the state machine asks.
 
-use super::socket::{ConnectionError, Turn, try_read, try_write};
+use super::socket::{ConnectionError, try_read, try_write};
 use crate::client::Server;
 use crate::codec::{decode_to_client, encode_to_server};
 use crate::frame::{FrameDecoder, FrameKey};
@@ -83,7 +83,8 @@
         self.traffic
     }
 
-    /// The next event. May be dropped at any time and called again; nothing is lost.
+    /// The next event. May be dropped at any time and called again; nothing is lost. While messages are there it does not
+    /// wait: who calls it gives way to others.
     pub(super) async fn next(&mut self) -> LinkEvent {
         match &mut self.state {
             State::Closed => pending().await,
@@ -117,7 +118,6 @@
     /// Bytes of the first frame that were sent.
     sent: usize,
     unsent_bytes: usize,
-    turn: Turn,
     failed: Option<ConnectionError>,
 }
 
@@ -129,7 +129,6 @@
             unsent: VecDeque::new(),
             sent: 0,
             unsent_bytes: 0,
-            turn: Turn::default(),
             failed: None,
         }
     }
@@ -144,7 +143,6 @@
 
     async fn next(&mut self, traffic: &mut Traffic) -> Result<ToClient, ConnectionError> {
         loop {
-            self.turn.step().await;
             if let Some(failed) = self.failed.take() {
                 return Err(failed);
             }
--- a/crates/config-sync/src/net/mod.rs
+++ b/crates/config-sync/src/net/mod.rs
@@ -12,6 +12,7 @@
 mod publisher_store;
 mod relay;
 mod sessions;
+mod settings;
 mod shared_tables;
 mod socket;
 mod state_keeper;
--- a/crates/config-sync/src/net/publisher.rs
+++ b/crates/config-sync/src/net/publisher.rs
@@ -3,8 +3,8 @@
 use super::node::NodeStatus;
 use super::publisher_core::{Command, Core, run};
 use super::publisher_store::{self, StoreFault};
+use super::settings::frame_key;
 use crate::fanout::FanoutSettings;
-use crate::frame::FrameKey;
 use crate::message::{Refusal, ZoneProgress};
 use crate::net::clock::unix_ms;
 use crate::publisher::{ProposeError, PublisherSettings, RestoreError};
@@ -166,8 +166,7 @@
         disk: Arc<dyn Disk>,
         log: Logger,
     ) -> Result<PublisherNode, OpenError> {
-        let key = FrameKey::new(&settings.fleet_key)
-            .map_err(|error| io_error("settings")(io::Error::new(io::ErrorKind::InvalidInput, error)))?;
+        let key = frame_key(&settings.fleet_key).map_err(io_error("settings"))?;
         let new_epoch = unix_ms() / 1000;
         let publisher_settings = settings.publisher_settings();
         let opened =
--- a/crates/config-sync/src/net/relay.rs
+++ b/crates/config-sync/src/net/relay.rs
@@ -5,6 +5,8 @@
 use super::node::{Node, NodeStatus, Ticker, accept, tick};
 use super::notify::LocalNotify;
 use super::sessions::Sessions;
+use super::settings::{check_member, frame_key};
+use super::socket::Turn;
 use crate::client::Server;
 use crate::fanout::{FanoutEvent, FanoutSettings};
 use crate::follower::{FollowerEvent, FollowerSettings, LinkAction};
@@ -56,8 +58,8 @@
     /// # Errors
     /// If the settings are not right, the address can't be listened on or there can be no thread.
     pub fn start(settings: RelayNodeSettings, log: Logger) -> io::Result<RelayNode> {
-        let key = FrameKey::new(&settings.fleet_key)
-            .map_err(|error| io::Error::new(io::ErrorKind::InvalidInput, error))?;
+        let key = frame_key(&settings.fleet_key)?;
+        check_member(&settings.member)?;
         let listener = Async::<TcpListener>::bind(settings.listen)?;
         let address = listener.get_ref().local_addr()?;
         let (questions, inbox) = bounded(MAX_QUESTIONS);
@@ -180,7 +182,9 @@
 
     /// Owns the connection to the server above, for ever.
     async fn follow<T>(&self, mut link: Link) -> T {
+        let mut turn = Turn::default();
         loop {
+            turn.step().await;
             self.apply_actions(&mut link);
             self.upstream.traffic.set(link.traffic());
             let asked = async {
--- /dev/null
+++ b/crates/config-sync/src/net/settings.rs
@@ -0,0 +1,27 @@
+//! Checks of settings that would otherwise fail only at the other end of a connection.
+
+use crate::frame::FrameKey;
+use crate::message::Member;
+use crate::resource::MAX_NAME;
+use std::io;
+
+fn invalid(why: String) -> io::Error {
+    io::Error::new(io::ErrorKind::InvalidInput, why)
+}
+
+/// The fleet's key, ready for use.
+pub(super) fn frame_key(key: &[u8]) -> io::Result<FrameKey> {
+    FrameKey::new(key).map_err(|error| invalid(error.to_string()))
+}
+
+/// Whether a member's names have a length that servers accept.
+pub(super) fn check_member(member: &Member) -> io::Result<()> {
+    let names = [("name", &member.name), ("zone", &member.zone), ("region", &member.region)];
+    for (field, name) in names {
+        if !(1..=MAX_NAME).contains(&name.len()) {
+            let bytes = name.len();
+            return Err(invalid(format!("member.{field}: {bytes} bytes, wanted 1 to {MAX_NAME}")));
+        }
+    }
+    Ok(())
+}
--- a/crates/config-sync/src/net/subscriber.rs
+++ b/crates/config-sync/src/net/subscriber.rs
@@ -2,12 +2,13 @@
 
 use super::clock::{Alarm, Clock};
 use super::link::{Link, LinkEvent};
+use super::settings::{check_member, frame_key};
 use super::shared_tables::SharedTables;
+use super::socket::Turn;
 use super::state_keeper::StateKeeper;
 use super::subscriber_handle::{Shared, SubscriberHandle};
 use crate::client::{ClientSettings, Judge, Update};
 use crate::follower::{DisconnectReason, FollowerEvent, FollowerSettings, LinkAction};
-use crate::frame::FrameKey;
 use crate::resource::{Millis, Position};
 use crate::subscriber::{PersistedState, Subscriber, SubscriberAction, SubscriberEvent, SubscriberSettings};
 use async_channel::Receiver;
@@ -100,8 +101,8 @@
         kept: Option<PersistedState>,
         keeper: Option<StateKeeper>,
     ) -> io::Result<(SubscriberTask, SubscriberHandle)> {
-        let key = FrameKey::new(&settings.fleet_key)
-            .map_err(|error| io::Error::new(io::ErrorKind::InvalidInput, error))?;
+        let key = frame_key(&settings.fleet_key)?;
+        check_member(&settings.member)?;
         let clock = Clock::start();
         let follower = FollowerSettings::new(settings.member, settings.servers, settings.seed);
         let mut actions = Vec::new();
@@ -131,7 +132,9 @@
     pub async fn run(mut self) {
         let mut actions = Vec::new();
         let mut event = Some(SubscriberEvent::Link(FollowerEvent::Tick));
+        let mut turn = Turn::default();
         loop {
+            turn.step().await;
             let now = self.clock.now();
             if let Some(event) = event.take() {
                 self.subscriber.on_event(now, event, &mut actions);
@@ -160,7 +163,8 @@
             Step::Rang
         };
         let told = async { Step::Link(self.link.next().await) };
-        or(woken, or(rang, told)).await
+        // What has arrived comes before the time: a process that had no turn for long does not take its server for silent.
+        or(woken, or(told, rang)).await
     }
 
     /// Logs what the link says and hands it on.
--- a/crates/config-sync/tests/client.rs
+++ b/crates/config-sync/tests/client.rs
@@ -203,9 +203,15 @@
 }
 
 #[test]
-fn a_client_without_a_valid_key_does_not_start() {
-    let (sender, _updates) = async_channel::unbounded();
-    let settings = ClientSettings { fleet_key: b"short".to_vec(), ..settings(nobody(), None) };
-    let started = Client::start(settings, accept_all(), sender, Lines::default().logger());
-    assert!(started.is_err_and(|error| error.to_string().contains("fleet key of 5 bytes")));
+fn settings_that_no_server_accepts_are_refused_at_the_start() {
+    let start = |settings| {
+        let (sender, _updates) = async_channel::unbounded();
+        let started = Client::start(settings, accept_all(), sender, Lines::default().logger());
+        started.err().expect("refused").to_string()
+    };
+    let short = ClientSettings { fleet_key: b"short".to_vec(), ..settings(nobody(), None) };
+    assert!(start(short).contains("fleet key of 5 bytes"));
+    let mut nameless = settings(nobody(), None);
+    nameless.member.name = "".into();
+    assert_eq!(start(nameless), "member.name: 0 bytes, wanted 1 to 128");
 }
--- a/crates/config-sync/tests/end_to_end.rs
+++ b/crates/config-sync/tests/end_to_end.rs
@@ -137,3 +137,19 @@
         fleet.subscribers.handles.iter().all(|handle| handle.age_ms().is_some_and(|age| age < 5_000))
     });
 }
+
+#[test]
+fn a_relay_that_is_cut_off_goes_on_serving_what_it_has() {
+    let log = Lines::default();
+    let store = tempfile::tempdir().expect("a directory");
+    let publisher = publisher(store.path(), &log);
+    let region = relay("region", "zone-a", vec![server("publisher", publisher.address(), None)], &log);
+    let last = publisher.propose(vec![tenant("a", 1)]).expect("accepted");
+    wait_until("the relay has it", || region.head() == last);
+    drop(publisher);
+    let mut subscribers = Subscribers::new();
+    let servers = vec![server("region", region.address(), None)];
+    subscribers.add(client_settings("late", "zone-a", servers), Box::new(Refusing("")), &log);
+    wait_until("in force", || subscribers.are_at(last));
+    wait_until("progress in the relay", || region.progress().iter().any(|zone| zone.least == last));
+}
