--- a/crates/config-sync/tests/follower_property.rs
+++ b/crates/config-sync/tests/follower_property.rs
@@ -204,9 +204,15 @@
     }
 }
 
+/// With another value, or with another digest.
 fn damaged(transaction: &Arc<Transaction>) -> Arc<Transaction> {
-    let digest = Digest(transaction.digest.0.wrapping_add(1));
-    Arc::new(Transaction { digest, ..(**transaction).clone() })
+    let mut damaged = (**transaction).clone();
+    if transaction.position.revision % 2 == 0 {
+        damaged.digest = Digest(transaction.digest.0.wrapping_add(1));
+    } else {
+        damaged.changes[0] = allowance("damaged", 1);
+    }
+    Arc::new(damaged)
 }
 
 /// A snapshot without one of its pieces, numbered and counted as if it had never been there.
@@ -226,7 +232,7 @@
 }
 
 proptest! {
-    #![proptest_config(ProptestConfig::with_cases(256))]
+    #![proptest_config(ProptestConfig { cases: 256, failure_persistence: None, ..ProptestConfig::default() })]
     #[test]
     fn never_torn_never_backwards(steps in steps(), seed in any::<u64>()) {
         let mut world = World::new(seed);
--- a/crates/config-sync/tests/follower_table.rs
+++ b/crates/config-sync/tests/follower_table.rs
@@ -141,6 +141,20 @@
     assert!(driver.fetched().is_some());
 }
 
+#[test]
+fn a_gap_is_noticed_also_where_the_digest_fits() {
+    let mut history = history(2);
+    history.push(vec![allowance("tenant-1", 1)]);
+    let mut driver = at_head_of(&history);
+    let before = history.clone();
+    history.push(vec![allowance("tenant-1", 2)]);
+    let back = history.push(vec![allowance("tenant-1", 1)]);
+    assert_eq!(back.digest, before.table.digest());
+    driver.receive(ToClient::Deltas(vec![back]));
+    assert_at(&driver, &before);
+    assert!(driver.fetched().is_some());
+}
+
 #[test]
 fn a_link_that_breaks_in_a_snapshot_leaves_the_old_table() {
     let mut history = history(30);
--- a/crates/config-sync/tests/subscriber.rs
+++ b/crates/config-sync/tests/subscriber.rs
@@ -272,6 +272,20 @@
     assert_eq!(in_force.digest(), subscribed.settings.digest());
 }
 
+#[test]
+fn of_several_updates_only_the_confirmed_ones_are_kept() {
+    let mut history = history();
+    let mut subscribed = Subscribed::at_head_of(&history, settings());
+    subscribed.confirms = false;
+    push(&mut subscribed, &mut history, &[("a", 10)]);
+    push(&mut subscribed, &mut history, &[("a", 20)]);
+    subscribed.event(SubscriberEvent::Applied(at(1, 2)));
+    assert_eq!(subscribed.disk.position, at(1, 2));
+    subscribed.event(SubscriberEvent::Applied(at(1, 3)));
+    assert_eq!(subscribed.disk.position, at(1, 3));
+    assert_eq!(subscribed.disk.mirror.digest(), history.table.digest());
+}
+
 #[test]
 fn a_long_reason_is_cut_between_characters() {
     let mut history = history();
