Tests of the last flush and of a head that is reached; settle early

Two changes of the code on trial were not noticed by the tests: serving a session that begins past the last flush, and leaving one that was ahead where it is when the head is just there. Both are now.

--- a/crates/config-sync/src/message.rs
+++ b/crates/config-sync/src/message.rs
@@ -90,7 +90,7 @@
         /// The digest of its table there.
         digest: Digest,
     },
-    /// The answer to [`ToClient::Resync`].
+    /// The answer to [`ToClient::Resync`]; unasked from a client that gets deltas and finds that its table doesn't fit.
     FetchDifferences {
         /// The digest of each bucket, [`BUCKETS`] of them; empty for a client that has nothing.
         bucket_digests: Vec<u64>,
--- a/crates/config-sync/tests/delta_log.rs
+++ b/crates/config-sync/tests/delta_log.rs
@@ -13,6 +13,8 @@
 }
 
 proptest! {
+    #![proptest_config(ProptestConfig { failure_persistence: None, ..ProptestConfig::default() })]
+
     #[test]
     fn the_log_keeps_a_bounded_end_without_gaps(
         sizes in prop::collection::vec(1..6usize, 0..60),
--- a/crates/config-sync/tests/fanout_deltas.rs
+++ b/crates/config-sync/tests/fanout_deltas.rs
@@ -218,6 +218,7 @@
     server.now += 50;
     server.publish(&history, late.to_vec());
     assert!(server.client(1).payloads().is_empty());
+    assert_eq!(server.fanout.sessions_ahead(), 1, "the head is where it is");
     server.now += 50;
     let more = history.tenants(1);
     server.publish(&history, more);
@@ -250,6 +251,20 @@
     }
 }
 
+#[test]
+fn a_client_that_begins_is_brought_to_the_last_flush_only() {
+    let (mut server, mut history) = server(FanoutSettings::default());
+    server.now = 100;
+    let transactions = history.tenants(2);
+    server.publish(&history, transactions);
+    let transactions = history.tenants(3);
+    server.publish(&history, transactions);
+    server.watch(1, at(0), &Table::new());
+    assert_eq!(server.client(1).position, at(2));
+    server.tick_after(20);
+    assert_eq!(batches(&server, 1), [2, 3]);
+}
+
 #[test]
 fn a_jump_resyncs_those_behind_and_no_other() {
     let (mut server, mut history) = server(FanoutSettings::default());
--- a/crates/config-sync/tests/fanout_progress.rs
+++ b/crates/config-sync/tests/fanout_progress.rs
@@ -106,6 +106,8 @@
 }
 
 proptest! {
+    #![proptest_config(ProptestConfig { failure_persistence: None, ..ProptestConfig::default() })]
+
     #[test]
     fn zones_are_what_all_sessions_say(steps in prop::collection::vec(step(), 0..80)) {
         let mut fanout = fanout(FanoutSettings::default());
--- a/crates/config-sync/tests/fanout_schedules.rs
+++ b/crates/config-sync/tests/fanout_schedules.rs
@@ -167,11 +167,26 @@
             }
             self.server.now += 20;
             self.event(FanoutEvent::Tick);
+            if self.settled() {
+                return;
+            }
         }
     }
+
+    /// Whether nothing is on its way and every client is where the history is.
+    fn settled(&self) -> bool {
+        let at_the_end = |session: &u64| {
+            let client = self.server.client(*session);
+            client.closed.is_none() && client.position == self.history.position
+        };
+        let heard = self.sessions.values().all(|&session| self.unheard[&SessionId(session)].is_empty());
+        heard && self.sessions.values().all(at_the_end)
+    }
 }
 
 proptest! {
+    #![proptest_config(ProptestConfig { failure_persistence: None, ..ProptestConfig::default() })]
+
     #[test]
     fn all_that_stay_end_with_the_same_table(steps in prop::collection::vec(step(), 0..120)) {
         let mut world = World::new();
--- a/crates/config-sync/tests/table.rs
+++ b/crates/config-sync/tests/table.rs
@@ -73,6 +73,8 @@
 }
 
 proptest! {
+    #![proptest_config(ProptestConfig { failure_persistence: None, ..ProptestConfig::default() })]
+
     #[test]
     fn a_table_is_a_map(steps in prop::collection::vec(changes(12), 0..12), asked in change()) {
         let (mut table, mut model) = (Table::new(), Model::new());
