--- a/crates/config-sync/src/net/node.rs
+++ b/crates/config-sync/src/net/node.rs
@@ -11,10 +11,10 @@
 use crate::resource::{Digest, Millis, Position};
 use async_executor::LocalExecutor;
 use async_io::{Async, Timer};
-use futures_lite::future::or;
+use futures_lite::future::{or, yield_now};
 use slog::{Logger, debug, warn};
 use std::cell::{Cell, RefCell};
-use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -23,6 +23,8 @@
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 /// A client that takes no byte for so long, while there is something to send, is gone.
 const WRITE_LIMIT: Duration = Duration::from_secs(10);
+/// How long a client that was told to go has to close.
+const LINGER: Duration = Duration::from_secs(1);
 /// Sockets open at once, also those that are on their way out.
 const MAX_SOCKETS: usize = 4096;
 /// The least time between two ticks, ms.
@@ -211,7 +213,6 @@
     id: SessionId,
     mut decoder: FrameDecoder,
 ) -> Result<(), ConnectionError> {
-    let mut turn = Turn::default();
     loop {
         let Some(count) = try_read(stream, &mut decoder)? else {
             stream.readable().await?;
@@ -222,7 +223,8 @@
             let message = decode_to_server(payload)?;
             node.on_session_event(FanoutEvent::Received(id, message));
         }
-        turn.step().await;
+        // One that sends without end gets a turn as often as the others.
+        yield_now().await;
     }
 }
 
@@ -254,5 +256,10 @@
         }
         outbox.sent();
     }
+    if outbox.ends_after_sending() {
+        // A socket that is closed with bytes unread takes back what the client has not read yet: it closes first.
+        stream.get_ref().shutdown(Shutdown::Write)?;
+        Timer::after(LINGER).await;
+    }
     Ok(())
 }
--- a/crates/config-sync/src/net/publisher_core.rs
+++ b/crates/config-sync/src/net/publisher_core.rs
@@ -22,6 +22,9 @@
 use std::net::TcpListener;
 use std::rc::Rc;
 
+/// After so many bytes of transactions a snapshot is taken, however few they are.
+const MAX_APPENDED_BYTES: usize = 64 << 20;
+
 /// What a publisher's owner asks for.
 pub(super) enum Command {
     Propose { changes: Vec<Change>, reply: Reply },
@@ -43,13 +46,24 @@
 struct Compaction {
     /// Transactions after which a snapshot is taken.
     every: u64,
-    /// Transactions since the last one.
+    /// Transactions since the last one, and their bytes.
     appended: u64,
+    appended_bytes: usize,
     /// When the last durable transaction was accepted.
     published_unix_ms: u64,
     under_way: bool,
 }
 
+impl Compaction {
+    fn is_due(&self) -> bool {
+        self.appended >= self.every || self.appended_bytes >= MAX_APPENDED_BYTES
+    }
+
+    fn begin(&mut self) {
+        (self.under_way, self.appended, self.appended_bytes) = (true, 0, 0);
+    }
+}
+
 /// The publisher with its store and sessions.
 pub(super) struct Core {
     publisher: RefCell<Publisher>,
@@ -116,6 +130,7 @@
             compaction: RefCell::new(Compaction {
                 every: snapshot_every.max(1),
                 appended,
+                appended_bytes: 0,
                 published_unix_ms: 0,
                 under_way: false,
             }),
@@ -208,6 +223,7 @@
         }
         let mut compaction = self.compaction.borrow_mut();
         compaction.appended += durable.count;
+        compaction.appended_bytes += durable.bytes;
         compaction.published_unix_ms = durable.published_unix_ms;
         drop(compaction);
         self.compact(next);
@@ -254,7 +270,7 @@
     /// Begins a snapshot if one is due. It is encoded on a thread of its own.
     fn compact(&self, before: u64) {
         let mut compaction = self.compaction.borrow_mut();
-        if compaction.under_way || compaction.appended < compaction.every {
+        if compaction.under_way || !compaction.is_due() {
             return;
         }
         let (table, position) = {
@@ -269,7 +285,7 @@
             let _ = reports.try_send(DiskReport::Encoded { before, content });
         };
         match std::thread::Builder::new().name("config-snapshot".to_owned()).spawn(encode) {
-            Ok(_) => (compaction.under_way, compaction.appended) = (true, 0),
+            Ok(_) => compaction.begin(),
             Err(why) => warn!(self.log, "config: no thread for a snapshot"; "why" => %why),
         }
     }
--- a/crates/config-sync/src/net/publisher_store.rs
+++ b/crates/config-sync/src/net/publisher_store.rs
@@ -110,6 +110,7 @@
     ticket: u64,
     position: Position,
     published_unix_ms: u64,
+    bytes: usize,
     reply: Option<Reply>,
 }
 
@@ -121,6 +122,8 @@
     pub(super) published_unix_ms: u64,
     /// How many.
     pub(super) count: u64,
+    /// Their bytes.
+    pub(super) bytes: usize,
     /// Who waits for which.
     pub(super) replies: Vec<(Position, Reply)>,
 }
@@ -142,10 +145,12 @@
     /// Hands a transaction to the disk; false if there is no room.
     pub(super) fn append(&mut self, transaction: Arc<Transaction>) -> bool {
         let (position, published_unix_ms) = (transaction.position, transaction.published_unix_ms);
-        let record = Record::Transaction { transaction, refused: false };
-        match self.writer.append(encode_record(&record)) {
+        let record = encode_record(&Record::Transaction { transaction, refused: false });
+        let bytes = record.len();
+        match self.writer.append(record) {
             Ok(ticket) => {
-                self.under_way.push_back(UnderWay { ticket, position, published_unix_ms, reply: None });
+                let under_way = UnderWay { ticket, position, published_unix_ms, bytes, reply: None };
+                self.under_way.push_back(under_way);
                 true
             }
             Err(_) => false,
@@ -164,9 +169,10 @@
         let count = self.under_way.partition_point(|under_way| under_way.ticket <= through);
         let last = count.checked_sub(1).and_then(|at| self.under_way.get(at))?;
         let (position, published_unix_ms) = (last.position, last.published_unix_ms);
+        let bytes = self.under_way.range(..count).map(|done| done.bytes).sum();
         let done = self.under_way.drain(..count);
         let replies = done.filter_map(|done| done.reply.map(|reply| (done.position, reply))).collect();
-        Some(Durable { position, published_unix_ms, count: count as u64, replies })
+        Some(Durable { position, published_unix_ms, count: count as u64, bytes, replies })
     }
 
     /// Those up to a ticket were not written: who waits for them.
--- a/crates/config-sync/src/net/sessions.rs
+++ b/crates/config-sync/src/net/sessions.rs
@@ -77,6 +77,11 @@
         }
     }
 
+    /// Whether the session ends once what was queued has left.
+    pub(super) fn ends_after_sending(&self) -> bool {
+        self.ending.get() == Ending::AfterSending
+    }
+
     /// The frame that was next has left.
     pub(super) fn sent(&self) {
         if let Some(frame) = self.frames.borrow_mut().pop_front() {
