--- a/crates/config-sync/tests/publisher.rs
+++ b/crates/config-sync/tests/publisher.rs
@@ -227,7 +227,9 @@
     let mut before = publisher();
     accept(&mut before, vec![class("gold", 1), route("Get", "gold")]);
     let (position, table) = (before.head(), before.table().clone());
-    let later: Vec<_> = (1..=3).map(|value| accept(&mut before, vec![tenant("a", value)])).collect();
+    let later: Vec<_> = (1..=3)
+        .map(|value| accept(&mut before, vec![tenant("a", value), route(&format!("Put{value}"), "gold")]))
+        .collect();
     let stored: Vec<Transaction> = later.iter().map(|transaction| (**transaction).clone()).collect();
 
     let settings = PublisherSettings::default;
@@ -237,7 +239,7 @@
     assert_eq!(restored.table().digest(), before.table().digest());
     let told = watch(&mut restored, 1, at(2), later[0].digest);
     assert_eq!(*told[0], ToClient::Deltas(later[1..].to_vec()));
-    let in_use = ProposeError::ClassInUse { class: "gold".into(), routes: 1 };
+    let in_use = ProposeError::ClassInUse { class: "gold".into(), routes: 4 };
     assert_eq!(propose(&mut restored, vec![delete_class("gold")]), Err(in_use));
     let next = propose(&mut restored, vec![tenant("a", 9)]).expect("acceptable");
     assert_eq!(next.position, at(5));
