--- a/crates/config-sync/tests/client.rs
+++ b/crates/config-sync/tests/client.rs
@@ -3,11 +3,16 @@
 mod net_support;
 
 use dunlinspread_config_sync::client::{Client, ClientSettings, Judge, Update};
+use dunlinspread_config_sync::net::{PublisherNode, PublisherNodeSettings};
 use dunlinspread_config_sync::resource::{Change, Key, Position, Resource};
 use dunlinspread_config_sync::table::Table;
-use net_support::{Lines, Refusing, any_port, client_settings, publisher, server, tenant, wait_until};
+use net_support::redirect::Redirect;
+use net_support::{
+    Lines, Refusing, any_port, client_settings, publisher, publisher_settings, server, tenant, wait_until,
+};
 use std::net::{SocketAddr, TcpListener};
 use std::path::Path;
+use std::time::Instant;
 
 fn settings(address: SocketAddr, state: Option<&Path>) -> ClientSettings {
     let servers = vec![server("publisher", address, None)];
@@ -172,6 +177,44 @@
     assert_eq!(updates.try_recv().expect("the new state").position, first);
 }
 
+#[test]
+fn a_disk_that_fails_costs_a_line_in_the_log_and_no_change() {
+    let store = tempfile::tempdir().expect("a directory");
+    let parent = tempfile::tempdir().expect("a directory");
+    let state = parent.path().join("state");
+    let log = Lines::default();
+    let running = publisher(store.path(), &log);
+    let redirect = Redirect::to(running.address());
+    let first = running.propose(vec![tenant("a", 1)]).expect("accepted");
+    let begun = Instant::now();
+    let (sender, updates) = async_channel::unbounded();
+    let client = Client::start(settings(redirect.address, Some(&state)), accept_all(), sender, log.logger())
+        .expect("it starts");
+    let mut table = Table::new();
+    follow(&client, &updates, &mut table, first);
+    wait_until("its confirmation", || client.status().in_force == first);
+    drop(running);
+    std::fs::remove_dir_all(&state).expect("removable");
+    std::fs::write(&state, "in the way").expect("writable");
+
+    // Of another epoch, so that the client keeps a whole state in place of the one before.
+    let settings =
+        PublisherNodeSettings { begin_epoch: Some(first.epoch + 1), ..publisher_settings(any_port()) };
+    let running = PublisherNode::open(settings, store.path(), log.logger()).expect("it opens");
+    redirect.set(running.address());
+    for at in 0..3 {
+        let next = running.propose(vec![tenant("b", at)]).expect("accepted");
+        follow(&client, &updates, &mut table, next);
+        wait_until("its confirmation", || client.status().in_force == next);
+    }
+    assert_eq!(table.digest(), running.status().digest);
+    let lines = || log.count("the state can't be written to disk");
+    wait_until("the line", || lines() > 0);
+    drop(client);
+    // It is tried again every 30 s.
+    assert!(lines() <= 1 + begun.elapsed().as_secs() as usize / 30, "{:?}", log.all());
+}
+
 #[test]
 fn an_owner_that_takes_nothing_gets_all_later_changes_merged() {
     let store = tempfile::tempdir().expect("a directory");
