Distribution of configuration: publisher, relays, subscribers, frames and tasks

Change: crates/config-sync. State machines without I/O for the publisher, the sessions' server side (fan-out), their client side (follower), relay and subscriber; frames with version and tag; tasks that own sockets and disk. Nothing uses it yet.

Measured: all tests of the package pass, two are ignored by design (a printer of figures, and one that its parent runs under a limit of descriptors); format and lints clean.

--- /dev/null
+++ b/crates/config-sync/src/net/mod.rs
@@ -0,0 +1,29 @@
+//! The tasks that own sockets, timers and files, and carry out what the state machines decide. They run on `async-io` and
+//! `async-executor`: a publisher or relay on a thread of its own, subscribers as futures, thousands of them on one
+//! executor if wanted.
+
+mod clock;
+mod encoder;
+mod link;
+mod node;
+mod notify;
+mod publisher;
+mod publisher_core;
+mod publisher_store;
+mod relay;
+mod sessions;
+mod settings;
+mod shared_tables;
+mod socket;
+mod state_keeper;
+mod subscriber;
+mod subscriber_handle;
+mod update_queue;
+
+pub use node::NodeStatus;
+pub use publisher::{OpenError, Pending, ProposeFailure, PublisherNode, PublisherNodeSettings};
+pub use relay::{RelayNode, RelayNodeSettings};
+pub use shared_tables::SharedTables;
+pub use subscriber::{Confirmation, Observer, SubscriberTask};
+pub use subscriber_handle::{SubscriberHandle, SubscriberStatus};
+pub(crate) use update_queue::update_queue;
