--- a/deploy/operator.example.hcl
+++ b/deploy/operator.example.hcl
@@ -37,3 +37,27 @@
     folder = "/var/lib/dunlinspread/exports"
   }
 }
+
+# Configuration from the fleet's publisher: tenant allowances, routes and class limits, in force without a restart. Off
+# without this block. See docs/operators/config-sync.md.
+config_sync {
+  # Where this server stands: relays of its own zone come first, then its region's, then any.
+  zone   = "z3"
+  region = "r1"
+  # The fleet's key, 16 to 1,024 bytes, taken as they are in the file; the same for publisher, relays and servers.
+  key_file = "/etc/dunlinspread/fleet.key"
+  # Where the last good state is kept, a directory of its own: a restart serves with it at once. Without one, a restart
+  # begins with what the platform says and takes what a relay has.
+  state_directory = "/var/lib/dunlinspread/config"
+  # The most tenants (the platform's among them) and routes; a change past them is refused.
+  max_tenants = 1000000
+  max_routes  = 200000
+  # Whom to watch; at least one, up to 64. `zone` is left out for a region's relay, `region` is this server's by default.
+  relay "r1-z3-a" {
+    address = "127.0.0.1:7001"
+    zone    = "z3"
+  }
+  relay "r1-a" {
+    address = "127.0.0.1:7002"
+  }
+}
--- /dev/null
+++ b/src/operator/config_sync.rs
@@ -0,0 +1,214 @@
+//! The block `config_sync`: tenant allowances, routes and class limits that come from the fleet's publisher by way of
+//! relays, in force without a restart.
+
+use super::OperatorFault;
+use super::fault::Source;
+use hcl_edit::Span as _;
+use hcl_edit::structure::Block;
+use serde::Deserialize;
+use std::collections::BTreeMap;
+use std::fmt;
+use std::io::Read as _;
+use std::net::SocketAddr;
+
+/// The longest name of a relay, zone or region, in bytes.
+const MAX_NAME: usize = 128;
+/// The most relays that one server may be given.
+const MAX_RELAYS: usize = 64;
+/// Tenants at most where the file does not say, and the most that it may say.
+const DEFAULT_MAX_TENANTS: usize = 1_000_000;
+const MOST_TENANTS: usize = 4_000_000;
+/// Routes at most where the file does not say, and the most that it may say.
+const DEFAULT_MAX_ROUTES: usize = 200_000;
+const MOST_ROUTES: usize = 1_000_000;
+/// The fleet's key, in bytes.
+const KEY_BYTES: std::ops::RangeInclusive<usize> = 16..=1024;
+
+/// A relay or publisher that may be watched.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct RelaySettings {
+    /// Its name, by which servers rank it.
+    pub name: String,
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// Its zone; a region's relay has none.
+    pub zone: Option<String>,
+    /// Its region.
+    pub region: String,
+}
+
+/// The block `config_sync`.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ConfigSyncSettings {
+    /// The zone of this server.
+    pub zone: String,
+    /// The region of this server.
+    pub region: String,
+    /// The file that holds the fleet's key.
+    pub key_file: String,
+    /// Where the last good state is kept; without one, a restart begins with what the platform says.
+    pub state_directory: Option<String>,
+    /// Tenants at most, the platform's among them.
+    pub max_tenants: usize,
+    /// Routes at most.
+    pub max_routes: usize,
+    /// Whom to watch, by name.
+    pub relays: Vec<RelaySettings>,
+}
+
+impl ConfigSyncSettings {
+    /// Reads the fleet's key.
+    ///
+    /// # Errors
+    /// If the file can't be read or the key is too short or too long; the key itself is never part of the text.
+    pub fn fleet_key(&self) -> Result<Vec<u8>, String> {
+        let fault = |what: String| format!("config_sync: `key_file`: {}: {what}", self.key_file);
+        let file = std::fs::File::open(&self.key_file).map_err(|e| fault(format!("can't be read: {e}")))?;
+        let (mut key, longest) = (Vec::new(), *KEY_BYTES.end());
+        let read = file.take(longest as u64 + 1).read_to_end(&mut key);
+        read.map_err(|e| fault(format!("can't be read: {e}")))?;
+        if KEY_BYTES.contains(&key.len()) {
+            return Ok(key);
+        }
+        Err(fault(format!("wanted a key of {} to {longest} bytes", KEY_BYTES.start())))
+    }
+}
+
+/// The block as it stands in the file.
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct RawConfigSync {
+    zone: String,
+    region: String,
+    key_file: String,
+    state_directory: Option<String>,
+    max_tenants: Option<u64>,
+    max_routes: Option<u64>,
+    #[serde(default)]
+    relay: BTreeMap<String, RawRelay>,
+}
+
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct RawRelay {
+    address: SocketAddr,
+    zone: Option<String>,
+    region: Option<String>,
+}
+
+/// A key, as a path within the block, and what is wrong with it.
+type KeyFault = (String, String);
+
+/// Reads the block.
+pub(super) fn read(source: &Source, block: &Block) -> Result<ConfigSyncSettings, OperatorFault> {
+    check_relay_labels(source, block)?;
+    let raw: RawConfigSync = source.block(block)?;
+    raw.check().map_err(|(key, what)| source.key_fault(block, &key, what))
+}
+
+fn check_relay_labels(source: &Source, block: &Block) -> Result<(), OperatorFault> {
+    let mut seen: Vec<&str> = Vec::new();
+    for relay in block.body.get_blocks("relay") {
+        let fault = |what: &str| Err(source.fault(relay.span(), Some(block), Some("relay"), what.to_owned()));
+        let [label] = &relay.labels[..] else {
+            return fault("takes one label, its name: relay \"name\" {");
+        };
+        let name = label.as_str();
+        if seen.contains(&name) {
+            return fault(&format!("\"{name}\" stands here a second time"));
+        }
+        seen.push(name);
+    }
+    Ok(())
+}
+
+impl RawConfigSync {
+    fn check(self) -> Result<ConfigSyncSettings, KeyFault> {
+        check_name("zone", &self.zone)?;
+        check_name("region", &self.region)?;
+        check_given("key_file", &self.key_file)?;
+        self.state_directory.iter().try_for_each(|directory| check_given("state_directory", directory))?;
+        if self.relay.is_empty() {
+            return Err(("relay".to_owned(), "is missing: name at least one to watch".to_owned()));
+        }
+        if self.relay.len() > MAX_RELAYS {
+            return Err(("relay".to_owned(), format!("names more than {MAX_RELAYS}")));
+        }
+        let region = &self.region;
+        let relays = self.relay.into_iter().map(|(name, relay)| relay.check(name, region));
+        Ok(ConfigSyncSettings {
+            relays: relays.collect::<Result<_, _>>()?,
+            max_tenants: count("max_tenants", self.max_tenants, DEFAULT_MAX_TENANTS, MOST_TENANTS)?,
+            max_routes: count("max_routes", self.max_routes, DEFAULT_MAX_ROUTES, MOST_ROUTES)?,
+            zone: self.zone,
+            region: self.region,
+            key_file: self.key_file,
+            state_directory: self.state_directory,
+        })
+    }
+}
+
+impl RawRelay {
+    fn check(self, name: String, own_region: &str) -> Result<RelaySettings, KeyFault> {
+        check_name(&format!("relay.{name}"), &name)?;
+        if let Some(zone) = &self.zone {
+            check_name(&format!("relay.{name}.zone"), zone)?;
+        }
+        let region = self.region.unwrap_or_else(|| own_region.to_owned());
+        check_name(&format!("relay.{name}.region"), &region)?;
+        Ok(RelaySettings { name, address: self.address, zone: self.zone, region })
+    }
+}
+
+fn check_name(key: &str, name: &str) -> Result<(), KeyFault> {
+    if (1..=MAX_NAME).contains(&name.len()) {
+        return Ok(());
+    }
+    Err((key.to_owned(), format!("a name of {} bytes, wanted 1 to {MAX_NAME}", name.len())))
+}
+
+fn check_given(key: &str, text: &str) -> Result<(), KeyFault> {
+    if text.is_empty() { Err((key.to_owned(), "is empty".to_owned())) } else { Ok(()) }
+}
+
+fn count(key: &str, stated: Option<u64>, default: usize, most: usize) -> Result<usize, KeyFault> {
+    let n = stated.map_or(default as u64, |n| n);
+    if (1..=most as u64).contains(&n) {
+        return Ok(n as usize);
+    }
+    Err((key.to_owned(), format!("{n} is not within 1 and {most}")))
+}
+
+impl fmt::Display for ConfigSyncSettings {
+    /// The block as it could stand in a file; the key's file is named, never the key.
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        writeln!(f, "config_sync {{")?;
+        writeln!(f, "  zone            = {}", quoted(&self.zone))?;
+        writeln!(f, "  region          = {}", quoted(&self.region))?;
+        writeln!(f, "  key_file        = {}", quoted(&self.key_file))?;
+        if let Some(directory) = &self.state_directory {
+            writeln!(f, "  state_directory = {}", quoted(directory))?;
+        }
+        writeln!(f, "  max_tenants     = {}", self.max_tenants)?;
+        writeln!(f, "  max_routes      = {}", self.max_routes)?;
+        self.relays.iter().try_for_each(|relay| write!(f, "{relay}"))?;
+        writeln!(f, "}}")
+    }
+}
+
+impl fmt::Display for RelaySettings {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        writeln!(f, "  relay {} {{", quoted(&self.name))?;
+        writeln!(f, "    address = \"{}\"", self.address)?;
+        if let Some(zone) = &self.zone {
+            writeln!(f, "    zone    = {}", quoted(zone))?;
+        }
+        writeln!(f, "    region  = {}", quoted(&self.region))?;
+        writeln!(f, "  }}")
+    }
+}
+
+/// Text as HCL quotes it.
+fn quoted(text: &str) -> hcl::Expression {
+    hcl::Expression::from(text)
+}
