Bring distributed settings in force on the serving thread

The decision module takes Event::Reconfigured and honours class limits. Off without the block config_sync.

--- a/src/config.rs
+++ b/src/config.rs
@@ -184,6 +184,7 @@
             over_share_worth: self.number("over_share_worth", base.over_share_worth)?,
             classes,
             tenants,
+            class_limits: base.class_limits,
         })
     }
 }
--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -2,9 +2,11 @@
 //! is the notice to leave, SIGHUP has the configuration reread. It decides nothing, and must never end for a SIGHUP or
 //! a faulty file.
 
+mod config_sync;
 mod ledger;
 
 use crate::config::Config;
+use crate::daemon::config_sync::ConfigSync;
 use crate::node::catalog::Catalog;
 use crate::node::core::{Core, Peers};
 use crate::node::front::{List, Names, Shared};
@@ -28,6 +30,7 @@
 use std::path::PathBuf;
 use std::process::ExitCode;
 use std::rc::Rc;
+use std::sync::Arc;
 
 /// How often time passes for the ledger, ms, if its interval is not shorter.
 const LEDGER_TICK_MS: f64 = 100.0;
@@ -262,11 +265,32 @@
     }
     lasting("core", Box::pin(core.run(core_letters)));
     lasting("wheel", Box::pin(wheel.clone().turn()));
+    let (class_names, tenants) =
+        (Arc::new(Names::new(&config.classes)), Arc::new(Names::new(&config.tenants)));
+    let distributed = match &links.operator.config_sync {
+        Some(settings) => {
+            let node = ConfigSync {
+                settings,
+                config: &config,
+                classes: class_names.clone(),
+                tenants: tenants.clone(),
+                core: core_box.clone(),
+                wheel: wheel.clone(),
+                clock,
+                log: log.clone(),
+            };
+            let (distributed, following) = node.start().await?;
+            lasting("distributed configuration", Box::pin(following.run()));
+            Some(distributed)
+        }
+        None => None,
+    };
     let shared = Rc::new(Shared {
-        tenants: Names::new(&config.tenants),
+        tenants,
         passes_deadline: config.settings.passes_deadline,
         classes: config.settings.classes.clone(),
-        class_names: Names::new(&config.classes),
+        class_names,
+        distributed,
         clock,
         wheel: wheel.clone(),
         core: core_box.clone(),
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -2,6 +2,8 @@
 //!
 //! All times are milliseconds on the embedder's monotonic clock; memory is in kilobytes.
 
+use std::collections::BTreeMap;
+
 /// A request's id, unique for the life of an instance.
 pub type RequestId = u64;
 
@@ -122,6 +124,57 @@
     pub classes: Vec<Class>,
     /// The tenants' allowances over the whole fleet, requests a second.
     pub tenants: Vec<f64>,
+    /// The most requests of a class that run at once, by the class's position; the others have no limit of their own.
+    pub class_limits: BTreeMap<usize, usize>,
+}
+
+impl Settings {
+    /// Brings changes in force.
+    pub fn reconfigure(&mut self, changes: &Reconfiguration) {
+        for change in &changes.allowances {
+            if change.tenant >= self.tenants.len() {
+                self.tenants.resize(change.tenant + 1, 0.0);
+            }
+            let stated = change.per_second.filter(|rate| !rate.is_nan());
+            self.tenants[change.tenant] = stated.unwrap_or(0.0).clamp(0.0, MAX_ALLOWANCE);
+        }
+        for change in &changes.class_limits {
+            match change.max_running {
+                Some(most) => drop(self.class_limits.insert(change.class, most)),
+                None => drop(self.class_limits.remove(&change.class)),
+            }
+        }
+    }
+}
+
+/// A tenant's new allowance.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct AllowanceChange {
+    /// The tenant, by position; one past the list makes it longer.
+    pub tenant: usize,
+    /// Requests a second over the whole fleet; none when the position is no tenant's any more.
+    pub per_second: Option<f64>,
+}
+
+/// A class's new limit.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ClassLimitChange {
+    /// The class, by position.
+    pub class: usize,
+    /// The most of its requests that run at once; none for no limit.
+    pub max_running: Option<usize>,
+}
+
+/// The largest allowance that means anything, requests a second.
+const MAX_ALLOWANCE: f64 = 1e9;
+
+/// Changes of settings that come in force together, while requests run.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Reconfiguration {
+    /// Allowances, each tenant at most once.
+    pub allowances: Vec<AllowanceChange>,
+    /// Limits, each class at most once.
+    pub class_limits: Vec<ClassLimitChange>,
 }
 
 impl Default for Settings {
@@ -157,6 +210,7 @@
             over_share_worth: 1.0,
             classes: Vec::new(),
             tenants: Vec::new(),
+            class_limits: BTreeMap::new(),
         }
     }
 }
@@ -257,6 +311,8 @@
         /// When it stops.
         stop_at: f64,
     },
+    /// Changes of settings come in force.
+    Reconfigured(Box<Reconfiguration>),
     /// A timer is due.
     Timer {
         /// The timer's token.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -31,6 +31,7 @@
 pub mod wire;
 
 pub use interface::{
-    Action, Arrival, Class, Effect, Event, Gauges, Outcome, Preemption, RequestId, Settings, Signal,
+    Action, AllowanceChange, Arrival, Class, ClassLimitChange, Effect, Event, Gauges, Outcome, Preemption,
+    Reconfiguration, RequestId, Settings, Signal,
 };
 pub use policy::Policy;
--- a/src/node/core/events.rs
+++ b/src/node/core/events.rs
@@ -275,6 +275,17 @@
         }
     }
 
+    /// Changes of settings come in force: in the module, or for its start if that is yet to come.
+    pub(super) fn on_reconfigured(&mut self, reconfigured: Reconfigured) {
+        let Reconfigured { changes, done } = reconfigured;
+        match self.policy {
+            Some(_) => self.tell(Event::Reconfigured(Box::new(changes))),
+            None => self.set.reconfigure(&changes),
+        }
+        // Whoever asked waits for it.
+        let _ = done.try_send(());
+    }
+
     /// Frees the entries whose time is up, once no try that they cover can still be read.
     pub(super) fn on_sweep(&mut self) {
         self.later(SWEEP_MS, ToCore::Sweep);
--- a/src/node/core/mod.rs
+++ b/src/node/core/mod.rs
@@ -202,6 +202,7 @@
                 self.start(None);
                 self.tell(Event::Drain { stop_at });
             }
+            ToCore::Reconfigured(reconfigured) => self.on_reconfigured(*reconfigured),
             ToCore::Sweep => self.on_sweep(),
             ToCore::Ledger(from) => self.on_ledger(*from),
             ToCore::LedgerTick => {
--- a/src/node/front/mod.rs
+++ b/src/node/front/mod.rs
@@ -16,6 +16,7 @@
 use super::wheel::{Clock, Wheel};
 use crate::codec::msgpack::{self, Value};
 use crate::interface::{Class, RequestId};
+use crate::node::distributed::Distributed;
 use crate::node::watch::guarded;
 use async_channel::{Receiver, Sender};
 use async_io::Async;
@@ -28,6 +29,7 @@
 use std::net::{Shutdown, TcpStream};
 use std::pin::pin;
 use std::rc::Rc;
+use std::sync::Arc;
 
 /// Requests open on one connection, past which further ones get an error: the protocol allows half as many.
 const MAX_OPEN: usize = 64;
@@ -53,9 +55,11 @@
     /// The settings of the classes, in order.
     pub classes: Vec<Class>,
     /// The classes by their names.
-    pub class_names: Names,
+    pub class_names: Arc<Names>,
     /// The tenants by their names; empty at a site that has none.
-    pub tenants: Names,
+    pub tenants: Arc<Names>,
+    /// What is distributed beside them, if anything is.
+    pub distributed: Option<Rc<Distributed>>,
     /// Each request tells how long its caller waits.
     pub passes_deadline: bool,
     /// The clock.
@@ -74,7 +78,40 @@
     pub complaints: Cell<(f64, u32)>,
 }
 
+/// What a request's method stands for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Method {
+    /// A class, by position.
+    Class(usize),
+    /// A route that leads to the class at that position.
+    Route(usize),
+}
+
+impl Method {
+    fn class(self) -> usize {
+        match self {
+            Method::Class(class) | Method::Route(class) => class,
+        }
+    }
+}
+
 impl Shared {
+    fn method(&self, name: &[u8]) -> Option<Method> {
+        if let Some(class) = self.class_names.position(name) {
+            return Some(Method::Class(class));
+        }
+        self.distributed.as_ref()?.route(name).map(Method::Route)
+    }
+
+    /// The tenant of a request that names `org`, by position. One that is not listed has no share by which its traffic
+    /// could be judged.
+    fn tenant(&self, org: Option<&str>) -> Option<usize> {
+        if let Some(distributed) = &self.distributed {
+            return distributed.tenant(org);
+        }
+        if self.tenants.is_empty() { Some(0) } else { self.tenants.position(org?.as_bytes()) }
+    }
+
     fn complain(&self, why: &str) {
         let (now, (since, count)) = (self.clock.now(), self.complaints.get());
         let (since, count) = if now - since > COMPLAIN_MS { (now, 0) } else { (since, count) };
@@ -227,6 +264,9 @@
             loop {
                 match decoder.next_message() {
                     Ok(Some(message)) => {
+                        if let Some(distributed) = &shared.distributed {
+                            distributed.may_look_up(&shared.wheel).await;
+                        }
                         // It finishes, and was told so, or its time is up: what crosses that was never taken.
                         if !self.life.borrow().takes() {
                             break;
@@ -310,6 +350,7 @@
             },
             _ => return self.invalid(shared, tag).await,
         };
+        let _pass = shared.distributed.as_ref().map(|distributed| distributed.pass());
         let _ = shared.core.send(message).await;
     }
 
--- a/src/node/front/names.rs
+++ b/src/node/front/names.rs
@@ -23,6 +23,11 @@
         self.positions.get(name).copied()
     }
 
+    /// How many names there are.
+    pub fn len(&self) -> usize {
+        self.positions.len()
+    }
+
     /// Whether the list has no names.
     pub fn is_empty(&self) -> bool {
         self.positions.is_empty()
--- a/src/node/front/request.rs
+++ b/src/node/front/request.rs
@@ -1,7 +1,7 @@
 //! What a message says, as the core's words: a proper request, or none. It must never guess at a field that can't be
 //! read.
 
-use super::{Connection, MAX_OPEN, Shared};
+use super::{Connection, MAX_OPEN, Method, Shared};
 use crate::codec::msgpack::Value;
 use crate::interface::Effect;
 use crate::node::messages::Incoming;
@@ -28,7 +28,8 @@
         method: &[u8],
         args: &[Value],
     ) -> Option<Incoming> {
-        let class = shared.class_names.position(method)?;
+        let named_by = shared.method(method)?;
+        let class = named_by.class();
         let [Value::Map(fields), Value::Bin(body)] = args else { return None };
         let named = |name: &str| -> Option<&Value> {
             let found = fields.iter().find(|(k, _)| matches!(k, Value::Str(k) if k == name.as_bytes()));
@@ -53,9 +54,7 @@
             (false, false) => None,
             _ => Some(number("ttl").filter(|t| *t > 0.0 && *t <= longest)?),
         };
-        // A tenant that the settings don't list has no share by which its traffic could be judged.
-        let tenant =
-            if shared.tenants.is_empty() { 0 } else { shared.tenants.position(field("org")?.as_bytes())? };
+        let tenant = shared.tenant(field("org"))?;
         let id = shared.last_id.get() + 1;
         let incoming = Incoming {
             id,
@@ -64,7 +63,7 @@
             reached,
             held_kb: number("heap").filter(|h| *h > 0.0 && *h < MAX_HELD_KB)?,
             rank: number("crit").filter(|r| (0.0..1.0).contains(r))?,
-            key: key.filter(|_| keyed).map(|k| class_key(class, k)),
+            key: key.filter(|_| keyed).map(|k| table_key(named_by, method, k)),
             waits: ttl,
             tenant,
             account: account.map(|a| Rc::from(a.as_str())),
@@ -77,10 +76,21 @@
     }
 }
 
+/// Stands in a key where a class's position could, and marks a route's.
+const ROUTE_MARK: u32 = u32::MAX;
+
 /// A key as the table knows it. The class, in a fixed width, is part of it: two classes' tries are never tries of one
-/// request.
-fn class_key(class: usize, key: &str) -> Vec<u8> {
-    // Lossless: the number of classes is bounded far below.
-    let class = u32::try_from(class).unwrap_or(u32::MAX);
-    [&class.to_be_bytes(), key.as_bytes()].concat()
+/// request. A route's name stands in its place, so that a further try is known after the route was led elsewhere.
+fn table_key(named_by: Method, method: &[u8], key: &str) -> Vec<u8> {
+    match named_by {
+        Method::Class(class) => {
+            // Lossless: the number of classes is bounded far below.
+            let class = u32::try_from(class).unwrap_or(u32::MAX - 1);
+            [&class.to_be_bytes(), key.as_bytes()].concat()
+        }
+        Method::Route(_) => {
+            let length = method.len() as u64;
+            [&ROUTE_MARK.to_be_bytes()[..], &length.to_be_bytes(), method, key.as_bytes()].concat()
+        }
+    }
 }
--- a/src/node/messages.rs
+++ b/src/node/messages.rs
@@ -3,7 +3,7 @@
 //! must never come to name a protocol's words.
 
 use super::ledger::FromLedger;
-use crate::interface::{Outcome, RequestId};
+use crate::interface::{Outcome, Reconfiguration, RequestId};
 use async_channel::Sender;
 use dunlinspread_store::Writer;
 use std::net::SocketAddr;
@@ -118,6 +118,8 @@
         /// When the process stops, Unix ms.
         stop_at: f64,
     },
+    /// Changes of settings come in force: what was read before them stands before this in the mailbox.
+    Reconfigured(Box<Reconfigured>),
     /// Time to sweep.
     Sweep,
     /// From the ledger's threads.
@@ -128,6 +130,15 @@
     LedgerEnd(Sender<Writer>),
 }
 
+/// Changes of settings, and where it is told that they are in force.
+#[derive(Debug)]
+pub struct Reconfigured {
+    /// The changes.
+    pub changes: Reconfiguration,
+    /// Has room for the one message.
+    pub done: Sender<()>,
+}
+
 /// A command, in the core's words.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Command {
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -5,6 +5,7 @@
 pub mod catalog;
 pub mod clerk;
 pub mod core;
+pub mod distributed;
 pub mod front;
 pub mod index;
 pub mod ledger;
--- a/src/policy/callers.rs
+++ b/src/policy/callers.rs
@@ -73,6 +73,15 @@
         }
     }
 
+    /// Changes come in force. A position that is no tenant's any more starts anew with its next one.
+    pub(super) fn on_reconfigured(&mut self, changes: &Reconfiguration) {
+        self.set.reconfigure(changes);
+        self.sent.resize(self.set.tenants.len(), (0.0, 0.0));
+        for change in changes.allowances.iter().filter(|change| change.per_second.is_none()) {
+            self.sent[change.tenant] = (0.0, 0.0);
+        }
+    }
+
     /// Whether an arrival belongs to the part of its tenant's traffic that passes the allowance: an even part
     /// of the rate, or as much for it as the others send for theirs, past chance. The first spares one that
     /// sends while others don't; the second follows retries and an instance that callers lean on. The part
--- a/src/policy/events.rs
+++ b/src/policy/events.rs
@@ -87,7 +87,7 @@
         // level 0 the cut is idle for first tries: what is held clears in time. Marked further tries stay
         // under it, or a storm of them would outlast its cause. The gauge is late: while a run could start,
         // the cut rests.
-        let idle = self.count(State::Held) == 0
+        let idle = self.held() == 0
             && self.has_run_room(now)
             && !self.calls_block(now)
             && self.age.value() < FRESH_RUNS * self.usual_and_aim().0
--- a/src/policy/level.rs
+++ b/src/policy/level.rs
@@ -46,7 +46,7 @@
         let running = self.count(State::Running) as f64;
         let gauge = gauges.run_queue.filter(|q| q.is_finite() && (0.0..1e6).contains(q));
         let off = gauge.map_or(0.0, |q| (running - q).max(0.0));
-        let queue = (gauge.unwrap_or(running) + self.count(State::Held) as f64) / self.set.cores;
+        let queue = (gauge.unwrap_or(running) + self.held() as f64) / self.set.cores;
         let (usual, aim) = self.usual_and_aim();
         self.clear_ms = queue * usual / self.speed_share(now) + self.age.value();
         let clear = if queue > 1.0 { self.clear_ms / aim } else { 0.0 };
@@ -54,7 +54,7 @@
         let busy = gauges.busy.filter(|b| (0.0..=1.01).contains(b));
         // Cores that idled while requests were held show runs that wait off the cores, which reads hide from
         // the queue. Work that hangs looks alike: the crowd bounds what that adds.
-        let idled = if self.count(State::Held) > 0 { (1.0 - busy.unwrap_or(1.0)).max(0.0) } else { 0.0 };
+        let idled = if self.held() > 0 { (1.0 - busy.unwrap_or(1.0)).max(0.0) } else { 0.0 };
         let seen = if idled > 0.0 { off.max(self.off_core) + idled * self.set.cores } else { off };
         self.off_core += (seen.min(self.set.cores) - self.off_core) * BLEND;
         // Other work in numbers: new connections in a storm of tries.
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -215,6 +215,7 @@
             Event::Ended { id, outcome, took_ms } => self.on_ended(now, id, outcome, took_ms, out),
             Event::Gone(id) => self.on_gone(now, id, out),
             Event::Drain { stop_at } => self.on_drain(now, stop_at, out),
+            Event::Reconfigured(changes) => self.on_reconfigured(&changes),
             Event::Timer { token, gauges } if token == TIMER => self.on_timer(now, gauges, out),
             Event::Timer { .. } => {}
         }
--- a/src/policy/order.rs
+++ b/src/policy/order.rs
@@ -13,7 +13,7 @@
     /// Starts held requests, best first, while the run limit and the memory have room.
     pub(super) fn start_runs(&mut self, now: f64, out: &mut Actions) {
         while self.has_run_room(now) {
-            let blocked = self.calls_block(now);
+            let (blocked, full) = (self.calls_block(now), self.full_classes());
             let must_call = |r: &Request| {
                 let class = &self.set.classes[r.class];
                 class.calls && class.skip_worth <= 0.0
@@ -29,7 +29,7 @@
                 _ => false,
             };
             let idle = self.is_idle();
-            let candidates = self.requests.iter().filter(|(_, r)| waiting(r));
+            let candidates = self.requests.iter().filter(|(_, r)| waiting(r) && !full.contains_key(&r.class));
             let best = candidates.map(|(id, r)| (*id, self.value_with_repeats(now, *id, r, idle)));
             let Some((id, _)) = best.max_by(|a, b| a.1.total_cmp(&b.1)) else { return };
             self.progress = if idle { now } else { self.progress };
@@ -43,6 +43,27 @@
         }
     }
 
+    /// Classes with as many requests under way as their limit lets run, with that number.
+    fn full_classes(&self) -> BTreeMap<usize, usize> {
+        let mut full = BTreeMap::new();
+        if self.set.class_limits.is_empty() {
+            return full;
+        }
+        for r in self.requests.values() {
+            let runs = matches!(r.state, State::Running | State::AtCall(_) | State::Calling);
+            *full.entry(r.class).or_insert(0) += usize::from(runs);
+        }
+        full.retain(|class, runs| self.set.class_limits.get(class).is_some_and(|most| *runs >= *most));
+        full
+    }
+
+    /// Held requests but for those that wait for others of their class alone, which say nothing of the cores.
+    pub(super) fn held(&self) -> usize {
+        let full = self.full_classes();
+        let held = |r: &&Request| r.state == State::Held && !full.contains_key(&r.class);
+        self.requests.values().filter(held).count()
+    }
+
     /// It reached the machine too late after the notice to leave to be run, also as heir of an earlier try.
     pub(super) fn is_after_grace(&self, arrived: f64) -> bool {
         self.leaving.is_some_and(|(notice, _)| arrived > notice + self.set.drain_grace_ms - 1.0)
