--- /dev/null
+++ b/tests/in_force.rs
@@ -0,0 +1,205 @@
+//! What distributed settings are in force, against a plain map; and what a server's judge lets through.
+
+use dunlinspread::node::distributed::{Capacity, InForce, Platform, ServerJudge};
+use dunlinspread::node::front::Names;
+use dunlinspread::{ClassLimitChange, Reconfiguration};
+use dunlinspread_config_sync::client::Judge;
+use dunlinspread_config_sync::resource::{Change, Key, Resource};
+use proptest::prelude::*;
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
+
+const CLASSES: [&str; 3] = ["read", "write", "print"];
+/// The platform's tenants are the first of these.
+const TENANTS: [&str; 8] = ["t0", "t1", "t2", "t3", "t4", "t5", "t6", "t7"];
+const OF_PLATFORM: usize = 3;
+const ROUTES: [&str; 5] = ["r0", "r1", "r2", "r3", "r4"];
+
+fn names(list: &[&str]) -> Arc<Names> {
+    let list: Vec<String> = list.iter().map(|name| (*name).to_owned()).collect();
+    Arc::new(Names::new(&list))
+}
+
+fn platform() -> Platform {
+    Platform {
+        classes: names(&CLASSES),
+        tenants: names(&TENANTS[..OF_PLATFORM]),
+        allowances: vec![10.0, 11.0, 12.0],
+    }
+}
+
+fn put_tenant(name: &str, milli_per_second: u64) -> Change {
+    Change::Put(Resource::TenantAllowance { tenant: name.into(), milli_per_second })
+}
+
+fn put_route(name: &str, class: &str) -> Change {
+    Change::Put(Resource::Route { route: name.into(), class: class.into() })
+}
+
+fn put_limit(class: &str, max_running: u32) -> Change {
+    Change::Put(Resource::ClassLimit { class: class.into(), max_running })
+}
+
+fn any_change() -> impl Strategy<Value = Change> {
+    prop_oneof![
+        (0..TENANTS.len(), 0..5000u64).prop_map(|(tenant, milli)| put_tenant(TENANTS[tenant], milli)),
+        (0..TENANTS.len()).prop_map(|tenant| Change::Delete(Key::Tenant(TENANTS[tenant].into()))),
+        (0..ROUTES.len(), 0..CLASSES.len()).prop_map(|(r, c)| put_route(ROUTES[r], CLASSES[c])),
+        (0..ROUTES.len()).prop_map(|route| Change::Delete(Key::Route(ROUTES[route].into()))),
+        (0..CLASSES.len(), 1..9u32).prop_map(|(class, most)| put_limit(CLASSES[class], most)),
+        (0..CLASSES.len()).prop_map(|class| Change::Delete(Key::Class(CLASSES[class].into()))),
+    ]
+}
+
+/// Changes that come in force together, each key at most once, and whether all requests before them have arrived.
+fn any_update() -> impl Strategy<Value = (Vec<Change>, bool)> {
+    (prop::collection::vec(any_change(), 1..6), any::<bool>()).prop_map(|(changes, settled)| {
+        let by_key: BTreeMap<Key, Change> = changes.into_iter().map(|c| (c.key(), c)).collect();
+        (by_key.into_values().collect(), settled)
+    })
+}
+
+/// What the decision module has: allowances and limits by position.
+#[derive(Default)]
+struct Module {
+    allowances: BTreeMap<usize, f64>,
+    limits: BTreeMap<usize, usize>,
+}
+
+impl Module {
+    fn take(&mut self, changes: &Reconfiguration) {
+        for change in &changes.allowances {
+            match change.per_second {
+                Some(rate) => drop(self.allowances.insert(change.tenant, rate)),
+                None => drop(self.allowances.remove(&change.tenant)),
+            }
+        }
+        for ClassLimitChange { class, max_running } in &changes.class_limits {
+            match max_running {
+                Some(most) => drop(self.limits.insert(*class, *most)),
+                None => drop(self.limits.remove(class)),
+            }
+        }
+    }
+}
+
+proptest! {
+    #[test]
+    fn what_is_in_force_is_what_a_map_of_the_resources_says(
+        updates in prop::collection::vec(any_update(), 1..40),
+    ) {
+        let mut in_force = InForce::new(Arc::new(platform()));
+        let mut module = Module { allowances: [(0, 10.0), (1, 11.0), (2, 12.0)].into(), ..Module::default() };
+        let mut model: BTreeMap<Key, Resource> = BTreeMap::new();
+        // Positions that a request read before a change could still carry.
+        let mut carried: BTreeSet<usize> = BTreeSet::new();
+        for (changes, settled) in updates {
+            let before: BTreeMap<&str, usize> =
+                TENANTS.iter().filter_map(|t| Some((*t, in_force.tenant(t)?))).collect();
+            module.take(&in_force.apply(&changes));
+            for change in changes {
+                match change {
+                    Change::Put(resource) => drop(model.insert(resource.key(), resource)),
+                    Change::Delete(key) => drop(model.remove(&key)),
+                }
+            }
+            check(&in_force, &module, &model)?;
+            for (at, tenant) in TENANTS.iter().enumerate() {
+                let after = in_force.tenant(tenant);
+                match (before.get(tenant), after) {
+                    (Some(before), Some(after)) => prop_assert_eq!(*before, after, "{} moved", tenant),
+                    (None, Some(after)) => prop_assert!(!carried.contains(&after), "{} reused too early", after),
+                    (Some(before), None) => drop(carried.insert(*before)),
+                    (None, None) => {}
+                }
+                prop_assert!(at >= OF_PLATFORM || after == Some(at));
+            }
+            if settled {
+                in_force.settle();
+                carried.clear();
+            }
+        }
+        // All positions but the platform's are given back and serve anew.
+        let gone: Vec<Change> = TENANTS.iter().map(|t| Change::Delete(Key::Tenant((*t).into()))).collect();
+        module.take(&in_force.apply(&gone));
+        in_force.settle();
+        let most = module.allowances.keys().max().copied().unwrap_or(0);
+        prop_assert_eq!(most, OF_PLATFORM - 1);
+        prop_assert_eq!(in_force.counts().0, 0);
+    }
+}
+
+fn check(in_force: &InForce, module: &Module, model: &BTreeMap<Key, Resource>) -> Result<(), TestCaseError> {
+    let mut positions = BTreeSet::new();
+    for (at, tenant) in TENANTS.iter().enumerate() {
+        let stated = match model.get(&Key::Tenant((*tenant).into())) {
+            Some(Resource::TenantAllowance { milli_per_second, .. }) => {
+                Some(*milli_per_second as f64 / 1000.0)
+            }
+            _ if at < OF_PLATFORM => Some(10.0 + at as f64),
+            _ => None,
+        };
+        let position = in_force.tenant(tenant);
+        prop_assert_eq!(position.is_some(), stated.is_some(), "{}", tenant);
+        prop_assert_eq!(position.and_then(|p| module.allowances.get(&p).copied()), stated, "{}", tenant);
+        prop_assert!(position.is_none_or(|p| positions.insert(p)), "a position stands for two tenants");
+    }
+    prop_assert_eq!(
+        module.allowances.len(),
+        positions.len(),
+        "an allowance is left of a tenant that is gone"
+    );
+    for route in ROUTES {
+        let class = match model.get(&Key::Route(route.into())) {
+            Some(Resource::Route { class, .. }) => CLASSES.iter().position(|c| **c == **class),
+            _ => None,
+        };
+        prop_assert_eq!(in_force.route(route.as_bytes()), class, "{}", route);
+    }
+    for (at, class) in CLASSES.iter().enumerate() {
+        let limit = match model.get(&Key::Class((*class).into())) {
+            Some(Resource::ClassLimit { max_running, .. }) => Some(*max_running as usize),
+            _ => None,
+        };
+        prop_assert_eq!(module.limits.get(&at).copied(), limit, "{}", class);
+    }
+    Ok(())
+}
+
+fn judge(max_tenants: usize, max_routes: usize) -> ServerJudge {
+    let log = slog::Logger::root(slog::Discard, slog::o!());
+    let capacity = Capacity { max_tenants, max_routes };
+    ServerJudge::new(names(&CLASSES), names(&TENANTS[..OF_PLATFORM]), capacity, log)
+}
+
+#[test]
+fn a_class_that_this_server_has_not_is_refused_by_name() {
+    let judge = judge(10, 10);
+    assert_eq!(judge.judge(&[put_route("r0", "read"), put_limit("write", 3)]), Ok(()));
+    assert_eq!(
+        judge.judge(&[put_route("r1", "read"), put_route("r2", "sing")]),
+        Err("route `r2`: class `sing` is not known on this server".to_owned())
+    );
+    assert_eq!(
+        judge.judge(&[put_limit("sing", 3)]),
+        Err("class `sing` is not known on this server".to_owned())
+    );
+    assert_eq!(judge.judge(&[Change::Delete(Key::Class("sing".into()))]), Ok(()));
+}
+
+#[test]
+fn a_change_past_the_capacity_is_refused_and_counts_for_nothing() {
+    let judge = judge(5, 1);
+    assert_eq!(judge.judge(&[put_tenant("t3", 1), put_tenant("t4", 1)]), Ok(()));
+    let full = Err("6 tenants, this server takes 5".to_owned());
+    assert_eq!(judge.judge(&[put_tenant("t5", 1)]), full);
+    // The platform's and those that are there may change.
+    assert_eq!(judge.judge(&[put_tenant("t0", 1), put_tenant("t4", 2)]), Ok(()));
+    assert_eq!(judge.judge(&[put_tenant("t5", 1), Change::Delete(Key::Tenant("t4".into()))]), Ok(()));
+    assert_eq!(judge.judge(&[put_tenant("t4", 1)]), full);
+    // Deleting a platform's tenant's allowance gives no place free: the platform's value comes back.
+    assert_eq!(judge.judge(&[put_tenant("t4", 1), Change::Delete(Key::Tenant("t0".into()))]), full);
+    assert_eq!(judge.judge(&[put_route("r0", "read")]), Ok(()));
+    assert_eq!(judge.judge(&[put_route("r0", "write")]), Ok(()));
+    assert_eq!(judge.judge(&[put_route("r1", "read")]), Err("2 routes, this server takes 1".to_owned()));
+}
