--- /dev/null
+++ b/tests/swap.rs
@@ -0,0 +1,155 @@
+//! A change is swapped in between two requests, whatever waits at the core's mailbox: no request is judged by half of it.
+
+use async_channel::{Receiver, Sender};
+use async_executor::LocalExecutor;
+use dunlinspread::node::distributed::{Distributed, InForce, Platform};
+use dunlinspread::node::front::Names;
+use dunlinspread::node::messages::{Handle, Incoming, ToCore};
+use dunlinspread::node::wheel::{Clock, Wheel};
+use dunlinspread_config_sync::resource::{Change, Resource};
+use futures_lite::future::{block_on, yield_now};
+use rand::{RngExt as _, SeedableRng as _};
+use rand_chacha::ChaCha8Rng;
+use std::cell::Cell;
+use std::rc::Rc;
+use std::sync::Arc;
+
+const CLASSES: usize = 7;
+const FRONTS: u64 = 16;
+const REQUESTS: u64 = 400;
+const CHANGES: u64 = 120;
+/// Far fewer than there are fronts, so that many of them wait to send.
+const MAILBOX: usize = 2;
+
+fn platform() -> Arc<Platform> {
+    let classes: Vec<String> = (0..CLASSES).map(|class| format!("c{class}")).collect();
+    Arc::new(Platform {
+        classes: Arc::new(Names::new(&classes)),
+        tenants: Arc::new(Names::new(&["own".to_owned()])),
+        allowances: vec![1.0],
+    })
+}
+
+/// The change that makes the route lead to one class more and the tenant's allowance the change's number. Every tenth
+/// is large, with many tenants of its own.
+fn change(number: u64) -> Vec<Change> {
+    let class = format!("c{}", number as usize % CLASSES);
+    let allowance = |tenant: &str| {
+        Change::Put(Resource::TenantAllowance { tenant: tenant.into(), milli_per_second: number * 1000 })
+    };
+    let mut changes = vec![
+        allowance("t"),
+        Change::Put(Resource::Route { route: "r".into(), class: class.as_str().into() }),
+    ];
+    let many = if number % 10 == 0 { 2000 } else { 0 };
+    changes.extend((0..many).map(|at| allowance(&format!("{number}-{at}"))));
+    changes
+}
+
+struct Parties {
+    distributed: Rc<Distributed>,
+    core: Sender<ToCore>,
+    wheel: Rc<Wheel>,
+    fronts_left: Rc<Cell<u64>>,
+}
+
+/// Looks names up and sends as a connection does, with turns given away at random.
+async fn front(parties: Rc<Parties>, seed: u64) {
+    let mut random = ChaCha8Rng::seed_from_u64(seed);
+    let (mailbox, _answers) = async_channel::bounded(1);
+    for id in 0..REQUESTS {
+        parties.distributed.may_look_up(&parties.wheel).await;
+        let class = parties.distributed.route(b"r").expect("the route is there");
+        let tenant = parties.distributed.tenant(Some("t")).expect("the tenant is there");
+        let incoming = Incoming {
+            id,
+            call: 0,
+            class,
+            reached: 0.0,
+            held_kb: 1.0,
+            rank: 0.5,
+            key: None,
+            waits: None,
+            tenant,
+            account: None,
+            subject: false,
+            body: Vec::new(),
+            handle: Handle { mailbox: mailbox.clone(), tag: id },
+        };
+        let pass = parties.distributed.pass();
+        parties.core.send(ToCore::Arrive(Box::new(incoming))).await.expect("the core is there");
+        drop(pass);
+        while random.random_bool(0.3) {
+            yield_now().await;
+        }
+    }
+    parties.fronts_left.set(parties.fronts_left.get() - 1);
+}
+
+/// Checks that each request has the class that goes with the allowance in force; counts the requests.
+async fn core(inbox: Receiver<ToCore>, seed: u64) -> (u64, u64) {
+    let mut random = ChaCha8Rng::seed_from_u64(seed);
+    let (mut requests, mut changes) = (0, 0);
+    let mut allowance = 0.0;
+    while let Ok(message) = inbox.recv().await {
+        match message {
+            ToCore::Arrive(incoming) => {
+                requests += 1;
+                assert_eq!(incoming.class, allowance as usize % CLASSES, "seed {seed}: half a change");
+                assert_eq!(incoming.tenant, 1, "seed {seed}");
+            }
+            ToCore::Reconfigured(reconfigured) => {
+                changes += 1;
+                let new = reconfigured.changes.allowances.iter().find(|change| change.tenant == 1);
+                allowance = new.and_then(|change| change.per_second).expect("its allowance");
+                reconfigured.done.try_send(()).expect("it is awaited");
+            }
+            other => panic!("{other:?}"),
+        }
+        while random.random_bool(0.3) {
+            yield_now().await;
+        }
+    }
+    (requests, changes)
+}
+
+async fn put_change(parties: &Parties, number: u64) {
+    let put = parties.distributed.put_in_force(change(number), &parties.core, &parties.wheel);
+    put.await.expect("it is put in force");
+}
+
+fn crossings(seed: u64) {
+    let executor = Rc::new(LocalExecutor::new());
+    let (sender, inbox) = async_channel::bounded(MAILBOX);
+    let wheel = Wheel::new(Clock::start(), 1.0);
+    executor.spawn(wheel.clone().turn()).detach();
+    let counted = executor.spawn(core(inbox, seed));
+    let parties = Rc::new(Parties {
+        distributed: Rc::new(Distributed::new(InForce::new(platform()))),
+        core: sender,
+        wheel,
+        fronts_left: Rc::new(Cell::new(FRONTS)),
+    });
+    let (requests, changes) = block_on(executor.run(async {
+        put_change(&parties, 0).await;
+        for at in 0..FRONTS {
+            executor.spawn(front(parties.clone(), seed * 1000 + at)).detach();
+        }
+        for number in 1..CHANGES {
+            put_change(&parties, number).await;
+        }
+        while parties.fronts_left.get() > 0 {
+            yield_now().await;
+        }
+        drop(parties);
+        counted.await
+    }));
+    assert_eq!((requests, changes), (FRONTS * REQUESTS, CHANGES), "seed {seed}");
+}
+
+#[test]
+fn no_request_is_judged_by_half_a_change() {
+    for seed in 1..=5 {
+        crossings(seed);
+    }
+}
