--- a/crates/config-sync/src/net/subscriber.rs
+++ b/crates/config-sync/src/net/subscriber.rs
@@ -2,12 +2,13 @@
 
 use super::clock::{Alarm, Clock};
 use super::link::{Link, LinkEvent};
+use super::settings::{check_member, frame_key};
 use super::shared_tables::SharedTables;
+use super::socket::Turn;
 use super::state_keeper::StateKeeper;
 use super::subscriber_handle::{Shared, SubscriberHandle};
 use crate::client::{ClientSettings, Judge, Update};
 use crate::follower::{DisconnectReason, FollowerEvent, FollowerSettings, LinkAction};
-use crate::frame::FrameKey;
 use crate::resource::{Millis, Position};
 use crate::subscriber::{PersistedState, Subscriber, SubscriberAction, SubscriberEvent, SubscriberSettings};
 use async_channel::Receiver;
@@ -49,6 +50,14 @@
     log: Logger,
 }
 
+/// What a subscriber begins with.
+enum Beginning {
+    /// A state, if there is one, that has yet to be put in force.
+    Kept(Option<PersistedState>),
+    /// One that is in force.
+    InForce(PersistedState),
+}
+
 enum Step {
     Link(LinkEvent),
     Woken,
@@ -73,7 +82,7 @@
             Some(directory) => StateKeeper::open(directory, &settings.member.name, &log),
             None => (None, None),
         };
-        SubscriberTask::begin(settings, judge, observer, tables, log, kept, keeper)
+        SubscriberTask::begin(settings, judge, observer, tables, log, Beginning::Kept(kept), keeper)
     }
 
     /// The same, beginning with a state that the caller has, and with none on disk.
@@ -88,7 +97,22 @@
         log: Logger,
         state: PersistedState,
     ) -> io::Result<(SubscriberTask, SubscriberHandle)> {
-        SubscriberTask::begin(settings, judge, observer, tables, log, Some(state), None)
+        SubscriberTask::begin(settings, judge, observer, tables, log, Beginning::Kept(Some(state)), None)
+    }
+
+    /// The same with a state that the caller has in force already: the observer hears of what comes after it alone.
+    ///
+    /// # Errors
+    /// If the settings are not right.
+    pub fn resume(
+        settings: ClientSettings,
+        judge: Box<dyn Judge>,
+        observer: Box<dyn Observer>,
+        tables: Option<SharedTables>,
+        log: Logger,
+        state: PersistedState,
+    ) -> io::Result<(SubscriberTask, SubscriberHandle)> {
+        SubscriberTask::begin(settings, judge, observer, tables, log, Beginning::InForce(state), None)
     }
 
     fn begin(
@@ -97,16 +121,19 @@
         observer: Box<dyn Observer>,
         tables: Option<SharedTables>,
         log: Logger,
-        kept: Option<PersistedState>,
+        beginning: Beginning,
         keeper: Option<StateKeeper>,
     ) -> io::Result<(SubscriberTask, SubscriberHandle)> {
-        let key = FrameKey::new(&settings.fleet_key)
-            .map_err(|error| io::Error::new(io::ErrorKind::InvalidInput, error))?;
+        let key = frame_key(&settings.fleet_key)?;
+        check_member(&settings.member)?;
         let clock = Clock::start();
         let follower = FollowerSettings::new(settings.member, settings.servers, settings.seed);
         let mut actions = Vec::new();
-        let subscriber =
-            Subscriber::new(SubscriberSettings::new(follower), judge, kept, clock.now(), &mut actions);
+        let settings = SubscriberSettings::new(follower);
+        let subscriber = match beginning {
+            Beginning::Kept(kept) => Subscriber::new(settings, judge, kept, clock.now(), &mut actions),
+            Beginning::InForce(state) => Subscriber::resume(settings, judge, &state, clock.now()),
+        };
         let (shared, wakes) = Shared::new(clock);
         let mut task = SubscriberTask {
             subscriber,
@@ -131,7 +158,9 @@
     pub async fn run(mut self) {
         let mut actions = Vec::new();
         let mut event = Some(SubscriberEvent::Link(FollowerEvent::Tick));
+        let mut turn = Turn::default();
         loop {
+            turn.step().await;
             let now = self.clock.now();
             if let Some(event) = event.take() {
                 self.subscriber.on_event(now, event, &mut actions);
@@ -160,7 +189,8 @@
             Step::Rang
         };
         let told = async { Step::Link(self.link.next().await) };
-        or(woken, or(rang, told)).await
+        // What has arrived comes before the time: a process that had no turn for long does not take its server for silent.
+        or(woken, or(told, rang)).await
     }
 
     /// Logs what the link says and hands it on.
--- a/crates/config-sync/src/subscriber.rs
+++ b/crates/config-sync/src/subscriber.rs
@@ -52,8 +52,6 @@
     applied: Position,
     waiting_records: WaitingRecords,
     reporter: ProgressReporter,
-    /// Whether something may have to be reported once the interval has passed.
-    report_pending: bool,
     counters: SubscriberCounters,
     /// Kept to spare an allocation for each event.
     follower_actions: Vec<FollowerAction>,
@@ -69,9 +67,37 @@
         out: &mut Vec<SubscriberAction>,
     ) -> Subscriber {
         let kept = kept.unwrap_or_default();
+        let mut subscriber = Subscriber::watching_from(settings, judge, &kept, now);
+        if kept.position != Position::default() {
+            subscriber.restore(kept, out);
+        }
+        subscriber
+    }
+
+    /// Goes on from a state that the owner has in force already, for owners that keep the state of many subscribers in
+    /// one place: nothing is judged or handed out until something changes.
+    pub fn resume(
+        settings: SubscriberSettings,
+        judge: Box<dyn Judge>,
+        kept: &PersistedState,
+        now: Millis,
+    ) -> Subscriber {
+        let mut subscriber = Subscriber::watching_from(settings, judge, kept, now);
+        subscriber.take_kept(kept);
+        subscriber.applied = kept.position;
+        subscriber
+    }
+
+    /// A subscriber whose link goes on from `kept`, with nothing in force.
+    fn watching_from(
+        settings: SubscriberSettings,
+        judge: Box<dyn Judge>,
+        kept: &PersistedState,
+        now: Millis,
+    ) -> Subscriber {
         let member = settings.follower.member.name.clone();
         let zone = settings.follower.member.zone.clone();
-        let mut subscriber = Subscriber {
+        Subscriber {
             follower: Follower::new(settings.follower, now, kept.position, kept.mirror.clone()),
             judge,
             member,
@@ -87,14 +113,9 @@
             applied: Position::default(),
             waiting_records: WaitingRecords::default(),
             reporter: ProgressReporter::new(settings.progress_ms),
-            report_pending: false,
             counters: SubscriberCounters::default(),
             follower_actions: Vec::new(),
-        };
-        if kept.position != Position::default() {
-            subscriber.restore(kept, out);
         }
-        subscriber
     }
 
     /// Takes an event and appends what is to be done, in order.
@@ -108,11 +129,8 @@
 
     /// When the next tick is needed at the latest.
     pub fn deadline(&self) -> Millis {
-        let follower = self.follower.deadline();
-        if self.report_pending && self.follower.is_open() {
-            return follower.min(self.reporter.next_at());
-        }
-        follower
+        let report = self.reporter.deadline().filter(|_| self.follower.is_open());
+        self.follower.deadline().min(report.unwrap_or(Millis::MAX))
     }
 
     /// The link and the mirror.
@@ -180,14 +198,12 @@
             return;
         }
         self.applied = position;
-        self.report_pending = true;
         while let Some(record) = self.waiting_records.pop(position) {
             out.push(SubscriberAction::Persist(record));
         }
     }
 
     fn on_advance(&mut self, advance: Advance, out: &mut Vec<SubscriberAction>) {
-        self.report_pending = true;
         let stopped_at = self.in_force.stopped_at.take();
         match (advance, stopped_at) {
             (Advance::Deltas { before, transactions }, None) => {
@@ -269,13 +285,10 @@
 
     /// Judges all that differs between `base` and the mirror as one change.
     fn take_difference(&mut self, base: Table, published_unix_ms: u64, out: &mut Vec<SubscriberAction>) {
-        let changes = base.changes_to(self.follower.table());
-        if !changes.is_empty() {
-            if let Err(reason) = self.judge.judge(&changes) {
-                self.refuse_difference(base, &reason);
-                return;
-            }
-        }
+        let changes = match self.acceptable_difference(&base) {
+            Ok(changes) => changes,
+            Err(reason) => return self.refuse_difference(base, &reason),
+        };
         self.in_force.held_back.release(&changes);
         self.in_force.stop_reason = None;
         self.in_force.position = self.follower.position();
@@ -285,6 +298,24 @@
         self.put_in_force(changes, out);
     }
 
+    /// What can come in force of the difference: with the keys that are held back, since a snapshot does not say which
+    /// of them were set again to the same value; or, where that is refused, without them.
+    fn acceptable_difference(&self, base: &Table) -> Result<Vec<Change>, String> {
+        let mirror = self.follower.table();
+        let changes = base.changes_to(mirror);
+        if !self.in_force.held_back.is_empty() {
+            let mut with_held_back = changes.clone();
+            with_held_back.extend(self.in_force.held_back.changes_to(mirror, &changes));
+            if self.judge.judge(&with_held_back).is_ok() {
+                return Ok(with_held_back);
+            }
+        }
+        if !changes.is_empty() {
+            self.judge.judge(&changes)?;
+        }
+        Ok(changes)
+    }
+
     /// The old state stays; the reason is reported when it is not the one that was reported last.
     fn refuse_difference(&mut self, base: Table, reason: &str) {
         self.counters.refused_differences += 1;
@@ -297,17 +328,21 @@
 
     /// Takes the kept state: its mirror is the follower's already.
     fn restore(&mut self, kept: PersistedState, out: &mut Vec<SubscriberAction>) {
-        let mut table = kept.mirror;
+        let mut table = kept.mirror.clone();
         table.apply(&kept.held_back);
         let changes: Vec<Change> = table.iter().cloned().map(Change::Put).collect();
         if let Err(reason) = self.judge.judge(&changes) {
             self.refuse_difference(Table::new(), &reason);
             return;
         }
+        self.take_kept(&kept);
+        self.put_in_force(changes, out);
+    }
+
+    fn take_kept(&mut self, kept: &PersistedState) {
         self.in_force.held_back = HeldBack::from_changes(&kept.held_back);
         self.in_force.position = kept.position;
         self.in_force.published_unix_ms = kept.published_unix_ms;
-        self.put_in_force(changes, out);
     }
 
     fn put_in_force(&mut self, changes: Vec<Change>, out: &mut Vec<SubscriberAction>) {
@@ -325,7 +360,7 @@
     }
 
     fn report(&mut self, now: Millis, out: &mut Vec<SubscriberAction>) {
-        if !self.follower.is_open() || now < self.reporter.next_at() {
+        if !self.follower.is_open() {
             return;
         }
         let refusing = !self.in_force.held_back.is_empty() || self.is_stopped();
@@ -338,7 +373,6 @@
         if let Some(message) = self.reporter.report(now, || vec![progress]) {
             out.push(SubscriberAction::Link(LinkAction::Send(message)));
         }
-        self.report_pending = self.reporter.has_refusals();
     }
 }
 
--- a/crates/config-sync/tests/follower_property.rs
+++ b/crates/config-sync/tests/follower_property.rs
@@ -8,6 +8,7 @@
 use dunlinspread_config_sync::message::ToClient;
 use dunlinspread_config_sync::resource::{Digest, Position, Transaction};
 use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
 use std::sync::Arc;
 
 /// One thing that happens; numbers are taken modulo what there is.
@@ -204,9 +205,15 @@
     }
 }
 
+/// With another value, or with another digest.
 fn damaged(transaction: &Arc<Transaction>) -> Arc<Transaction> {
-    let digest = Digest(transaction.digest.0.wrapping_add(1));
-    Arc::new(Transaction { digest, ..(**transaction).clone() })
+    let mut damaged = (**transaction).clone();
+    if transaction.position.revision % 2 == 0 {
+        damaged.digest = Digest(transaction.digest.0.wrapping_add(1));
+    } else {
+        damaged.changes[0] = allowance("damaged", 1);
+    }
+    Arc::new(damaged)
 }
 
 /// A snapshot without one of its pieces, numbered and counted as if it had never been there.
@@ -226,7 +233,13 @@
 }
 
 proptest! {
-    #![proptest_config(ProptestConfig::with_cases(256))]
+    // A fixed seed: the same verdict on every run.
+    #![proptest_config(ProptestConfig {
+        cases: 256,
+        failure_persistence: None,
+        rng_seed: RngSeed::Fixed(30),
+        ..ProptestConfig::default()
+    })]
     #[test]
     fn never_torn_never_backwards(steps in steps(), seed in any::<u64>()) {
         let mut world = World::new(seed);
