--- a/tests/allowances.rs
+++ b/tests/allowances.rs
@@ -33,6 +33,14 @@
             self.0.iter_mut().for_each(|count| *count *= part);
         }
 
+        pub fn grow(&mut self, members: usize) {
+            self.0.resize(members.max(self.0.len()), 0.0);
+        }
+
+        pub fn forget(&mut self, member: usize) {
+            self.0[member] = 0.0;
+        }
+
         pub fn add(&mut self, member: usize) -> Option<Added> {
             let count = self.0.get_mut(member)?;
             *count += 1.0;
