--- a/tests/fleet/mod.rs
+++ b/tests/fleet/mod.rs
@@ -64,6 +64,12 @@
         Fleet { publisher, relay: Some(relay) }
     }
 
+    /// Waits until the relay serves all that was published.
+    pub fn wait_relay_at_head(&self) {
+        let head = self.publisher.head();
+        wait_for("the relay has all", || self.relay.as_ref().is_some_and(|relay| relay.head() == head));
+    }
+
     /// Where servers connect.
     pub fn relay_address(&self) -> SocketAddr {
         self.relay.as_ref().expect("it runs").address()
