--- a/src/config/settings.rs
+++ b/src/config/settings.rs
@@ -59,6 +59,7 @@
             over_share_worth: self.number("over_share_worth", base.over_share_worth)?,
             classes,
             tenants,
+            class_limits: base.class_limits,
         })
     }
 
--- /dev/null
+++ b/tests/config_sync.rs
@@ -0,0 +1,260 @@
+//! The built round server with distributed configuration, on real sockets with a publisher and a relay.
+
+mod fleet;
+
+use fleet::{
+    Answer, Caller, Daemon, Fleet, OperatorFile, Pool, delete_route, delete_tenant, folder, put_limit,
+    put_route, put_tenant, wait_for,
+};
+use std::path::Path;
+use std::sync::atomic::{AtomicBool, Ordering};
+
+const CLASSES: [&str; 3] = ["read", "write", "print"];
+
+struct Site {
+    fleet: Fleet,
+    pool: Pool,
+    daemon: Daemon,
+}
+
+fn site(folder: &Path, more: &str) -> Site {
+    let fleet = Fleet::new(folder, &CLASSES);
+    let pool = Pool::new();
+    let operator = OperatorFile::ConfigSync { relay: fleet.relay_address(), more };
+    let daemon = Daemon::start(folder, pool.address(), &operator);
+    Site { fleet, pool, daemon }
+}
+
+fn kept_in(folder: &Path) -> String {
+    format!("state_directory = \"{}\"", folder.join("state").display())
+}
+
+#[test]
+fn a_route_and_a_tenant_are_added_used_and_removed() {
+    let folder = folder("added-used-removed");
+    let site = site(&folder, "");
+    let mut caller = Caller::new(site.daemon.address);
+    assert_eq!(caller.ask("read", "t0"), Answer::Served);
+    assert_eq!(caller.ask("shelf", "t0"), Answer::Invalid);
+    assert_eq!(caller.ask("read", "new"), Answer::Invalid);
+    site.fleet.put(vec![put_route("shelf", "print"), put_tenant("new", 50)]);
+    assert_eq!(caller.ask("shelf", "new"), Answer::Served);
+    assert_eq!(site.pool.started(), ["read", "print"]);
+    // A class's own name comes before a route's.
+    site.fleet.put(vec![put_route("read", "print"), put_route("shelf", "read")]);
+    assert_eq!((caller.ask("read", "t0"), caller.ask("shelf", "t0")), (Answer::Served, Answer::Served));
+    assert_eq!(site.pool.started(), ["read", "print", "read", "read"]);
+    site.fleet.put(vec![delete_route("shelf"), delete_tenant("new"), delete_tenant("t1")]);
+    assert_eq!(caller.ask("shelf", "t0"), Answer::Invalid);
+    assert_eq!(caller.ask("read", "new"), Answer::Invalid);
+    assert_eq!(caller.ask("read", "t1"), Answer::Served, "the platform's tenant stays");
+}
+
+/// A try of a key is known for what it is after its route was led to another class.
+#[test]
+fn a_keyed_request_is_not_run_again_when_its_route_moves() {
+    let folder = folder("route-moves");
+    let site = site(&folder, "");
+    site.fleet.put(vec![put_route("book", "write")]);
+    let mut caller = Caller::new(site.daemon.address);
+    assert_eq!(caller.ask_keyed("book", "t0", Some("k1")), Answer::Served);
+    assert_eq!(caller.ask_keyed("book", "t0", Some("k1")), Answer::Served);
+    assert_eq!(site.pool.started(), ["write"]);
+    assert_eq!(caller.ask_keyed("write", "t0", Some("k1")), Answer::Served, "a key of the class's own");
+    assert_eq!(site.pool.started(), ["write", "write"]);
+}
+
+#[test]
+fn a_class_limit_comes_in_force_and_others_go_on() {
+    let folder = folder("class-limit");
+    let site = site(&folder, "");
+    site.pool.hold();
+    let mut caller = Caller::new(site.daemon.address);
+    (0..3).for_each(|_| _ = caller.send("read", "t0"));
+    site.pool.wait_running(3);
+    site.fleet.put(vec![put_limit("read", 2)]);
+    assert_eq!(site.pool.running(), ["read"; 3], "what runs goes on");
+    (0..2).for_each(|_| _ = caller.send("read", "t0"));
+    caller.send("print", "t0");
+    site.pool.wait_running(4);
+    assert_eq!(site.pool.running(), ["read", "read", "read", "print"], "held ones wait, others go on");
+    site.pool.finish("read");
+    assert_eq!(caller.answer().1, Answer::Served);
+    caller.send("print", "t0");
+    site.pool.wait_running(4);
+    assert_eq!(site.pool.running(), ["read", "read", "print", "print"], "two still run");
+    site.pool.finish("read");
+    assert_eq!(caller.answer().1, Answer::Served);
+    site.pool.wait_running(4);
+    assert_eq!(site.pool.running(), ["read", "print", "print", "read"]);
+    site.fleet.put(vec![put_limit("read", 3)]);
+    site.pool.wait_running(5);
+    for class in ["read", "read", "read", "print", "print"] {
+        site.pool.finish(class);
+        assert_eq!(caller.answer().1, Answer::Served);
+    }
+}
+
+#[test]
+fn a_refused_change_leaves_the_old_one_whole_and_is_reported() {
+    let folder = folder("refused");
+    let site = site(&folder, "max_routes = 2");
+    site.fleet.put(vec![put_route("shelf", "print")]);
+    // The publisher takes the class from the limit that comes with it; this server has none of that name.
+    let refused = site.fleet.propose(vec![
+        put_route("shelf", "read"),
+        put_tenant("new", 50),
+        put_limit("sing", 3),
+        put_route("choir", "sing"),
+    ]);
+    site.fleet.wait_in_force(refused);
+    let mut reasons = Vec::new();
+    wait_for("the refusal is reported", || {
+        reasons.extend(site.fleet.publisher.take_refusals());
+        !reasons.is_empty()
+    });
+    assert_eq!((&*reasons[0].member, reasons[0].position), ("n3", refused));
+    assert!(reasons[0].reason.contains("class `sing` is not known"), "{reasons:?}");
+    let line = site.daemon.logged("a change is refused");
+    assert!(line.contains("class `sing` is not known"), "{line}");
+    let mut caller = Caller::new(site.daemon.address);
+    assert_eq!(caller.ask("shelf", "t0"), Answer::Served);
+    assert_eq!(site.pool.started(), ["print"], "the route leads where it did");
+    assert_eq!(caller.ask("read", "new"), Answer::Invalid);
+    assert_eq!(caller.ask("choir", "t0"), Answer::Invalid);
+    // Later changes come in force.
+    site.fleet.put(vec![put_tenant("newer", 1), put_route("second", "read")]);
+    assert_eq!(caller.ask("second", "newer"), Answer::Served);
+}
+
+/// Requests run on several connections while tenants and routes come and go: each gets one answer, which is its result or
+/// the module's refusal (pauses of a busy machine look like a stall to it), none is failed or taken for invalid, and the
+/// pool ran exactly those that were served.
+#[test]
+fn changes_come_in_force_while_requests_run_and_none_is_lost() {
+    const CALLERS: usize = 4;
+    const CHANGES: u64 = 60;
+    let folder = folder("while-requests-run");
+    let site = site(&folder, "");
+    site.fleet.put(vec![put_route("moving", "read"), put_tenant("shared", 1000)]);
+    let over = AtomicBool::new(false);
+    let counts = std::thread::scope(|scope| {
+        let load = || {
+            let mut caller = Caller::new(site.daemon.address);
+            let mut served = 0u64;
+            while !over.load(Ordering::Relaxed) {
+                let ids: Vec<u64> = (0..10)
+                    .map(|at| caller.send(["moving", "read"][at % 2], ["shared", "t0", "t1"][at % 3]))
+                    .collect();
+                let mut answered: Vec<u64> = Vec::new();
+                for _ in &ids {
+                    let (id, answer) = caller.answer();
+                    assert!(matches!(answer, Answer::Served | Answer::Refused), "request {id}: {answer:?}");
+                    answered.push(id);
+                    served += u64::from(answer == Answer::Served);
+                }
+                answered.sort_unstable();
+                assert_eq!(answered, ids, "each once");
+            }
+            served
+        };
+        let callers: Vec<_> = (0..CALLERS).map(|_| scope.spawn(load)).collect();
+        for number in 0..CHANGES {
+            let class = ["print", "read"][number as usize % 2];
+            site.fleet.put(vec![
+                put_route("moving", class),
+                put_tenant("shared", 500 + number),
+                put_tenant(&format!("n{}", number + 2), number),
+                delete_tenant(&format!("n{number}")),
+                put_tenant("t0", 100 + number),
+            ]);
+        }
+        over.store(true, Ordering::Relaxed);
+        callers.into_iter().map(|caller| caller.join().expect("its requests were answered")).sum::<u64>()
+    });
+    assert_eq!(site.pool.started().len() as u64, counts);
+    let started = site.pool.started();
+    let printed = started.iter().filter(|class| *class == "print").count();
+    assert!(
+        printed > 0 && printed < started.len(),
+        "{printed} of {} took the route's other class",
+        started.len()
+    );
+}
+
+#[test]
+fn cut_off_it_goes_on_and_a_restart_serves_with_the_kept_state_at_once() {
+    let folder = folder("cut-off");
+    let Site { mut fleet, pool, daemon } = site(&folder, &kept_in(&folder));
+    fleet.put(vec![put_route("shelf", "print"), put_tenant("new", 50), put_limit("read", 1)]);
+    let relay = fleet.relay_address();
+    fleet.end_relay();
+    let mut caller = Caller::new(daemon.address);
+    assert_eq!(caller.ask("shelf", "new"), Answer::Served);
+    drop(caller);
+    daemon.leave();
+    drop(fleet);
+    let more = kept_in(&folder);
+    let daemon = Daemon::start(&folder, pool.address(), &OperatorFile::ConfigSync { relay, more: &more });
+    let mut caller = Caller::new(daemon.address);
+    assert_eq!(caller.ask("shelf", "new"), Answer::Served, "the first request after the start");
+    pool.hold();
+    (0..2).for_each(|_| _ = caller.send("read", "new"));
+    caller.send("print", "new");
+    pool.wait_running(2);
+    assert_eq!(pool.running(), ["read", "print"], "the limit is in force as well");
+}
+
+#[test]
+fn another_operator_file_waits_for_the_next_start() {
+    let folder = folder("reread");
+    let site = site(&folder, "");
+    site.fleet.put(vec![put_route("shelf", "print")]);
+    let relay = site.fleet.relay_address();
+    site.daemon.rewrite_operator(&OperatorFile::ConfigSync { relay, more: "max_routes = 5" });
+    site.daemon.signal("HUP");
+    site.daemon.logged("operator file: changes only with a restart");
+    let mut caller = Caller::new(site.daemon.address);
+    assert_eq!(caller.ask("shelf", "t0"), Answer::Served);
+}
+
+#[test]
+fn a_faulty_key_file_ends_the_start_and_is_not_printed() {
+    let folder = folder("key-file");
+    let (config, operator) = (folder.join("config.json"), folder.join("operator.hcl"));
+    let pool = Pool::new();
+    drop(Daemon::start(&folder, pool.address(), &OperatorFile::Empty));
+    let key_file = folder.join("short.key");
+    std::fs::write(&key_file, "short secret").expect("it is written");
+    let text = format!(
+        "config_sync {{\n zone = \"z\"\n region = \"r\"\n key_file = \"{}\"\n relay \"a\" {{\n  \
+         address = \"127.0.0.1:1\"\n }}\n}}\n",
+        key_file.display()
+    );
+    std::fs::write(&operator, text).expect("it is written");
+    let ended = std::process::Command::new(env!("CARGO_BIN_EXE_dunlinspread"))
+        .env("RELAY_CONFIG", &config)
+        .env("DUNLINSPREAD_OPERATOR", &operator)
+        .output()
+        .expect("it runs");
+    let said = String::from_utf8_lossy(&ended.stderr).into_owned();
+    assert_eq!(ended.status.code(), Some(1), "{said}");
+    assert!(said.contains("`key_file`") && said.contains("wanted a key of 16 to 1024 bytes"), "{said}");
+    assert!(!said.contains("short secret"), "{said}");
+}
+
+#[test]
+fn off_there_is_no_thread_and_nothing_is_looked_up() {
+    let folder = folder("off");
+    let pool = Pool::new();
+    let daemon = Daemon::start(&folder, pool.address(), &OperatorFile::Empty);
+    let mut caller = Caller::new(daemon.address);
+    assert_eq!(caller.ask("read", "t0"), Answer::Served);
+    assert_eq!(caller.ask("shelf", "t0"), Answer::Invalid);
+    let threads = daemon.threads();
+    assert!(threads.iter().all(|name| !name.contains("config")), "{threads:?}");
+    let other = fleet::folder("off-beside-on");
+    let on = site(&other, "");
+    let threads = on.daemon.threads();
+    assert!(threads.iter().any(|name| name == "config-sync"), "{threads:?}");
+}
