--- a/src/interface.rs
+++ b/src/interface.rs
@@ -131,10 +131,11 @@
 impl Settings {
     /// Brings changes in force.
     pub fn reconfigure(&mut self, changes: &Reconfiguration) {
+        let positions = changes.allowances.iter().map(|change| change.tenant + 1).max().unwrap_or(0);
+        if positions > self.tenants.len() {
+            self.tenants.resize(positions, 0.0);
+        }
         for change in &changes.allowances {
-            if change.tenant >= self.tenants.len() {
-                self.tenants.resize(change.tenant + 1, 0.0);
-            }
             let stated = change.per_second.filter(|rate| !rate.is_nan());
             self.tenants[change.tenant] = stated.unwrap_or(0.0).clamp(0.0, MAX_ALLOWANCE);
         }
