--- /dev/null
+++ b/tests/fleet/daemon.rs
@@ -0,0 +1,129 @@
+//! The built round server with its files.
+
+use super::{HANG, wait_for};
+use std::io::{BufRead, BufReader};
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, Stdio};
+use std::sync::mpsc::{Receiver, channel};
+
+/// The fleet's key.
+pub const KEY: &[u8] = b"a key of the fleet for tests only";
+
+const SETTINGS: &str = r#"{"tick_ms":5.0,"servers":1,
+"profiles":[{"name":"read","effect":"pure","give_up_ms":90000,"target_ms":80000,"worth":1},
+{"name":"write","effect":"token","give_up_ms":90000,"target_ms":80000,"memory_span_ms":95000,"worth":1},
+{"name":"print","effect":"pure","give_up_ms":90000,"target_ms":80000,"worth":1}],
+"accounts":[{"name":"t0","allowance_per_s":100},{"name":"t1","allowance_per_s":100}],
+"policy_limits":{"retry_after":true,"max_retry_after_ms":1000},"safety":{"fall_multiple":8,"drain_grace_ms":0},
+"specifics":{"n_cores":8,"memory_kb":60000,"run_factor":8,"key_kb":10,"preemption":"off",
+"below":"off","keepalive_max_ms":32000000000,"callers":1,
+"gauges":["core_use","on_cores","heap_share","links"]}}"#;
+
+/// What stands in the operator file.
+pub enum OperatorFile<'a> {
+    /// Nothing.
+    Empty,
+    /// The block `config_sync` with this relay, and lines of the test's own.
+    ConfigSync { relay: SocketAddr, more: &'a str },
+}
+
+/// The program, ended with the test.
+pub struct Daemon {
+    child: Child,
+    pub address: SocketAddr,
+    log: Receiver<String>,
+    folder: PathBuf,
+}
+
+impl Drop for Daemon {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+impl Daemon {
+    /// Started, and its log read up to the line that it serves.
+    pub fn start(folder: &Path, pool: SocketAddr, operator: &OperatorFile) -> Daemon {
+        let config = format!(
+            r#"{{"name":"n3","listen":"127.0.0.1:0","pool":"{pool}","directory":"127.0.0.1:1",
+"seed":"8c1f30d27a5be964","stop_ms":3000,"limits":{{"cores":1.0,"memory_mb":192,"sockets":1024}},
+"settings":{SETTINGS}}}"#
+        );
+        let (config_path, operator_path) = (folder.join("config.json"), folder.join("operator.hcl"));
+        std::fs::write(&config_path, config).expect("it is written");
+        std::fs::write(&operator_path, operator_text(folder, operator)).expect("it is written");
+        let mut child = Command::new(env!("CARGO_BIN_EXE_dunlinspread"))
+            .env("RELAY_CONFIG", &config_path)
+            .env("DUNLINSPREAD_OPERATOR", &operator_path)
+            .stderr(Stdio::piped())
+            .spawn()
+            .expect("the program starts");
+        let lines = BufReader::new(child.stderr.take().expect("a log")).lines();
+        let (tell, log) = channel();
+        // Lines that no test waits for are dropped with the test's end of the channel.
+        std::thread::spawn(move || lines.map_while(Result::ok).for_each(|line| drop(tell.send(line))));
+        let any = SocketAddr::from(([127, 0, 0, 1], 0));
+        let mut daemon = Daemon { child, address: any, log, folder: folder.to_owned() };
+        let serving = daemon.logged("serving");
+        let address = serving.split_once("listen: ").and_then(|(_, rest)| rest.split(',').next());
+        daemon.address = address.and_then(|a| a.parse().ok()).expect("the address is logged");
+        daemon
+    }
+
+    /// The next line with these words.
+    pub fn logged(&self, words: &str) -> String {
+        loop {
+            let line = self.log.recv_timeout(HANG).unwrap_or_else(|_| panic!("not logged: {words}"));
+            if line.contains(words) {
+                return line;
+            }
+        }
+    }
+
+    /// The names of the program's threads.
+    pub fn threads(&self) -> Vec<String> {
+        let tasks = std::fs::read_dir(format!("/proc/{}/task", self.child.id())).expect("it runs");
+        let names = tasks.filter_map(|task| std::fs::read_to_string(task.ok()?.path().join("comm")).ok());
+        let mut names: Vec<String> = names.map(|name| name.trim().to_owned()).collect();
+        names.sort();
+        names
+    }
+
+    /// Resident memory, kB.
+    pub fn resident_kb(&self) -> u64 {
+        let status = std::fs::read_to_string(format!("/proc/{}/status", self.child.id())).expect("it runs");
+        let line = status.lines().find_map(|line| line.strip_prefix("VmRSS:")).expect("a figure");
+        line.trim().trim_end_matches(" kB").parse().expect("a number")
+    }
+
+    pub fn signal(&self, name: &str) {
+        let sent = Command::new("kill").args(["-s", name, &self.child.id().to_string()]).status();
+        assert!(sent.expect("kill is there").success());
+    }
+
+    /// Told to leave, and gone with a good end.
+    pub fn leave(mut self) {
+        self.signal("TERM");
+        wait_for("its end", || self.child.try_wait().expect("it can be asked").is_some());
+        assert!(self.child.wait().expect("it ended").success());
+    }
+
+    /// Writes another operator file.
+    pub fn rewrite_operator(&self, operator: &OperatorFile) {
+        let text = operator_text(&self.folder, operator);
+        std::fs::write(self.folder.join("operator.hcl"), text).expect("it is written");
+    }
+}
+
+fn operator_text(folder: &Path, operator: &OperatorFile) -> String {
+    let OperatorFile::ConfigSync { relay, more } = operator else { return String::new() };
+    let key_file = folder.join("fleet.key");
+    std::fs::write(&key_file, KEY).expect("it is written");
+    let key_file = key_file.display();
+    format!(
+        "config_sync {{\n  zone = \"z1\"\n  region = \"r1\"\n  key_file = \"{key_file}\"\n  {more}\n  \
+         relay \"relay\" {{\n    address = \"{relay}\"\n  }}\n}}\n"
+    )
+}
