--- a/crates/scale/src/main.rs
+++ b/crates/scale/src/main.rs
@@ -3,6 +3,7 @@
 
 use clap::{Parser, Subcommand};
 use dunlinspread_scale::{child, slopes};
+use std::ffi::OsString;
 use std::process::ExitCode;
 
 /// Scale tests of the parts of dunlinspread.
@@ -20,12 +21,26 @@
     /// Measure one load in this process and print what it came to; `slopes` starts it.
     #[command(hide = true)]
     Child(child::Options),
+    /// Be the daemon, with its own arguments; quick probes start it.
+    #[command(hide = true, disable_help_flag = true)]
+    Daemon(DaemonArguments),
+}
+
+/// The daemon's own arguments.
+#[derive(clap::Args)]
+struct DaemonArguments {
+    #[arg(trailing_var_arg = true, allow_hyphen_values = true)]
+    arguments: Vec<OsString>,
 }
 
 fn main() -> ExitCode {
     let result = match Cli::parse().command {
         Command::Slopes(options) => slopes::run(&options),
         Command::Child(options) => child::run(&options),
+        Command::Daemon(daemon) => {
+            let program = OsString::from("dunlinspread");
+            return dunlinspread::daemon::run([program].into_iter().chain(daemon.arguments));
+        }
     };
     match result {
         Ok(()) => ExitCode::SUCCESS,
--- /dev/null
+++ b/crates/scale/src/probes/daemon_connections.rs
@@ -0,0 +1,175 @@
+//! The daemon against open connections of callers: memory at rest and with traffic, and the processor time of a request
+//! and of the connections alone.
+
+use super::daemon_client::Client;
+use super::daemon_process::{Daemon, Program};
+use super::daemon_site::{Size, Surroundings, tenant_name};
+use super::{Probe, ProbeOptions};
+use crate::fit::Quantity;
+use crate::slope::{Point, Slope};
+use anyhow::{Context, Result, ensure};
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use rustix::process::{Resource, Rlimit, getrlimit, setrlimit};
+use std::time::{Duration, Instant};
+
+/// The sizes; a server of the target is measured up to the last one.
+const SIZES: &[u64] = &[100, 1_000, 3_000, 10_000];
+/// The sizes that show whether the probe works.
+const QUICK_SIZES: &[u64] = &[10, 100];
+/// Runs with each daemon.
+const RUNS: usize = 3;
+/// Requests of a run, one at a time, each on a connection by chance.
+const REQUESTS: usize = 1500;
+/// The same, only to show that the probe works.
+const QUICK_REQUESTS: usize = 50;
+/// For how long a daemon at rest is watched.
+const REST: Duration = Duration::from_millis(1500);
+/// The same, only to show that the probe works.
+const QUICK_REST: Duration = Duration::from_millis(200);
+/// Health checks that are under way at once while connections are opened.
+const OPENING: usize = 256;
+/// Descriptors of this program beside the connections.
+const OTHER_DESCRIPTORS: u64 = 100;
+/// Tenants of the requests.
+const TENANTS: usize = 40;
+
+/// What is measured: id, words, unit.
+const FIGURES: [(&str, &str, &str); 4] = [
+    ("daemon.memory_kb.connections", "resident memory with idle connections", "kB"),
+    ("daemon.memory_traffic_kb.connections", "resident memory after requests on idle connections", "kB"),
+    (
+        "daemon.rest_processor_ns_per_s.connections",
+        "processor time in a second, the connections idle (counted by the system in 10 ms)",
+        "ns/s",
+    ),
+    (
+        "daemon.request_processor_ns.connections",
+        "processor time of a request, one at a time, less that at rest (counted by the system in 10 ms)",
+        "ns",
+    ),
+];
+
+/// The probe of the daemon's connections.
+pub struct ConnectionsProbe;
+
+impl Probe for ConnectionsProbe {
+    fn prefix(&self) -> &'static str {
+        "daemon"
+    }
+
+    fn run(&self, options: &ProbeOptions) -> Result<Vec<Slope>> {
+        let program = Program::find(options.quick)?;
+        let sizes = options.sizes(SIZES, QUICK_SIZES);
+        raise_descriptors(sizes.last().copied().unwrap_or(0) + OTHER_DESCRIPTORS)?;
+        let mut points: [Vec<Point>; FIGURES.len()] = Default::default();
+        for &size in sizes {
+            for &seed in options.seeds() {
+                let measured = Measured::new(&program, size as usize, seed, options)
+                    .with_context(|| format!("with {size} connections"))?;
+                let runs = measured.into_runs();
+                for (points, runs) in points.iter_mut().zip(&runs) {
+                    points.push(Point::of(size as f64, seed, runs));
+                }
+            }
+        }
+        Ok(points.into_iter().zip(FIGURES).map(|(points, figure)| quantity(figure).slope(points)).collect())
+    }
+}
+
+fn quantity((id, quantity, unit): (&'static str, &'static str, &'static str)) -> Quantity {
+    Quantity {
+        id,
+        quantity,
+        unit,
+        against: "open connections of callers",
+        fixed: &[("tenants", TENANTS as f64), ("classes", 8.0)],
+        target_size: 10_000.0,
+    }
+}
+
+/// Raises the soft limit on descriptors of this program, which its children take over, as far as is needed.
+fn raise_descriptors(needed: u64) -> Result<()> {
+    let limit = getrlimit(Resource::Nofile);
+    if limit.current.is_none_or(|soft| soft >= needed) {
+        return Ok(());
+    }
+    ensure!(
+        limit.maximum.is_none_or(|hard| hard >= needed),
+        "{needed} descriptors are needed, and the hard limit is {:?}: raise it with `ulimit -Hn`",
+        limit.maximum
+    );
+    setrlimit(Resource::Nofile, Rlimit { current: Some(needed), maximum: limit.maximum })
+        .context("raising the soft limit on descriptors")
+}
+
+/// The figures of one daemon.
+struct Measured {
+    memory_kb: f64,
+    memory_traffic_kb: f64,
+    rest_ns_per_s: f64,
+    request_ns: Vec<f64>,
+}
+
+impl Measured {
+    fn new(program: &Program, size: usize, seed: u64, options: &ProbeOptions) -> Result<Measured> {
+        let around = Surroundings::start(Size { tenants: TENANTS, classes: 8, connections: size }, seed)?;
+        let daemon = Daemon::start(program, &around.config)?;
+        let mut random = ChaCha8Rng::seed_from_u64(seed);
+        let mut clients = connect(&daemon, size)?;
+        // With no arrivals the daemon would tell idle connections to close.
+        serve(&mut clients, 1, &mut random)?;
+        let memory_kb = daemon.resident_kb()?;
+        let rest_ns_per_s = rest(&daemon, if options.quick { QUICK_REST } else { REST })?;
+        let requests = if options.quick { QUICK_REQUESTS } else { REQUESTS };
+        let mut request_ns = Vec::new();
+        for _ in 0..options.runs(RUNS) {
+            let (before, began) = (daemon.processor_ns()?, Instant::now());
+            serve(&mut clients, requests, &mut random)?;
+            let at_rest = rest_ns_per_s * began.elapsed().as_secs_f64();
+            let used = (daemon.processor_ns()? - before - at_rest).max(0.0);
+            request_ns.push(used / requests as f64);
+        }
+        let memory_traffic_kb = daemon.resident_kb()?;
+        Ok(Measured { memory_kb, memory_traffic_kb, rest_ns_per_s, request_ns })
+    }
+
+    /// The runs of each figure, in the order of [`FIGURES`].
+    fn into_runs(self) -> [Vec<f64>; FIGURES.len()] {
+        [vec![self.memory_kb], vec![self.memory_traffic_kb], vec![self.rest_ns_per_s], self.request_ns]
+    }
+}
+
+/// Opens connections, each of which asks for the daemon's health once: one that never asks for anything is closed.
+fn connect(daemon: &Daemon, size: usize) -> Result<Vec<Client>> {
+    let mut clients: Vec<Client> = Vec::with_capacity(size);
+    while clients.len() < size {
+        let from = clients.len();
+        for _ in from..size.min(from + OPENING) {
+            let mut client = Client::connect(daemon.address())?;
+            client.ask_health()?;
+            clients.push(client);
+        }
+        for client in &mut clients[from..] {
+            client.answer()?;
+        }
+    }
+    Ok(clients)
+}
+
+/// Sends requests one at a time, each on a connection by chance.
+fn serve(clients: &mut [Client], requests: usize, random: &mut ChaCha8Rng) -> Result<()> {
+    for _ in 0..requests {
+        let at = random.random_range(0..clients.len());
+        let tenant = tenant_name(random.random_range(0..TENANTS));
+        ensure!(clients[at].request(Some(&tenant))?, "a request was not served");
+    }
+    Ok(())
+}
+
+/// Processor time in a second with nothing to do, ns.
+fn rest(daemon: &Daemon, time: Duration) -> Result<f64> {
+    let (before, began) = (daemon.processor_ns()?, Instant::now());
+    std::thread::sleep(time);
+    Ok((daemon.processor_ns()? - before) / began.elapsed().as_secs_f64())
+}
--- /dev/null
+++ b/crates/scale/src/probes/latency.rs
@@ -0,0 +1,217 @@
+//! The latency that the daemon adds to a request: the same open-loop load once through a daemon in front of a stand-in
+//! worker pool, and once straight to such a pool in the pool's own protocol, as the daemon speaks it. What is added is
+//! the difference of the two percentiles of the same run. Runs take next to no work, so that the pool's cores are idle
+//! and nothing is held: waiting for a busy machine is not what the daemon adds.
+
+use super::daemon_client;
+use super::daemon_process::{Daemon, Program};
+use super::daemon_site::{ROUTE, Size, Surroundings, start_pool, tenant_name};
+use super::open_loop::{self, Load, Outcome, Wire, percentile};
+use super::{Probe, ProbeOptions};
+use crate::fit::Quantity;
+use crate::slope::{Point, Slope};
+use anyhow::{Context, Result, ensure};
+use serde_json::{Value, json};
+use std::io::{BufRead, BufReader, Write};
+use std::net::{SocketAddr, TcpStream};
+
+/// The mean rate of a server of the target, twice, four times and ten times that.
+const RATES: &[u64] = &[282, 564, 1_128, 2_820];
+/// The rates that show whether the probe works.
+const QUICK_RATES: &[u64] = &[200, 400];
+/// Runs at each rate and seed, each once with the daemon and once without.
+const RUNS: usize = 3;
+/// Requests of a run.
+const REQUESTS: usize = 1_000;
+/// The same, only to show that the probe works.
+const QUICK_REQUESTS: usize = 60;
+/// Requests that are sent before anything is measured.
+const WARM_UP: Load = Load { rate: 1000.0, requests: 200, seed: 0 };
+/// Connections of callers.
+const CONNECTIONS: usize = 4;
+/// Tenants of the requests.
+const TENANTS: usize = 40;
+/// An added latency is at least this, ms: the clock's own error.
+const LEAST_MS: f64 = 0.001;
+/// A sender that is later than this at 99 of 100 requests is said to be late, ms.
+const LATE_MS: f64 = 0.2;
+/// The body of a request to the pool, in base64: as long as that of [`daemon_client::request`].
+const POOL_BODY: usize = 344;
+
+/// What is measured: id and words.
+const FIGURES: [(&str, &str); 7] = [
+    ("daemon.added_ms_p50.rate", "added by the daemon, 50 in 100: with it less without it, of the same run"),
+    ("daemon.added_ms_p99.rate", "added by the daemon, 99 in 100: with it less without it, of the same run"),
+    (
+        "daemon.added_ms_p999.rate",
+        "added by the daemon, 999 in 1000: with it less without it, all runs of a seed together",
+    ),
+    ("daemon.pool_ms_p50.rate", "the stand-in worker pool without the daemon, 50 in 100"),
+    ("daemon.pool_ms_p99.rate", "the stand-in worker pool without the daemon, 99 in 100"),
+    ("daemon.pool_ms_p999.rate", "the stand-in worker pool without the daemon, 999 in 1000"),
+    ("daemon.load_late_ms_p99.rate", "how late the load itself sent, 99 in 100; part of both sides' latency"),
+];
+
+/// The probe of the added latency.
+pub struct LatencyProbe;
+
+impl Probe for LatencyProbe {
+    fn prefix(&self) -> &'static str {
+        "daemon"
+    }
+
+    fn run(&self, options: &ProbeOptions) -> Result<Vec<Slope>> {
+        let program = Program::find(options.quick)?;
+        let mut points: [Vec<Point>; FIGURES.len()] = Default::default();
+        for &rate in options.sizes(RATES, QUICK_RATES) {
+            for &seed in options.seeds() {
+                let runs = Pair::start(&program, seed)?
+                    .measure(rate, seed, options)
+                    .with_context(|| format!("at {rate} requests a second"))?;
+                for (points, runs) in points.iter_mut().zip(&runs) {
+                    points.push(Point::of(rate as f64, seed, runs));
+                }
+            }
+        }
+        Ok(points.into_iter().zip(FIGURES).map(|(points, figure)| quantity(figure).slope(points)).collect())
+    }
+}
+
+fn quantity((id, quantity): (&'static str, &'static str)) -> Quantity {
+    Quantity {
+        id,
+        quantity,
+        unit: "ms",
+        against: "requests a second at one server, open loop",
+        fixed: &[("tenants", TENANTS as f64), ("classes", 8.0), ("connections", CONNECTIONS as f64)],
+        target_size: RATES[0] as f64,
+    }
+}
+
+/// A daemon before a pool, and a pool of its own.
+struct Pair {
+    daemon: Daemon,
+    _around: Surroundings,
+    pool: dunlinspread_standin::Pool,
+}
+
+impl Pair {
+    fn start(program: &Program, seed: u64) -> Result<Pair> {
+        let size = Size { tenants: TENANTS, classes: 8, connections: 1000 };
+        let around = Surroundings::start(size, seed)?;
+        let daemon = Daemon::start(program, &around.config)?;
+        let pair = Pair { daemon, _around: around, pool: start_pool(seed)? };
+        pair.through_daemon(WARM_UP)?;
+        pair.to_pool(WARM_UP)?;
+        Ok(pair)
+    }
+
+    /// The runs of each figure, in the order of [`FIGURES`].
+    fn measure(&self, rate: u64, seed: u64, options: &ProbeOptions) -> Result<[Vec<f64>; FIGURES.len()]> {
+        let requests = if options.quick { QUICK_REQUESTS } else { REQUESTS };
+        let mut runs: [Vec<f64>; FIGURES.len()] = Default::default();
+        let (mut all_with, mut all_without) = (Outcome::default(), Outcome::default());
+        for run in 0..options.runs(RUNS) {
+            let load = Load { rate: rate as f64, requests, seed: seed * 1000 + run as u64 };
+            let without = self.to_pool(load)?;
+            let with = self.through_daemon(load)?;
+            warn_of(&with, &without, rate)?;
+            runs[0].push(added(&with, &without, 0.5));
+            runs[1].push(added(&with, &without, 0.99));
+            runs[3].push(percentile(&without.latency_ms, 0.5));
+            runs[4].push(percentile(&without.latency_ms, 0.99));
+            runs[6].push(percentile(&with.late_ms, 0.99));
+            all_with.merge(&with);
+            all_without.merge(&without);
+        }
+        runs[2].push(added(&all_with, &all_without, 0.999));
+        runs[5].push(percentile(&all_without.latency_ms, 0.999));
+        Ok(runs)
+    }
+
+    fn through_daemon(&self, load: Load) -> Result<Outcome> {
+        let connect = |_| connected(self.daemon.address());
+        let connections = (0..CONNECTIONS).map(connect).collect::<Result<Vec<TcpStream>>>()?;
+        open_loop::run(&DaemonWire, &connections, load)
+    }
+
+    fn to_pool(&self, load: Load) -> Result<Outcome> {
+        open_loop::run(&PoolWire, &[bound(self.pool.address())?], load)
+    }
+}
+
+/// What the daemon adds at a percentile, ms.
+fn added(with: &Outcome, without: &Outcome, part: f64) -> f64 {
+    (percentile(&with.latency_ms, part) - percentile(&without.latency_ms, part)).max(LEAST_MS)
+}
+
+/// Says when the load itself was late, or requests were not served.
+fn warn_of(with: &Outcome, without: &Outcome, rate: u64) -> Result<()> {
+    let late = percentile(&with.late_ms, 0.99).max(percentile(&without.late_ms, 0.99));
+    if late > LATE_MS {
+        eprintln!("at {rate} requests a second the load itself was {late:.2} ms late at 99 in 100 requests");
+    }
+    for (outcome, name) in [(with, "with the daemon"), (without, "without it")] {
+        let of = outcome.late_ms.len();
+        if outcome.unserved > 0 {
+            eprintln!("at {rate} requests a second, {} of {of} were not served {name}", outcome.unserved);
+        }
+        ensure!(outcome.unserved * 2 < of, "{} of {of} requests were not served {name}", outcome.unserved);
+    }
+    Ok(())
+}
+
+fn connected(address: SocketAddr) -> Result<TcpStream> {
+    let stream = TcpStream::connect(address).with_context(|| format!("connecting to {address}"))?;
+    stream.set_nodelay(true)?;
+    Ok(stream)
+}
+
+/// A link to a worker pool on which the first messages have been exchanged.
+fn bound(address: SocketAddr) -> Result<TcpStream> {
+    let mut stream = connected(address)?;
+    stream.write_all(b"{\"op\":\"bind\",\"seq\":0}\n").context("binding to the pool")?;
+    let mut line = String::new();
+    BufReader::with_capacity(1, &stream).read_line(&mut line).context("waiting for the pool")?;
+    let answer: Value = serde_json::from_str(&line).context("the pool's first message")?;
+    ensure!(answer["op"] == "bound", "the pool answered `{line}`");
+    Ok(stream)
+}
+
+/// Callers' MessagePack to the daemon.
+#[derive(Clone)]
+struct DaemonWire;
+
+impl Wire for DaemonWire {
+    fn encode(&self, number: u64) -> Vec<u8> {
+        daemon_client::request(number, Some(&tenant_name(number as usize % TENANTS)))
+    }
+
+    fn next_answer(&self, received: &mut Vec<u8>) -> Result<Option<(u64, bool)>> {
+        Ok(daemon_client::next_answer(received)?.map(|answer| (answer.id, answer.good)))
+    }
+}
+
+/// The JSON lines between the daemon and its worker pool.
+#[derive(Clone)]
+struct PoolWire;
+
+impl Wire for PoolWire {
+    fn encode(&self, number: u64) -> Vec<u8> {
+        let body = "eHh4".repeat(POOL_BODY / 4);
+        format!("{}\n", json!({"op": "spawn", "id": number.to_string(), "class": ROUTE, "body": body}))
+            .into_bytes()
+    }
+
+    fn next_answer(&self, received: &mut Vec<u8>) -> Result<Option<(u64, bool)>> {
+        while let Some(end) = received.iter().position(|byte| *byte == b'\n') {
+            let line: Vec<u8> = received.drain(..=end).collect();
+            let message: Value = serde_json::from_slice(&line).context("a line of the pool")?;
+            if message["op"] == "finished" {
+                let number = message["id"].as_str().unwrap_or("").parse().context("an id of the pool")?;
+                return Ok(Some((number, message["end"] == "good")));
+            }
+        }
+        Ok(None)
+    }
+}
--- a/crates/scale/src/probes/mod.rs
+++ b/crates/scale/src/probes/mod.rs
@@ -1,5 +1,15 @@
 //! The probes: each measures the slopes of one part. A new one is added to [`all`], its child loads to [`child_loads`].
 
+mod daemon_client;
+mod daemon_connections;
+mod daemon_process;
+mod daemon_site;
+mod daemon_tables;
+mod latency;
+mod open_loop;
+mod policy;
+mod policy_load;
+
 use crate::child::Load;
 use crate::slope::Slope;
 use anyhow::Result;
@@ -47,10 +57,15 @@
 
 /// All probes.
 pub fn all() -> Vec<Box<dyn Probe>> {
-    Vec::new()
+    vec![
+        Box::new(policy::PolicyProbe),
+        Box::new(daemon_tables::TablesProbe),
+        Box::new(daemon_connections::ConnectionsProbe),
+        Box::new(latency::LatencyProbe),
+    ]
 }
 
 /// The loads that are measured in a process of their own, by name.
 pub fn child_loads() -> Vec<(&'static str, Load)> {
-    Vec::new()
+    policy::child_loads()
 }
--- /dev/null
+++ b/crates/scale/src/probes/policy.rs
@@ -0,0 +1,183 @@
+//! The decision module: ns of an arrival, an ending and a timer, and its memory, against tenants, classes, held and
+//! running requests. Memory is the growth of the resident memory of a process of its own.
+
+use super::policy_load::{Costs, Length, Load, Shape};
+use super::{Probe, ProbeOptions};
+use crate::child::{self, Growth};
+use crate::fit::Quantity;
+use crate::slope::{Point, Slope};
+use anyhow::{Result, ensure};
+use std::time::Duration;
+
+/// The state but for the size that varies.
+const USUAL: Shape = Shape { tenants: 40, classes: 8, held: 0, running: 8 };
+/// Runs of the load at each size and seed.
+const RUNS: usize = 7;
+/// How long a run is.
+const LENGTH: Length = Length { rounds: 400, time: Duration::from_millis(40) };
+/// How long one is that only shows that the probe works.
+const QUICK_LENGTH: Length = Length { rounds: 20, time: Duration::from_millis(10) };
+
+/// A size of the state that varies.
+struct Axis {
+    name: &'static str,
+    words: &'static str,
+    sizes: &'static [u64],
+    target: f64,
+    shape: fn(usize) -> Shape,
+    fixed: &'static [(&'static str, f64)],
+    ids: Ids,
+}
+
+/// The ids of an axis.
+struct Ids {
+    arrival: &'static str,
+    ending: &'static str,
+    timer: &'static str,
+    memory: &'static str,
+}
+
+const AXES: [Axis; 4] = [
+    Axis {
+        name: "policy.tenants",
+        words: "tenants with an allowance",
+        sizes: &[10, 40, 1_000, 10_000, 100_000, 390_000],
+        target: 390_000.0,
+        shape: |tenants| Shape { tenants, ..USUAL },
+        fixed: &[("classes", 8.0), ("held", 0.0), ("running", 8.0)],
+        ids: Ids {
+            arrival: "policy.arrival_ns.tenants",
+            ending: "policy.ending_ns.tenants",
+            timer: "policy.timer_ns.tenants",
+            memory: "policy.memory_bytes.tenants",
+        },
+    },
+    Axis {
+        name: "policy.classes",
+        words: "classes of requests (routes)",
+        sizes: &[10, 100, 1_000, 10_000, 64_000],
+        target: 64_000.0,
+        shape: |classes| Shape { classes, ..USUAL },
+        fixed: &[("tenants", 40.0), ("held", 0.0), ("running", 8.0)],
+        ids: Ids {
+            arrival: "policy.arrival_ns.classes",
+            ending: "policy.ending_ns.classes",
+            timer: "policy.timer_ns.classes",
+            memory: "policy.memory_bytes.classes",
+        },
+    },
+    Axis {
+        name: "policy.held",
+        words: "held requests; an arrival adds one, an ending runs the best of them",
+        sizes: &[10, 100, 1_000, 10_000],
+        target: 10_000.0,
+        shape: |held| Shape { held, ..USUAL },
+        fixed: &[("tenants", 40.0), ("classes", 8.0), ("running", 8.0)],
+        ids: Ids {
+            arrival: "policy.arrival_ns.held",
+            ending: "policy.ending_ns.held",
+            timer: "policy.timer_ns.held",
+            memory: "policy.memory_bytes.held",
+        },
+    },
+    Axis {
+        name: "policy.running",
+        words: "running requests, none held",
+        sizes: &[10, 100, 1_000, 10_000],
+        target: 10_000.0,
+        shape: |running| Shape { running, ..USUAL },
+        fixed: &[("tenants", 40.0), ("classes", 8.0), ("held", 0.0)],
+        ids: Ids {
+            arrival: "policy.arrival_ns.running",
+            ending: "policy.ending_ns.running",
+            timer: "policy.timer_ns.running",
+            memory: "policy.memory_bytes.running",
+        },
+    },
+];
+/// The sizes that show whether the probe works.
+const QUICK_SIZES: &[u64] = &[10, 40];
+
+/// The probe of the decision module.
+pub struct PolicyProbe;
+
+impl Probe for PolicyProbe {
+    fn prefix(&self) -> &'static str {
+        "policy"
+    }
+
+    fn run(&self, options: &ProbeOptions) -> Result<Vec<Slope>> {
+        let mut slopes = Vec::new();
+        for axis in &AXES {
+            slopes.extend(axis.measure(options)?);
+        }
+        Ok(slopes)
+    }
+}
+
+/// The loads whose memory is measured in a process of their own.
+pub fn child_loads() -> Vec<(&'static str, child::Load)> {
+    vec![
+        ("policy.tenants", |size, seed| memory_of(&AXES[0], size, seed)),
+        ("policy.classes", |size, seed| memory_of(&AXES[1], size, seed)),
+        ("policy.held", |size, seed| memory_of(&AXES[2], size, seed)),
+        ("policy.running", |size, seed| memory_of(&AXES[3], size, seed)),
+    ]
+}
+
+/// Bytes that this process grows by with the state.
+fn memory_of(axis: &Axis, size: u64, seed: u64) -> Result<f64> {
+    let growth = Growth::begin();
+    let load = Load::new((axis.shape)(size as usize), seed);
+    let bytes = growth.bytes();
+    drop(load);
+    Ok(bytes)
+}
+
+impl Axis {
+    fn measure(&self, options: &ProbeOptions) -> Result<Vec<Slope>> {
+        let mut points: [Vec<Point>; 4] = Default::default();
+        let length = if options.quick { QUICK_LENGTH } else { LENGTH };
+        for &size in options.sizes(self.sizes, QUICK_SIZES) {
+            for &seed in options.seeds() {
+                let costs = self.costs(size, seed, options.runs(RUNS), length)?;
+                let of = |pick: fn(&Costs) -> f64| costs.iter().map(pick).collect::<Vec<f64>>();
+                points[0].push(Point::of(size as f64, seed, &of(|costs| costs.arrival)));
+                points[1].push(Point::of(size as f64, seed, &of(|costs| costs.ending)));
+                points[2].push(Point::of(size as f64, seed, &of(|costs| costs.timer)));
+                points[3].push(Point::of(size as f64, seed, &[child::measure(self.name, size, seed)?]));
+            }
+        }
+        let [arrival, ending, timer, memory] = points;
+        Ok(vec![
+            self.time(self.ids.arrival, "`Policy::on_event` of one arrival").slope(arrival),
+            self.time(self.ids.ending, "`Policy::on_event` of one ending").slope(ending),
+            self.time(self.ids.timer, "`Policy::on_event` of one timer").slope(timer),
+            self.quantity(
+                self.ids.memory,
+                "growth of resident memory by settings and state, in a process of its own",
+                "bytes",
+            )
+            .slope(memory),
+        ])
+    }
+
+    /// The costs of several runs, after one that is not counted.
+    fn costs(&self, size: u64, seed: u64, runs: usize, length: Length) -> Result<Vec<Costs>> {
+        let shape = (self.shape)(size as usize);
+        let mut load = Load::new(shape, seed);
+        ensure!(load.running() == shape.running, "{} run, not {}", load.running(), shape.running);
+        load.run(length);
+        let costs = (0..runs).map(|_| load.run(length)).collect();
+        ensure!(load.running() == shape.running, "{} run, not {}", load.running(), shape.running);
+        Ok(costs)
+    }
+
+    fn time(&self, id: &'static str, quantity: &'static str) -> Quantity {
+        self.quantity(id, quantity, "ns")
+    }
+
+    fn quantity(&self, id: &'static str, quantity: &'static str, unit: &'static str) -> Quantity {
+        Quantity { id, quantity, unit, against: self.words, fixed: self.fixed, target_size: self.target }
+    }
+}
--- /dev/null
+++ b/crates/scale/src/probes/policy_load.rs
@@ -0,0 +1,194 @@
+//! A decision module brought to a given state and kept there while events are timed.
+
+use dunlinspread::{Action, Arrival, Class, Effect, Event, Gauges, Outcome, Policy, RequestId, Settings};
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use std::collections::VecDeque;
+use std::time::{Duration, Instant};
+
+/// The step of the virtual clock between two events, ms: so small that nothing is due and no run counts as stalled.
+const STEP_MS: f64 = 0.001;
+/// The wanted time of every class, ms: nothing is late.
+const AIM_MS: f64 = 1e7;
+/// What a run is said to have taken, ms.
+const RUN_MS: f64 = 10.0;
+/// The running requests a core that the machine survives; only that it is well over the run limit matters.
+const SURVIVABLE_PER_CORE: f64 = 8.0;
+/// The runs that the module allows for each core.
+const RUNS_PER_CORE: f64 = 1.25;
+/// Requests that are run and ended before anything is measured, so that run times are known.
+const WARM_UP: usize = 64;
+/// Pairs of readings of the clock that tell what one costs.
+const CLOCK_READINGS: usize = 1001;
+
+/// What the state is like.
+#[derive(Clone, Copy, Debug)]
+pub struct Shape {
+    /// Tenants with an allowance.
+    pub tenants: usize,
+    /// Classes of requests.
+    pub classes: usize,
+    /// Requests that wait for a run.
+    pub held: usize,
+    /// Requests that run.
+    pub running: usize,
+}
+
+/// The mean cost of each event in one run of the load, ns.
+#[derive(Clone, Copy, Debug)]
+pub struct Costs {
+    /// Of an arrival: with none held it is run at once, else it is held.
+    pub arrival: f64,
+    /// Of the end of a run: with some held, the best of them is run.
+    pub ending: f64,
+    /// Of the periodic timer.
+    pub timer: f64,
+}
+
+/// How long one run of the load goes on.
+#[derive(Clone, Copy, Debug)]
+pub struct Length {
+    /// Rounds of one event of each kind at most.
+    pub rounds: usize,
+    /// No round begins after this.
+    pub time: Duration,
+}
+
+/// A decision module in such a state.
+pub struct Load {
+    shape: Shape,
+    policy: Policy,
+    now: f64,
+    last_id: RequestId,
+    timer: u64,
+    running: VecDeque<RequestId>,
+    actions: Vec<Action>,
+    random: ChaCha8Rng,
+    clock: Duration,
+}
+
+impl Load {
+    /// Builds the state.
+    pub fn new(shape: Shape, seed: u64) -> Load {
+        let mut random = ChaCha8Rng::seed_from_u64(seed);
+        let settings = settings(shape, &mut random);
+        let mut load = Load {
+            shape,
+            policy: Policy::new(0.0, settings),
+            now: 0.0,
+            last_id: 0,
+            timer: 0,
+            running: VecDeque::new(),
+            actions: Vec::new(),
+            random,
+            clock: clock_cost(),
+        };
+        load.event(Event::Start);
+        for _ in 0..WARM_UP {
+            load.arrival();
+            load.ending();
+        }
+        for _ in 0..shape.running + shape.held {
+            load.arrival();
+        }
+        load
+    }
+
+    /// Requests that run.
+    pub fn running(&self) -> usize {
+        self.running.len()
+    }
+
+    /// One run: rounds of a timer, an arrival and an ending, so that the state stays as it is.
+    pub fn run(&mut self, length: Length) -> Costs {
+        let mut sums = [Duration::ZERO; 3];
+        let (began, mut rounds) = (Instant::now(), 0);
+        while rounds == 0 || rounds < length.rounds && began.elapsed() < length.time {
+            sums[0] += self.arrival();
+            sums[1] += self.ending();
+            sums[2] += self.timer();
+            rounds += 1;
+        }
+        let mean = |sum: Duration| sum.as_nanos() as f64 / rounds as f64;
+        Costs { arrival: mean(sums[0]), ending: mean(sums[1]), timer: mean(sums[2]) }
+    }
+
+    fn arrival(&mut self) -> Duration {
+        self.last_id += 1;
+        let arrival = Arrival {
+            id: self.last_id,
+            class: self.random.random_range(0..self.shape.classes),
+            tenant: self.random.random_range(0..self.shape.tenants.max(1)),
+            held_kb: 20.0,
+            rank: self.random.random::<f64>(),
+            ..Arrival::default()
+        };
+        self.event(Event::Arrive(arrival))
+    }
+
+    fn ending(&mut self) -> Duration {
+        let Some(id) = self.running.pop_front() else { return Duration::ZERO };
+        self.event(Event::Ended { id, outcome: Outcome::Ok, took_ms: RUN_MS })
+    }
+
+    fn timer(&mut self) -> Duration {
+        let gauges = Gauges {
+            busy: Some(1.0),
+            run_queue: Some(self.running.len() as f64),
+            memory: Some(0.1),
+            connections: Some(100.0),
+        };
+        self.event(Event::Timer { token: self.timer, gauges })
+    }
+
+    /// Gives an event to the module, and takes what it answers; how long the module took.
+    fn event(&mut self, event: Event) -> Duration {
+        self.now += STEP_MS;
+        self.actions.clear();
+        let began = Instant::now();
+        self.policy.on_event(self.now, event, &mut self.actions);
+        let took = began.elapsed().saturating_sub(self.clock);
+        for action in &self.actions {
+            match action {
+                Action::Run(id) => self.running.push_back(*id),
+                Action::Timer { token, .. } => self.timer = *token,
+                _ => {}
+            }
+        }
+        took
+    }
+}
+
+/// Settings under which just the wanted number runs and the others are held.
+fn settings(shape: Shape, random: &mut ChaCha8Rng) -> Settings {
+    let class = Class {
+        effect: Effect::Safe,
+        aim_ms: AIM_MS,
+        aim_stretch: 0.0,
+        give_up_ms: 2.0 * AIM_MS,
+        window_ms: 0.0,
+        worth: 1.0,
+        late_worth: 0.1,
+        calls: false,
+        skip_worth: 0.0,
+    };
+    // With none held, one more may run: the one that arrives.
+    let limit = shape.running + usize::from(shape.held == 0);
+    Settings {
+        servers: 7100.0,
+        cores: (limit as f64 + 0.5) / RUNS_PER_CORE,
+        survivable_per_core: SURVIVABLE_PER_CORE,
+        callers: 100.0,
+        idle_max_ms: 10_000.0,
+        classes: vec![class; shape.classes],
+        tenants: (0..shape.tenants).map(|_| random.random_range(1.0..10.0)).collect(),
+        ..Settings::default()
+    }
+}
+
+/// What two readings of the clock in a row are apart.
+fn clock_cost() -> Duration {
+    let mut readings: Vec<Duration> = (0..CLOCK_READINGS).map(|_| Instant::now().elapsed()).collect();
+    readings.sort_unstable();
+    readings[CLOCK_READINGS / 2]
+}
