--- a/crates/scale/src/lib.rs
+++ b/crates/scale/src/lib.rs
@@ -1,6 +1,7 @@
 //! Scale tests: what each part costs against its size, the fit of that cost and its value at the size of the target.
 
 pub mod child;
+pub mod descriptors;
 pub mod fit;
 pub mod machine;
 pub mod probes;
--- a/crates/scale/src/probes/daemon_connections.rs
+++ b/crates/scale/src/probes/daemon_connections.rs
@@ -5,12 +5,12 @@
 use super::daemon_process::{Daemon, Program};
 use super::daemon_site::{Size, Surroundings, tenant_name};
 use super::{Probe, ProbeOptions};
+use crate::descriptors::raise_limit;
 use crate::fit::Quantity;
 use crate::slope::{Point, Slope};
 use anyhow::{Context, Result, ensure};
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
-use rustix::process::{Resource, Rlimit, getrlimit, setrlimit};
 use std::time::{Duration, Instant};
 
 /// The sizes; a server of the target is measured up to the last one.
@@ -61,7 +61,7 @@
     fn run(&self, options: &ProbeOptions) -> Result<Vec<Slope>> {
         let program = Program::find(options.quick)?;
         let sizes = options.sizes(SIZES, QUICK_SIZES);
-        raise_descriptors(sizes.last().copied().unwrap_or(0) + OTHER_DESCRIPTORS)?;
+        raise_limit(sizes.last().copied().unwrap_or(0) + OTHER_DESCRIPTORS)?;
         let mut points: [Vec<Point>; FIGURES.len()] = Default::default();
         for &size in sizes {
             for &seed in options.seeds() {
@@ -88,21 +88,6 @@
     }
 }
 
-/// Raises the soft limit on descriptors of this program, which its children take over, as far as is needed.
-fn raise_descriptors(needed: u64) -> Result<()> {
-    let limit = getrlimit(Resource::Nofile);
-    if limit.current.is_none_or(|soft| soft >= needed) {
-        return Ok(());
-    }
-    ensure!(
-        limit.maximum.is_none_or(|hard| hard >= needed),
-        "{needed} descriptors are needed, and the hard limit is {:?}: raise it with `ulimit -Hn`",
-        limit.maximum
-    );
-    setrlimit(Resource::Nofile, Rlimit { current: Some(needed), maximum: limit.maximum })
-        .context("raising the soft limit on descriptors")
-}
-
 /// The figures of one daemon.
 struct Measured {
     memory_kb: f64,
--- a/crates/scale/src/probes/mod.rs
+++ b/crates/scale/src/probes/mod.rs
@@ -9,6 +9,9 @@
 mod open_loop;
 mod policy;
 mod policy_load;
+mod registry;
+mod registry_lists;
+mod registry_server;
 
 use crate::child::Load;
 use crate::slope::Slope;
@@ -62,6 +65,7 @@
         Box::new(daemon_tables::TablesProbe),
         Box::new(daemon_connections::ConnectionsProbe),
         Box::new(latency::LatencyProbe),
+        Box::new(registry::RegistryProbe),
     ]
 }
 
--- /dev/null
+++ b/crates/scale/src/probes/registry_server.rs
@@ -0,0 +1,161 @@
+//! A registry that counts: it takes reports over HTTP/1.1 as the protocol has them, answers each, and counts bytes,
+//! reports, connections and its own processor time.
+
+use anyhow::{Context, Result};
+use async_executor::LocalExecutor;
+use async_io::Async;
+use futures_lite::{AsyncReadExt, AsyncWriteExt};
+use rustix::time::{ClockId, clock_gettime};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::rc::Rc;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::thread::JoinHandle;
+
+/// The answer to a report.
+const ANSWER: &[u8] = b"HTTP/1.1 204 No Content\r\n\r\n";
+/// The longest report that is taken, bytes.
+const MAX_REPORT: usize = 16 * 1024;
+/// The header that tells the length of the body.
+const CONTENT_LENGTH: &str = "content-length:";
+/// Nanoseconds of a second.
+const NS_PER_SECOND: u64 = 1_000_000_000;
+
+/// What was counted so far.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Counts {
+    /// Reports taken.
+    pub reports: u64,
+    /// Their bytes, with headers.
+    pub report_bytes: u64,
+    /// The bytes of the answers, with headers.
+    pub answer_bytes: u64,
+    /// Connections accepted.
+    pub connections: u64,
+    /// Processor time of the registry's thread, ns, as of its last report.
+    pub processor_ns: u64,
+}
+
+impl Counts {
+    /// What came since earlier counts.
+    pub fn since(self, before: Counts) -> Counts {
+        Counts {
+            reports: self.reports - before.reports,
+            report_bytes: self.report_bytes - before.report_bytes,
+            answer_bytes: self.answer_bytes - before.answer_bytes,
+            connections: self.connections - before.connections,
+            processor_ns: self.processor_ns - before.processor_ns,
+        }
+    }
+}
+
+/// Counters that both threads see.
+#[derive(Default)]
+struct Counters {
+    reports: AtomicU64,
+    report_bytes: AtomicU64,
+    answer_bytes: AtomicU64,
+    connections: AtomicU64,
+    processor_ns: AtomicU64,
+}
+
+/// A running registry. Dropping it ends its thread.
+pub struct Registry {
+    address: SocketAddr,
+    counters: Arc<Counters>,
+    stop: Option<async_channel::Sender<()>>,
+    thread: Option<JoinHandle<()>>,
+}
+
+impl Registry {
+    /// Starts one.
+    ///
+    /// # Errors
+    /// If there is no port or thread.
+    pub fn start() -> Result<Registry> {
+        let listener = TcpListener::bind("127.0.0.1:0").context("a port for the registry")?;
+        let address = listener.local_addr()?;
+        let listener = Async::new(listener)?;
+        let counters = Arc::new(Counters::default());
+        let (stop, stopped) = async_channel::bounded::<()>(1);
+        let shared = counters.clone();
+        let thread = std::thread::Builder::new().name("registry".to_owned()).spawn(move || {
+            let executor = Rc::new(LocalExecutor::new());
+            executor.spawn(accept(listener, shared, executor.clone())).detach();
+            async_io::block_on(executor.run(async {
+                // An error is what is awaited: the owner is gone.
+                let _ = stopped.recv().await;
+            }));
+        })?;
+        Ok(Registry { address, counters, stop: Some(stop), thread: Some(thread) })
+    }
+
+    /// Where it listens.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// What it has counted so far.
+    pub fn counts(&self) -> Counts {
+        let of = |counter: &AtomicU64| counter.load(Ordering::Relaxed);
+        Counts {
+            reports: of(&self.counters.reports),
+            report_bytes: of(&self.counters.report_bytes),
+            answer_bytes: of(&self.counters.answer_bytes),
+            connections: of(&self.counters.connections),
+            processor_ns: of(&self.counters.processor_ns),
+        }
+    }
+}
+
+impl Drop for Registry {
+    fn drop(&mut self) {
+        self.stop.take();
+        if let Some(thread) = self.thread.take() {
+            let _ = thread.join();
+        }
+    }
+}
+
+async fn accept(listener: Async<TcpListener>, counters: Arc<Counters>, executor: Rc<LocalExecutor<'static>>) {
+    while let Ok((stream, _)) = listener.accept().await {
+        counters.connections.fetch_add(1, Ordering::Relaxed);
+        executor.spawn(serve(stream, counters.clone())).detach();
+    }
+}
+
+/// Takes reports until the connection ends or carries what is none.
+async fn serve(stream: Async<TcpStream>, counters: Arc<Counters>) {
+    let (mut received, mut chunk, mut stream) = (Vec::new(), vec![0; 1024], &stream);
+    while let Ok(read) = stream.read(&mut chunk).await {
+        if read == 0 || received.len() > MAX_REPORT {
+            return;
+        }
+        received.extend_from_slice(&chunk[..read]);
+        while let Some(length) = report_length(&received) {
+            received.drain(..length);
+            if stream.write_all(ANSWER).await.is_err() {
+                return;
+            }
+            counters.reports.fetch_add(1, Ordering::Relaxed);
+            counters.report_bytes.fetch_add(length as u64, Ordering::Relaxed);
+            counters.answer_bytes.fetch_add(ANSWER.len() as u64, Ordering::Relaxed);
+            counters.processor_ns.store(processor_ns(), Ordering::Relaxed);
+        }
+    }
+}
+
+/// The length of the whole report at the beginning of these bytes, if it is there.
+fn report_length(bytes: &[u8]) -> Option<usize> {
+    let head = bytes.windows(4).position(|four| four == b"\r\n\r\n")? + 4;
+    let text = std::str::from_utf8(&bytes[..head]).ok()?.to_ascii_lowercase();
+    let length = text.lines().find_map(|line| line.strip_prefix(CONTENT_LENGTH));
+    let whole = head + length.map_or(Some(0), |length| length.trim().parse().ok())?;
+    (bytes.len() >= whole).then_some(whole)
+}
+
+/// The processor time of this thread, ns.
+fn processor_ns() -> u64 {
+    let time = clock_gettime(ClockId::ThreadCPUTime);
+    time.tv_sec as u64 * NS_PER_SECOND + time.tv_nsec as u64
+}
