--- a/crates/scale/src/probes/daemon_client.rs
+++ b/crates/scale/src/probes/daemon_client.rs
@@ -91,6 +91,19 @@
     }
 }
 
+/// Says if some requests were not served. On a machine that is so busy that the daemon gets no time it rightly turns
+/// requests away; figures of the others stand as long as they are most of them.
+///
+/// # Errors
+/// If half of them or fewer were served.
+pub fn check_served(served: usize, requests: usize) -> Result<()> {
+    if served < requests {
+        eprintln!("{} of {requests} requests were not served", requests - served);
+    }
+    ensure!(served * 2 > requests, "only {served} of {requests} requests were served");
+    Ok(())
+}
+
 /// A request's bytes.
 pub fn request(id: u64, tenant: Option<&str>) -> Vec<u8> {
     let mut fields = vec![
--- a/crates/scale/src/probes/daemon_connections.rs
+++ b/crates/scale/src/probes/daemon_connections.rs
@@ -1,14 +1,14 @@
 //! The daemon against open connections of callers: memory at rest and with traffic, and the processor time of a request
 //! and of the connections alone.
 
-use super::daemon_client::Client;
+use super::daemon_client::{Client, check_served};
 use super::daemon_process::{Daemon, Program};
 use super::daemon_site::{Size, Surroundings, tenant_name};
 use super::{Probe, ProbeOptions};
 use crate::descriptors::raise_limit;
 use crate::fit::Quantity;
 use crate::slope::{Point, Slope};
-use anyhow::{Context, Result, ensure};
+use anyhow::{Context, Result};
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use std::time::{Duration, Instant};
@@ -144,12 +144,13 @@
 
 /// Sends requests one at a time, each on a connection by chance.
 fn serve(clients: &mut [Client], requests: usize, random: &mut ChaCha8Rng) -> Result<()> {
+    let mut served = 0;
     for _ in 0..requests {
         let at = random.random_range(0..clients.len());
         let tenant = tenant_name(random.random_range(0..TENANTS));
-        ensure!(clients[at].request(Some(&tenant))?, "a request was not served");
+        served += usize::from(clients[at].request(Some(&tenant))?);
     }
-    Ok(())
+    check_served(served, requests)
 }
 
 /// Processor time in a second with nothing to do, ns.
--- a/crates/scale/src/probes/daemon_tables.rs
+++ b/crates/scale/src/probes/daemon_tables.rs
@@ -1,13 +1,13 @@
 //! The daemon against the tables of its configuration: memory at rest, after requests and at its peak, the time to start
 //! and to reread, against tenants and against classes.
 
-use super::daemon_client::Client;
+use super::daemon_client::{Client, check_served};
 use super::daemon_process::{Daemon, Program};
 use super::daemon_site::{Size, Surroundings, tenant_name};
 use super::{Probe, ProbeOptions};
 use crate::fit::Quantity;
 use crate::slope::{Point, Slope};
-use anyhow::{Context, Result, ensure};
+use anyhow::{Context, Result};
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use std::path::Path;
@@ -141,7 +141,7 @@
         let tenant = tenant_name(random.random_range(0..size.tenants));
         served += usize::from(client.request(Some(&tenant))?);
     }
-    ensure!(served == requests, "{} of {requests} requests were not served", requests - served);
+    check_served(served, requests)?;
     let with_traffic = daemon.resident_kb()?;
     let reload_ms = daemon.reload()?;
     Ok([daemon.start_ms, reload_ms, at_rest, with_traffic, daemon.peak_resident_kb()?])
--- a/crates/scale/src/probes/latency.rs
+++ b/crates/scale/src/probes/latency.rs
@@ -3,7 +3,7 @@
 //! the difference of the two percentiles of the same run. Runs take next to no work, so that the pool's cores are idle
 //! and nothing is held: waiting for a busy machine is not what the daemon adds.
 
-use super::daemon_client;
+use super::daemon_client::{self, check_served};
 use super::daemon_process::{Daemon, Program};
 use super::daemon_site::{ROUTE, Size, Surroundings, start_pool, tenant_name};
 use super::open_loop::{self, Load, Outcome, Wire, percentile};
@@ -151,14 +151,8 @@
     if late > LATE_MS {
         eprintln!("at {rate} requests a second the load itself was {late:.2} ms late at 99 in 100 requests");
     }
-    for (outcome, name) in [(with, "with the daemon"), (without, "without it")] {
-        let of = outcome.late_ms.len();
-        if outcome.unserved > 0 {
-            eprintln!("at {rate} requests a second, {} of {of} were not served {name}", outcome.unserved);
-        }
-        ensure!(outcome.unserved * 2 < of, "{} of {of} requests were not served {name}", outcome.unserved);
-    }
-    Ok(())
+    check_served(with.latency_ms.len(), with.late_ms.len()).context("with the daemon")?;
+    check_served(without.latency_ms.len(), without.late_ms.len()).context("without the daemon")
 }
 
 fn connected(address: SocketAddr) -> Result<TcpStream> {
--- a/crates/scale/src/probes/open_loop.rs
+++ b/crates/scale/src/probes/open_loop.rs
@@ -51,8 +51,6 @@
     pub latency_ms: Vec<f64>,
     /// How late each request was sent, ms, sorted.
     pub late_ms: Vec<f64>,
-    /// Requests that were not served.
-    pub unserved: usize,
 }
 
 impl Outcome {
@@ -62,7 +60,6 @@
         self.late_ms.extend(&other.late_ms);
         self.latency_ms.sort_by(f64::total_cmp);
         self.late_ms.sort_by(f64::total_cmp);
-        self.unserved += other.unserved;
     }
 }
 
@@ -120,7 +117,6 @@
     }
     outcome.latency_ms.sort_by(f64::total_cmp);
     outcome.late_ms.sort_by(f64::total_cmp);
-    outcome.unserved = load.requests - outcome.latency_ms.len().min(load.requests);
     Ok(outcome)
 }
 
--- a/crates/scale/src/probes/policy.rs
+++ b/crates/scale/src/probes/policy.rs
@@ -12,9 +12,9 @@
 /// The state but for the size that varies.
 const USUAL: Shape = Shape { tenants: 40, classes: 8, held: 0, running: 8 };
 /// Runs of the load at each size and seed.
-const RUNS: usize = 7;
+const RUNS: usize = 5;
 /// How long a run is.
-const LENGTH: Length = Length { rounds: 400, time: Duration::from_millis(40) };
+const LENGTH: Length = Length { rounds: 400, time: Duration::from_millis(25) };
 /// How long one is that only shows that the probe works.
 const QUICK_LENGTH: Length = Length { rounds: 20, time: Duration::from_millis(10) };
 
