--- a/crates/scale/src/probes/daemon_connections.rs
+++ b/crates/scale/src/probes/daemon_connections.rs
@@ -102,8 +102,6 @@
         let daemon = Daemon::start(program, &around.config)?;
         let mut random = ChaCha8Rng::seed_from_u64(seed);
         let mut clients = connect(&daemon, size)?;
-        // With no arrivals the daemon would tell idle connections to close.
-        serve(&mut clients, 1, &mut random)?;
         let memory_kb = daemon.resident_kb()?;
         let rest_ns_per_s = rest(&daemon, if options.quick { QUICK_REST } else { REST })?;
         let requests = if options.quick { QUICK_REQUESTS } else { REQUESTS };
@@ -125,7 +123,8 @@
     }
 }
 
-/// Opens connections, each of which asks for the daemon's health once: one that never asks for anything is closed.
+/// Opens connections. Each asks for the daemon's health once, since one that never asks for anything is closed; that they
+/// are idle closes none, as the daemon has served a request and its configuration has callers keep connections.
 fn connect(daemon: &Daemon, size: usize) -> Result<Vec<Client>> {
     let mut clients: Vec<Client> = Vec::with_capacity(size);
     while clients.len() < size {
--- a/crates/scale/src/probes/daemon_process.rs
+++ b/crates/scale/src/probes/daemon_process.rs
@@ -1,6 +1,7 @@
 //! A real round server as a process of its own: started until it answers, reread, looked at, and ended with its owner.
 
 use super::daemon_client::Client;
+use super::daemon_site::tenant_name;
 use anyhow::{Context, Result, bail, ensure};
 use rustix::process::{Pid, Signal, kill_process};
 use serde_json::Value;
@@ -14,6 +15,8 @@
 
 /// How long a start or a rereading may take.
 const PATIENCE: Duration = Duration::from_secs(60);
+/// Between two tries to be served.
+const BETWEEN_TRIES: Duration = Duration::from_millis(2);
 /// Log lines that wait to be read; further ones are dropped.
 const LOG_LINES: usize = 1000;
 /// The last log lines that a message of a failure shows.
@@ -76,7 +79,8 @@
 }
 
 impl Daemon {
-    /// Starts the program with a configuration file, and waits until it answers a health check.
+    /// Starts the program with a configuration file, and waits until it answers a health check and, as it has its link
+    /// to the worker pool, a request.
     ///
     /// # Errors
     /// If it does not start or does not answer.
@@ -94,8 +98,10 @@
         let line = daemon.wait_for("serving")?;
         let listen = line["listen"].as_str().context("the daemon does not say where it listens")?;
         daemon.address = listen.parse().with_context(|| format!("the daemon's address `{listen}`"))?;
-        Client::connect(daemon.address)?.check_health()?;
+        let mut client = Client::connect(daemon.address)?;
+        client.check_health()?;
         daemon.start_ms = milliseconds(began);
+        wait_until_served(&mut client)?;
         Ok(daemon)
     }
 
@@ -181,6 +187,16 @@
     }
 }
 
+/// Asks again until a request is served: without a link to the worker pool the daemon turns all away.
+fn wait_until_served(client: &mut Client) -> Result<()> {
+    let (began, tenant) = (Instant::now(), tenant_name(0));
+    while !client.request(Some(&tenant))? {
+        ensure!(began.elapsed() < PATIENCE, "the daemon serves no request");
+        std::thread::sleep(BETWEEN_TRIES);
+    }
+    Ok(())
+}
+
 /// Reads the log to its end, so that the daemon never waits for it.
 fn read_log(stderr: ChildStderr) -> Receiver<String> {
     let (lines, log) = sync_channel(LOG_LINES);
--- a/crates/scale/src/probes/mod.rs
+++ b/crates/scale/src/probes/mod.rs
@@ -6,7 +6,7 @@
 mod daemon_site;
 mod daemon_tables;
 mod latency;
-mod open_loop;
+pub mod open_loop;
 mod policy;
 mod policy_load;
 mod registry;
