Slopes of membership, fleet limits, keyed table, ledger and store

Nothing measured these against the size of the target. Membership::learn takes members known from elsewhere, so that a fleet need not be started cold for each figure: foca walks all members for each update.

--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -243,6 +243,16 @@
         Ok(())
     }
 
+    /// Takes members known from elsewhere as alive, such as those of a registry's list or of a view kept on disk. Nobody
+    /// is told of them, and what SWIM hears of them later overrules it.
+    pub fn learn(&mut self, now: Millis, members: impl IntoIterator<Item = Id>) -> Result<(), Failed> {
+        self.now = self.now.max(now);
+        let alive = members.into_iter().map(foca::Member::alive);
+        self.foca.apply_many(alive, false, &mut self.runtime).map_err(|e| Failed(e.to_string()))?;
+        self.settle();
+        Ok(())
+    }
+
     /// Takes a datagram that arrived now. Returns whether it was taken; one that was not is counted.
     pub fn on_datagram(&mut self, now: Millis, datagram: &[u8]) -> bool {
         self.now = self.now.max(now);
--- a/crates/fleet/tests/swim.rs
+++ b/crates/fleet/tests/swim.rs
@@ -223,3 +223,27 @@
     assert_eq!(after.received, before.received);
     assert_eq!(member.up(), 2);
 }
+
+/// A member that learned of others elsewhere has them in its view without a datagram, tells nobody, and declares down
+/// those that do not answer.
+#[test]
+fn members_learned_elsewhere_are_held_to_answer() {
+    let seed = 5;
+    println!("seed {seed}");
+    let mut net = Net::new(seed, 3, 0.0);
+    net.run(2_000);
+    let mut late =
+        Membership::new(Id { addr: addr(3), start: 1, bump: 0 }, &settings(), seed, 2_000).unwrap();
+    let known: Vec<Id> = net.members.iter().flatten().map(|member| *member.me()).collect();
+    let gone = Id { addr: addr(9), start: 1, bump: 0 };
+    late.learn(2_000, known.iter().copied().chain([gone])).unwrap();
+    assert_eq!(late.up(), 4);
+    assert!(late.take_datagrams().is_empty());
+    net.members.push(Some(late));
+    net.seen.push(Vec::new());
+    net.run(2_000 + 2 * settings().detection_bound(5));
+    let late = net.members[3].as_ref().unwrap();
+    assert!(known.iter().all(|id| late.members().any(|(other, how)| other == id && how == Standing::Alive)));
+    assert!(net.all_see_down(&gone));
+    assert!(net.members.iter().flatten().all(|member| member.up() == 3));
+}
--- a/crates/scale/src/child.rs
+++ b/crates/scale/src/child.rs
@@ -4,6 +4,7 @@
 use crate::machine::resident_bytes;
 use crate::probes;
 use anyhow::{Context, Result, bail};
+use serde::de::DeserializeOwned;
 use std::process::Command;
 
 /// Options of the hidden command.
@@ -20,12 +21,19 @@
 /// A load for a process of its own: builds its state and keeps it until it has called [`Growth::bytes`].
 pub type Load = fn(size: u64, seed: u64) -> Result<f64>;
 
-/// Runs a load in this process and prints its figure.
+/// A load with several figures: its report as JSON.
+pub type ReportingLoad = fn(size: u64, seed: u64) -> Result<String>;
+
+/// Runs a load in this process and prints its figure or its report, either of them as JSON.
 ///
 /// # Errors
 /// If there is no such load, or it fails.
 pub fn run(options: &Options) -> Result<()> {
-    let loads = probes::child_loads();
+    if let Some((_, load)) = probes::child_loads().iter().find(|(name, _)| *name == options.load) {
+        println!("{}", load(options.size, options.seed)?);
+        return Ok(());
+    }
+    let loads = probes::reporting_loads();
     let Some((_, load)) = loads.iter().find(|(name, _)| *name == options.load) else {
         bail!("no load `{}`", options.load);
     };
@@ -38,6 +46,14 @@
 /// # Errors
 /// If the program cannot be started, fails, or prints no number.
 pub fn measure(load: &str, size: u64, seed: u64) -> Result<f64> {
+    report(load, size, seed)
+}
+
+/// Starts this program again for one load and returns its report.
+///
+/// # Errors
+/// If the program cannot be started, fails, or prints no such report.
+pub fn report<T: DeserializeOwned>(load: &str, size: u64, seed: u64) -> Result<T> {
     let program = std::env::current_exe().context("the path of this program")?;
     let arguments = ["child".to_owned(), load.to_owned(), size.to_string(), seed.to_string()];
     let output =
@@ -46,7 +62,7 @@
         bail!("load `{load}` at {size}: {}", String::from_utf8_lossy(&output.stderr).trim());
     }
     let text = String::from_utf8_lossy(&output.stdout);
-    text.trim().parse().with_context(|| format!("load `{load}` printed `{}`", text.trim()))
+    serde_json::from_str(text.trim()).with_context(|| format!("load `{load}` printed `{}`", text.trim()))
 }
 
 /// Growth of this process's resident memory.
--- a/crates/scale/src/fit.rs
+++ b/crates/scale/src/fit.rs
@@ -178,17 +178,25 @@
 }
 
 impl Quantity {
-    /// The slope through `points`: its fit, and its value at the target with the error.
+    /// The slope through `points`: its fit, and its value at the target with the error. Where the target was measured
+    /// by one seed alone, the error is how far the fit of the other sizes lies from that.
     pub fn slope(&self, points: Vec<Point>) -> Slope {
         let fit = Fit::best(&points, self.target_size);
-        let at_the_target: Vec<f64> =
-            points.iter().filter(|point| point.size == self.target_size).map(|point| point.median).collect();
-        let measured_at_target = !at_the_target.is_empty();
-        let (at_target, at_target_error) = if measured_at_target {
-            (median(&at_the_target), spread(&at_the_target))
-        } else {
-            let error = fit.relative_error.max(seed_spread(&fit, &points, self.target_size));
-            (fit.at(self.target_size), error)
+        let (there, elsewhere): (Vec<&Point>, Vec<&Point>) =
+            points.iter().partition(|point| point.size == self.target_size);
+        let there: Vec<f64> = there.iter().map(|point| point.median).collect();
+        let measured_at_target = !there.is_empty();
+        let (at_target, at_target_error) = match there[..] {
+            [] => {
+                let error = fit.relative_error.max(seed_spread(&fit, &points, self.target_size));
+                (fit.at(self.target_size), error)
+            }
+            [one] if one != 0.0 && !elsewhere.is_empty() => {
+                let elsewhere: Vec<Point> = elsewhere.into_iter().cloned().collect();
+                let fitted = Fit::best(&elsewhere, self.target_size).at(self.target_size);
+                (one, (fitted - one).abs() / one.abs())
+            }
+            _ => (median(&there), spread(&there)),
         };
         Slope {
             id: self.id.to_owned(),
--- /dev/null
+++ b/crates/scale/src/probes/fleet/mod.rs
@@ -0,0 +1,143 @@
+//! Membership: what a member sends, computes and holds, and how fast word of others reaches it.
+
+mod days;
+mod network;
+mod series;
+mod watch;
+
+use crate::child::{self, Growth};
+use crate::fit::Quantity;
+use crate::probes::sample::{in_parallel, points};
+use crate::probes::{Probe, ProbeOptions};
+use crate::slope::{Point, Slope};
+use anyhow::{Result, anyhow};
+use days::{CalmDays, Days, TARGET_MEMBERS, settings};
+use dunlinspread_fleet::{Id, Membership};
+use network::address;
+use series::{CALM_SERIES, SERIES};
+
+/// The sizes of a fleet that is played, the largest first, since it takes the most time.
+const SIZES: &[u64] = &[3_000, 1_000, 300, 100];
+const QUICK_SIZES: &[u64] = &[40, 20];
+
+/// The sizes of a view whose memory is measured.
+const VIEW_SIZES: &[u64] = &[100, 1_000, 3_000, TARGET_MEMBERS];
+const QUICK_VIEW_SIZES: &[u64] = &[100, 200];
+
+/// Members in all views whose memory is measured together: enough for a figure well above the grain of a page.
+const VIEWED_MEMBERS: u64 = 60_000;
+
+/// The name of the load that plays all scenes.
+pub const DAYS_LOAD: &str = "fleet";
+
+/// The name of the load that plays the scenes of the large run.
+pub const CALM_LOAD: &str = "fleet-calm";
+
+/// The name of the load that measures the memory of a view.
+pub const VIEW_LOAD: &str = "fleet-view";
+
+/// The seed of the large run.
+const LARGE_SEED: u64 = 1;
+
+/// The probe of `crates/fleet`.
+pub struct FleetProbe;
+
+impl Probe for FleetProbe {
+    fn prefix(&self) -> &'static str {
+        "fleet"
+    }
+
+    fn run(&self, options: &ProbeOptions) -> Result<Vec<Slope>> {
+        let played = play(options)?;
+        let mut slopes: Vec<Slope> = SERIES.iter().map(|series| series.slope(&played, &[])).collect();
+        let calm: Vec<(Played, CalmDays)> =
+            played.iter().map(|(played, days)| (*played, days.calm)).collect();
+        let large = if options.large { vec![play_large()?] } else { Vec::new() };
+        slopes.extend(CALM_SERIES.iter().map(|series| series.slope(&calm, &large)));
+        slopes.push(view_slope(options)?);
+        Ok(slopes)
+    }
+}
+
+/// The size and the seed of a fleet that was played.
+type Played = (u64, u64);
+
+/// Plays the scenes at all sizes and seeds, in processes of their own.
+fn play(options: &ProbeOptions) -> Result<Vec<(Played, Days)>> {
+    let sizes = options.sizes(SIZES, QUICK_SIZES);
+    let inputs: Vec<Played> =
+        sizes.iter().flat_map(|size| options.seeds().iter().map(|seed| (*size, *seed))).collect();
+    let days = in_parallel(&inputs, |(size, seed)| child::report(DAYS_LOAD, *size, *seed))?;
+    let mut played: Vec<(Played, Days)> = inputs.into_iter().zip(days).collect();
+    played.sort_by_key(|(played, _)| *played);
+    Ok(played)
+}
+
+/// Plays the scenes of the large run.
+fn play_large() -> Result<(Played, CalmDays)> {
+    Ok(((TARGET_MEMBERS, LARGE_SEED), child::report(CALM_LOAD, TARGET_MEMBERS, LARGE_SEED)?))
+}
+
+/// A report of all scenes at one size.
+///
+/// # Errors
+/// As [`days::play`].
+pub fn days_load(size: u64, seed: u64) -> Result<String> {
+    Ok(serde_json::to_string(&days::play(size, seed)?)?)
+}
+
+/// A report of the scenes of the large run at one size.
+///
+/// # Errors
+/// As [`days::play_calm`].
+pub fn calm_load(size: u64, seed: u64) -> Result<String> {
+    Ok(serde_json::to_string(&days::play_calm(size, seed)?)?)
+}
+
+/// The memory of one member's view against its members.
+fn view_slope(options: &ProbeOptions) -> Result<Slope> {
+    let sizes = options.sizes(VIEW_SIZES, QUICK_VIEW_SIZES);
+    let points: Vec<Point> =
+        points(sizes, options.seeds(), |size, seed| Ok(vec![child::measure(VIEW_LOAD, size, seed)?]))?;
+    let quantity = Quantity {
+        id: "fleet.view_bytes.members",
+        quantity: "resident memory of one member's membership, all others just heard of",
+        unit: "bytes",
+        against: "members",
+        fixed: &[("max_members", 10_000.0)],
+        target_size: TARGET_MEMBERS as f64,
+    };
+    Ok(quantity.slope(points))
+}
+
+/// Bytes of resident memory of the view of a member that has heard of all others by their own words.
+///
+/// # Errors
+/// If SWIM fails.
+pub fn view_load(size: u64, seed: u64) -> Result<f64> {
+    let views = (VIEWED_MEMBERS / size).max(1);
+    let place_of_view = |view: u64| (size + view) as usize;
+    let member = |place: usize| {
+        let id = Id { addr: address(place), start: 1, bump: 0 };
+        Membership::new(id, &settings(), seed + place as u64, 0)
+    };
+    let observers: Vec<_> = (0..views).map(|view| address(place_of_view(view))).collect();
+    let mut announcements = Vec::new();
+    for place in 0..size - 1 {
+        let mut other = member(place as usize)?;
+        other.join(0, &observers).map_err(|error| anyhow!("{error}"))?;
+        announcements.push(other.take_datagrams());
+    }
+    let growth = Growth::begin();
+    let mut kept = Vec::new();
+    for view in 0..views {
+        let mut observer = member(place_of_view(view))?;
+        for datagrams in &announcements {
+            observer.on_datagram(0, &datagrams[view as usize].1);
+            observer.take_datagrams();
+        }
+        observer.take_changes();
+        kept.push(observer);
+    }
+    Ok(growth.bytes() / kept.len() as f64)
+}
--- /dev/null
+++ b/crates/scale/src/probes/fleet/watch.rs
@@ -0,0 +1,97 @@
+//! How word of some members spreads: when each running member first knows that each of them is up, or down.
+
+use super::network::{Network, place_of};
+use dunlinspread_fleet::{Change, Id, Millis, Standing};
+use std::collections::HashMap;
+
+/// What is to be known.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Wanted {
+    /// That they are up.
+    Up,
+    /// That they are down.
+    Down,
+}
+
+/// A watch over some members.
+pub struct Watch {
+    wanted: Wanted,
+    since: Millis,
+    /// The members by place, with their position and start.
+    subjects: HashMap<usize, (usize, u64)>,
+    places: usize,
+    /// Which observer has yet to learn of which subject.
+    pending: Vec<bool>,
+    left: usize,
+    /// When each of those that know learned it, ms after the beginning.
+    learned: Vec<u32>,
+}
+
+impl Watch {
+    /// From now on, for everyone who runs and does not know it yet. `subjects` themselves do not observe.
+    pub fn begin(network: &Network, places: usize, wanted: Wanted, subjects: &[Id]) -> Watch {
+        let positions = subjects.iter().enumerate();
+        let subjects: HashMap<usize, (usize, u64)> =
+            positions.map(|(position, id)| (place_of(&id.addr), (position, id.start))).collect();
+        let mut watch = Watch {
+            wanted,
+            since: network.now(),
+            pending: vec![false; subjects.len() * places],
+            subjects,
+            places,
+            left: 0,
+            learned: Vec::new(),
+        };
+        let observers = network.running().filter(|(place, _)| !watch.subjects.contains_key(place));
+        let mut pending = std::mem::take(&mut watch.pending);
+        for (observer, member) in observers {
+            for (position, _) in watch.subjects.values() {
+                pending[position * places + observer] = wanted == Wanted::Up;
+            }
+            for (id, standing) in member.members().filter(|(_, standing)| *standing != Standing::Down) {
+                if let Some(position) = watch.position(id) {
+                    // Up in this view: known already if that is wanted, to be learned otherwise.
+                    pending[position * places + observer] = wanted == Wanted::Down;
+                    let _ = standing;
+                }
+            }
+        }
+        watch.left = pending.iter().filter(|pending| **pending).count();
+        watch.pending = pending;
+        watch
+    }
+
+    /// The position of a member among those watched.
+    fn position(&self, id: &Id) -> Option<usize> {
+        let (position, start) = self.subjects.get(&place_of(&id.addr))?;
+        (id.start == *start).then_some(*position)
+    }
+
+    /// A change of an observer's view.
+    pub fn on_change(&mut self, now: Millis, observer: usize, change: &Change) {
+        let known = match (self.wanted, change) {
+            (Wanted::Up, Change::Up(id) | Change::Renamed(_, id)) => id,
+            (Wanted::Down, Change::Down(id)) => id,
+            _ => return,
+        };
+        let Some(position) = self.position(known) else { return };
+        let pending = &mut self.pending[position * self.places + observer];
+        if std::mem::take(pending) {
+            self.left -= 1;
+            self.learned.push((now - self.since) as u32);
+        }
+    }
+
+    /// Whether everyone knows of everyone.
+    pub fn is_complete(&self) -> bool {
+        self.left == 0
+    }
+
+    /// The time, in seconds, by which this part of all pairs of observer and subject knew; none if fewer do so far.
+    pub fn seconds(&mut self, part: f64) -> Option<f64> {
+        self.learned.sort_unstable();
+        let all = self.learned.len() + self.left;
+        let rank = (all as f64 * part).ceil().max(1.0) as usize - 1;
+        self.learned.get(rank).map(|milliseconds| f64::from(*milliseconds) / 1000.0)
+    }
+}
--- /dev/null
+++ b/crates/scale/src/probes/keyed.rs
@@ -0,0 +1,160 @@
+//! The table of keys: what a key holds, and what an arrival and a sweep cost.
+
+use crate::child::{self, Growth};
+use crate::fit::Quantity;
+use crate::probes::sample::{nanoseconds, points};
+use crate::probes::{Probe, ProbeOptions};
+use crate::slope::{Point, Slope};
+use anyhow::{Result, ensure};
+use dunlinspread_keyed::{Bounds, Ending, Known, Span, Table};
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use std::hint::black_box;
+use std::rc::Rc;
+
+const SIZES: &[u64] = &[1_000, 10_000, 100_000, 1_000_000];
+const QUICK_SIZES: &[u64] = &[1_000, 2_000];
+
+/// Keys that the daemon allows with 256 MB: a tenth of them, at 400 bytes each.
+const TARGET_KEYS: f64 = 67_108.0;
+
+/// Bytes of a key, and of a result.
+const KEY_BYTES: usize = 16;
+const RESULT_BYTES: usize = 64;
+
+/// The times of the class: nothing ends while it is measured.
+const SPAN: Span = Span { window_ms: 60_000.0, read_late_ms: 5_000.0 };
+
+/// Arrivals in a run, and runs.
+const ARRIVALS: u64 = 10_000;
+const QUICK_ARRIVALS: u64 = 100;
+const RUNS: usize = 5;
+
+/// The name of the load whose memory is measured.
+pub const LOAD: &str = "keyed";
+
+const FIXED: &[(&str, f64)] = &[("key_bytes", KEY_BYTES as f64), ("result_bytes", RESULT_BYTES as f64)];
+
+const FIRST: Quantity = Quantity {
+    id: "keyed.first_ns.keys",
+    quantity: "a new key arrives, runs, and its result is kept",
+    unit: "ns",
+    against: "keys in the table",
+    fixed: FIXED,
+    target_size: TARGET_KEYS,
+};
+const REPEAT: Quantity =
+    Quantity { id: "keyed.repeat_ns.keys", quantity: "a repeat arrives and takes the result", ..FIRST };
+const SWEEP: Quantity =
+    Quantity { id: "keyed.sweep_ns.keys", quantity: "a sweep that frees nothing", ..FIRST };
+const MEMORY: Quantity = Quantity {
+    id: "keyed.table_bytes.keys",
+    quantity: "resident memory of the table, results included",
+    unit: "bytes",
+    ..FIRST
+};
+
+/// The probe of `crates/keyed`.
+pub struct KeyedProbe;
+
+impl Probe for KeyedProbe {
+    fn prefix(&self) -> &'static str {
+        "keyed"
+    }
+
+    fn run(&self, options: &ProbeOptions) -> Result<Vec<Slope>> {
+        let sizes = options.sizes(SIZES, QUICK_SIZES);
+        let (mut first, mut repeat, mut sweep): (Vec<Point>, Vec<Point>, Vec<Point>) = Default::default();
+        for &size in sizes {
+            for &seed in options.seeds() {
+                let mut load = Load::new(size, seed)?;
+                let point = |runs: Vec<f64>| Point::of(size as f64, seed, &runs);
+                first.push(point(load.first_ns(options)));
+                repeat.push(point(load.repeat_ns(options)));
+                sweep.push(point(nanoseconds(options.runs(RUNS), 1, || load.table.sweep(1.0))));
+            }
+        }
+        let memory =
+            points(sizes, options.seeds(), |size, seed| Ok(vec![child::measure(LOAD, size, seed)?]))?;
+        Ok(vec![FIRST.slope(first), REPEAT.slope(repeat), SWEEP.slope(sweep), MEMORY.slope(memory)])
+    }
+}
+
+/// A table with so many keys that ran, and their results.
+struct Load {
+    table: Table<Rc<[u8]>>,
+    rng: ChaCha8Rng,
+    keys: Vec<Rc<[u8]>>,
+    next: u64,
+}
+
+impl Load {
+    fn new(keys: u64, seed: u64) -> Result<Load> {
+        let bounds = Bounds { keys: usize::MAX, result_bytes: usize::MAX };
+        let table = Table::new(bounds, vec![SPAN]);
+        let mut load = Load { table, rng: ChaCha8Rng::seed_from_u64(seed), keys: Vec::new(), next: 0 };
+        for _ in 0..keys {
+            let key = load.new_key();
+            ensure!(load.run(&key), "a new key did not run");
+            load.keys.push(key);
+        }
+        Ok(load)
+    }
+
+    fn new_key(&mut self) -> Rc<[u8]> {
+        let bytes: [u8; KEY_BYTES] = self.rng.random();
+        Rc::from(&bytes[..])
+    }
+
+    /// A new key arrives, runs, and has its result.
+    fn run(&mut self, key: &Rc<[u8]>) -> bool {
+        self.next += 1;
+        let id = self.next;
+        let is_new = self.table.arrive(key, 0, 7, id, 0.0) == Known::New;
+        let runs = self.table.run(key, 7, id, 0.0).is_ok();
+        black_box(self.table.ended(key, id, Ending::Result(Rc::from([0; RESULT_BYTES]))));
+        self.table.over(key, id);
+        is_new && runs
+    }
+
+    fn first_ns(&mut self, options: &ProbeOptions) -> Vec<f64> {
+        let arrivals = if options.quick { QUICK_ARRIVALS } else { ARRIVALS };
+        let runs = options.runs(RUNS);
+        let keys: Vec<Vec<Rc<[u8]>>> =
+            (0..runs).map(|_| (0..arrivals).map(|_| self.new_key()).collect()).collect();
+        let mut keys = keys.into_iter();
+        nanoseconds(runs, arrivals, || {
+            for key in keys.next().unwrap_or_default() {
+                black_box(self.run(&key));
+            }
+        })
+    }
+
+    fn repeat_ns(&mut self, options: &ProbeOptions) -> Vec<f64> {
+        let arrivals = if options.quick { QUICK_ARRIVALS } else { ARRIVALS };
+        let picks: Vec<Rc<[u8]>> =
+            (0..arrivals).map(|_| self.keys[self.rng.random_range(0..self.keys.len())].clone()).collect();
+        nanoseconds(options.runs(RUNS), arrivals, || {
+            for key in &picks {
+                self.next += 1;
+                black_box(self.table.arrive(key, 0, 7, self.next, 1.0));
+                black_box(self.table.reuse(key, self.next, 1.0));
+                self.table.over(key, self.next);
+            }
+        })
+    }
+}
+
+/// Resident bytes of a table of so many keys.
+///
+/// # Errors
+/// If a key does not run.
+pub fn table_load(keys: u64, seed: u64) -> Result<f64> {
+    let growth = Growth::begin();
+    let mut load = Load::new(keys, seed)?;
+    // The table has the keys; the list of them is the probe's.
+    load.keys = Vec::new();
+    let bytes = growth.bytes();
+    black_box(load.table.len());
+    Ok(bytes)
+}
--- /dev/null
+++ b/crates/scale/src/probes/ledger.rs
@@ -0,0 +1,270 @@
+//! The ledger: what an answer costs to bill, what open aggregates hold, and what goes to the disk and to the collector.
+
+use crate::fit::Quantity;
+use crate::probes::sample::{nanoseconds, points};
+use crate::probes::{Probe, ProbeOptions};
+use crate::slope::Slope;
+use anyhow::{Result, ensure};
+use dunlinspread_ledger::batch::{Batch, Item};
+use dunlinspread_ledger::{
+    Account, Action, Amount, Book, Close, Key, Mode, OnFailure, Outcome, Rules, State, Table, Use,
+};
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use std::hint::black_box;
+
+/// Tenants of the target.
+const TARGET_TENANTS: u64 = 390_000;
+
+const SIZES: &[u64] = &[10, 1_000, 100_000, TARGET_TENANTS];
+const QUICK_SIZES: &[u64] = &[10, 100];
+
+/// Answers in a run, and runs.
+const ANSWERS: u64 = 200_000;
+const QUICK_ANSWERS: u64 = 1_000;
+const RUNS: usize = 5;
+
+/// Requests a second of a server of the target: 2,000,000 on 7,100 servers.
+const REQUESTS_PER_SECOND: u64 = 282;
+
+/// How long the disk is watched, s.
+const DISK_SECONDS: u64 = 60;
+
+/// The length of a period, and the time between commits.
+const PERIOD_MS: u64 = 900_000;
+const COMMIT_MS: u64 = 50;
+
+/// Bytes that the store adds to a commit and to a record.
+const FRAME_BYTES: u64 = 36;
+const RECORD_BYTES: u64 = 8;
+
+/// A time after 2020, at which a period begins.
+const START_MS: u64 = 1_700_000_100_000 - 1_700_000_100_000 % PERIOD_MS;
+
+const AMOUNT: Amount = Amount { requests: 1, pool_us: 20_000, bytes_in: 200, bytes_out: 300 };
+
+const BILL: Quantity = Quantity {
+    id: "ledger.bill_ns.tenants",
+    quantity: "an answer is billed in interval mode, its lines made, the store done at once",
+    unit: "ns",
+    against: "tenants",
+    fixed: &[("commit_ms", COMMIT_MS as f64), ("requests_per_second", REQUESTS_PER_SECOND as f64)],
+    target_size: TARGET_TENANTS as f64,
+};
+const STRICT_BILL: Quantity = Quantity {
+    id: "ledger.strict_bill_ns.tenants",
+    quantity: "an answer is billed in strict mode, one at a time",
+    fixed: &[],
+    ..BILL
+};
+const DISK: Quantity = Quantity {
+    id: "ledger.disk_bytes_per_second.tenants",
+    quantity: "records of use to the disk at the target's rate of a server, with the store's frames",
+    unit: "bytes/s",
+    ..BILL
+};
+const ADD: Quantity = Quantity {
+    id: "ledger.add_ns.tenants",
+    quantity: "an amount is added to an open aggregate",
+    fixed: &[],
+    ..BILL
+};
+const MEMORY: Quantity = Quantity {
+    id: "ledger.table_bytes.tenants",
+    quantity: "open aggregates, one a tenant and period, counted by the table",
+    unit: "bytes",
+    fixed: &[("classes", 1.0), ("outcomes", 1.0)],
+    ..BILL
+};
+const BATCH: Quantity = Quantity {
+    id: "ledger.batch_bytes.tenants",
+    quantity: "sealed batches of a period to the collector, an item a tenant",
+    unit: "bytes",
+    fixed: &[("classes", 1.0), ("outcomes", 1.0)],
+    ..BILL
+};
+
+/// The probe of `crates/ledger`.
+pub struct LedgerProbe;
+
+impl Probe for LedgerProbe {
+    fn prefix(&self) -> &'static str {
+        "ledger"
+    }
+
+    fn run(&self, options: &ProbeOptions) -> Result<Vec<Slope>> {
+        let sizes = options.sizes(SIZES, QUICK_SIZES);
+        let seeds = options.seeds();
+        let interval = Mode::Interval { every_ms: COMMIT_MS, at_risk: 1_000 };
+        Ok(vec![
+            BILL.slope(points(sizes, seeds, |size, seed| bill_ns(options, size, seed, interval))?),
+            STRICT_BILL.slope(points(sizes, seeds, |size, seed| bill_ns(options, size, seed, Mode::Strict))?),
+            DISK.slope(points(sizes, seeds, |size, seed| Ok(vec![disk_rate(size, seed, interval)?]))?),
+            ADD.slope(points(sizes, seeds, |size, seed| Ok(add_ns(options, size, seed)))?),
+            MEMORY.slope(points(sizes, seeds, |size, _| Ok(vec![table_of(&names(size)).bytes() as f64]))?),
+            BATCH.slope(points(sizes, seeds, |size, _| Ok(vec![batch_bytes(&names(size))]))?),
+        ])
+    }
+}
+
+fn names(tenants: u64) -> Vec<String> {
+    (0..tenants).map(|tenant| format!("tenant-{tenant:06}")).collect()
+}
+
+fn key(name: &str) -> Key<'_> {
+    Key { period: START_MS, society: name, class: 0, outcome: Outcome::Served }
+}
+
+/// A table with an aggregate for each tenant.
+fn table_of(names: &[String]) -> Table {
+    let mut table = Table::new(1 << 24);
+    for name in names {
+        table.add(key(name), &AMOUNT);
+    }
+    table
+}
+
+/// Which tenant each answer is for.
+fn picks(count: u64, tenants: u64, seed: u64) -> Vec<usize> {
+    let mut rng = ChaCha8Rng::seed_from_u64(seed);
+    (0..count).map(|_| rng.random_range(0..tenants) as usize).collect()
+}
+
+fn answers(options: &ProbeOptions) -> u64 {
+    if options.quick { QUICK_ANSWERS } else { ANSWERS }
+}
+
+fn add_ns(options: &ProbeOptions, tenants: u64, seed: u64) -> Vec<f64> {
+    let names = names(tenants);
+    let mut table = table_of(&names);
+    let picks = picks(answers(options), tenants, seed);
+    nanoseconds(options.runs(RUNS), picks.len() as u64, || {
+        for pick in &picks {
+            black_box(table.add(key(&names[*pick]), &AMOUNT));
+        }
+    })
+}
+
+/// A ledger whose store is done at once.
+struct Load {
+    book: Book,
+    names: Vec<String>,
+    actions: Vec<Action>,
+    now: u64,
+    records: u64,
+    commits: u64,
+    bytes: u64,
+}
+
+impl Load {
+    fn new(tenants: u64, mode: Mode) -> Load {
+        let rules = Rules {
+            period_ms: PERIOD_MS,
+            grace_ms: 5_000,
+            mode,
+            on_failure: OnFailure::Refuse,
+            classes: vec!["a".to_owned()],
+            cells: 1 << 20,
+            records: 64,
+        };
+        let mut actions = Vec::new();
+        let book = Book::start(START_MS, rules, State::default(), 1, true, &mut actions);
+        let names = names(tenants);
+        let mut load = Load { book, names, actions, now: START_MS, records: 0, commits: 0, bytes: 0 };
+        load.store();
+        load
+    }
+
+    /// An answer is billed at once.
+    fn bill(&mut self, pick: usize) {
+        let used = Use {
+            requests: 1,
+            account: Account::named(&self.names[pick]).unwrap_or(Account::unattributed()),
+            class: 0,
+            outcome: Outcome::Served,
+            pool_us: AMOUNT.pool_us,
+            bytes_in: AMOUNT.bytes_in,
+            bytes_out: AMOUNT.bytes_out,
+        };
+        black_box(self.book.bill(self.now, &used, &mut self.actions));
+        self.book.turn(self.now, &mut self.actions);
+        self.store();
+    }
+
+    /// What the store does with the records: it counts them, and says that they are durable.
+    fn store(&mut self) {
+        loop {
+            let mut records = 0;
+            for action in self.actions.drain(..) {
+                if let Action::Append(bytes) = action {
+                    records += 1;
+                    self.bytes += bytes.len() as u64;
+                }
+            }
+            if records == 0 {
+                return;
+            }
+            self.records += records;
+            self.commits += 1;
+            self.book.durable(self.now, records as usize, &mut self.actions);
+        }
+    }
+}
+
+fn bill_ns(options: &ProbeOptions, tenants: u64, seed: u64, mode: Mode) -> Result<Vec<f64>> {
+    let mut load = Load::new(tenants, mode);
+    let picks = picks(answers(options), tenants, seed);
+    let mut billed = 0;
+    let times = nanoseconds(options.runs(RUNS), picks.len() as u64, || {
+        for pick in &picks {
+            billed += 1;
+            load.now = START_MS + billed * 1000 / REQUESTS_PER_SECOND;
+            load.bill(*pick);
+        }
+    });
+    ensure!(load.records > 1, "nothing was written");
+    Ok(times)
+}
+
+/// Bytes a second to the disk.
+fn disk_rate(tenants: u64, seed: u64, mode: Mode) -> Result<f64> {
+    let mut load = Load::new(tenants, mode);
+    (load.bytes, load.records, load.commits) = (0, 0, 0);
+    let picks = picks(DISK_SECONDS * REQUESTS_PER_SECOND, tenants, seed);
+    for (billed, pick) in picks.into_iter().enumerate() {
+        load.now = START_MS + billed as u64 * 1000 / REQUESTS_PER_SECOND;
+        load.bill(pick);
+    }
+    ensure!(load.records > 0, "nothing was written");
+    let bytes = load.bytes + load.records * RECORD_BYTES + load.commits * FRAME_BYTES;
+    Ok(bytes as f64 / DISK_SECONDS as f64)
+}
+
+/// Bytes of the batches of a period in which each tenant had as much use as its share of the target's rate.
+fn batch_bytes(names: &[String]) -> f64 {
+    let requests = (REQUESTS_PER_SECOND * PERIOD_MS / 1000 / names.len() as u64).max(1) as i64;
+    let item = |name: &String| Item {
+        period: START_MS,
+        of: None,
+        society: name.clone(),
+        class: "a".to_owned(),
+        outcome: Outcome::Served as i32,
+        requests,
+        pool_us: AMOUNT.pool_us as i64 * requests,
+        bytes_in: AMOUNT.bytes_in as i64 * requests,
+        bytes_out: AMOUNT.bytes_out as i64 * requests,
+    };
+    let batch = Batch {
+        server: "round-server-0001".to_owned(),
+        born: START_MS,
+        number: 1,
+        previous: vec![0; 32],
+        close: Close { from: START_MS, to: START_MS + PERIOD_MS, late: false },
+        closed_by: 1,
+        last: true,
+        items: names.iter().map(item).collect(),
+        corrections: Vec::new(),
+        unbilled: Vec::new(),
+    };
+    batch.seal().0.len() as f64
+}
--- a/crates/scale/src/probes/mod.rs
+++ b/crates/scale/src/probes/mod.rs
@@ -1,6 +1,13 @@
 //! The probes: each measures the slopes of one part. A new one is added to [`all`], its child loads to [`child_loads`].
 
-use crate::child::Load;
+mod fleet;
+mod keyed;
+mod ledger;
+mod quota;
+mod sample;
+mod store;
+
+use crate::child::{Load, ReportingLoad};
 use crate::slope::Slope;
 use anyhow::Result;
 
@@ -47,10 +54,26 @@
 
 /// All probes.
 pub fn all() -> Vec<Box<dyn Probe>> {
-    Vec::new()
+    vec![
+        Box::new(fleet::FleetProbe),
+        Box::new(keyed::KeyedProbe),
+        Box::new(ledger::LedgerProbe),
+        Box::new(quota::QuotaProbe),
+        Box::new(store::StoreProbe),
+    ]
 }
 
 /// The loads that are measured in a process of their own, by name.
 pub fn child_loads() -> Vec<(&'static str, Load)> {
-    Vec::new()
+    vec![
+        (fleet::VIEW_LOAD, fleet::view_load),
+        (keyed::LOAD, keyed::table_load),
+        (quota::MEMBERS_LOAD, quota::members_load),
+        (quota::BUDGETS_LOAD, quota::budgets_load),
+    ]
+}
+
+/// The same for loads with several figures.
+pub fn reporting_loads() -> Vec<(&'static str, ReportingLoad)> {
+    vec![(fleet::DAYS_LOAD, fleet::days_load), (fleet::CALM_LOAD, fleet::calm_load)]
 }
--- /dev/null
+++ b/crates/scale/src/probes/quota.rs
@@ -0,0 +1,328 @@
+//! Fleet limits: what an ask costs the allocator, what it weighs on the wire, and what an allocator holds.
+
+use crate::child::{self, Growth};
+use crate::fit::Quantity;
+use crate::probes::sample::{nanoseconds, points};
+use crate::probes::{Probe, ProbeOptions};
+use crate::slope::{Point, Slope};
+use anyhow::{Result, anyhow};
+use dunlinspread_fleet::{Id, TAG};
+use dunlinspread_quota::{Allocator, Ask, Config, Fault, Grant, MILLION, Millis, Reach};
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use std::hint::black_box;
+use std::net::{Ipv4Addr, SocketAddrV4};
+
+/// Members of the target fleet.
+const TARGET_MEMBERS: u64 = 7_100;
+
+/// Budgets at the target if each class has one.
+const TARGET_BUDGETS: u64 = 64_000;
+
+const MEMBER_SIZES: &[u64] = &[10, 100, 1_000, TARGET_MEMBERS];
+const QUICK_MEMBER_SIZES: &[u64] = &[10, 100];
+
+/// Budgets, one allocator each, of [`BUDGET_MEMBERS`] members.
+const BUDGET_SIZES: &[u64] = &[1, 10, 100, 1_000];
+const QUICK_BUDGET_SIZES: &[u64] = &[1, 10];
+const BUDGET_MEMBERS: u64 = 1_000;
+
+/// Budgets of a member whose asks go to one allocator, for what that weighs on the wire.
+const WIRE_SIZES: &[u64] = &[1, 10, 100, 1_000, 10_000, TARGET_BUDGETS];
+
+/// How long a grant holds. An assumption: no budget of the fleet is configured yet.
+const LEASE: Millis = 2_000;
+
+/// Asks of a holder in a lease.
+const ASKS_A_LEASE: u64 = 4;
+
+/// Asks in a run, and runs at a size.
+const ASKS: u64 = 1_000;
+const RUNS: usize = 5;
+
+/// Bytes of payload in a datagram, the tag included, as in `crates/fleet`.
+const DATAGRAM: u64 = 1_400;
+
+/// Bytes of the headers of a datagram over IPv4.
+const UDP_HEADERS: u64 = 28;
+
+/// The names of the loads whose memory is measured.
+pub const MEMBERS_LOAD: &str = "quota-members";
+pub const BUDGETS_LOAD: &str = "quota-budgets";
+
+/// Members in all allocators whose memory is measured together.
+const MEASURED_MEMBERS: u64 = 200_000;
+
+/// The probe of `crates/quota`.
+pub struct QuotaProbe;
+
+impl Probe for QuotaProbe {
+    fn prefix(&self) -> &'static str {
+        "quota"
+    }
+
+    fn run(&self, options: &ProbeOptions) -> Result<Vec<Slope>> {
+        let member_sizes = options.sizes(MEMBER_SIZES, QUICK_MEMBER_SIZES);
+        let budget_sizes = options.sizes(BUDGET_SIZES, QUICK_BUDGET_SIZES);
+        let seeds = options.seeds();
+        let of_members = points(member_sizes, seeds, |size, seed| ask_ns(options, size, 1, seed))?;
+        let of_budgets =
+            points(budget_sizes, seeds, |size, seed| ask_ns(options, BUDGET_MEMBERS, size, seed))?;
+        let memory =
+            |load, sizes| points(sizes, seeds, |size, seed| Ok(vec![child::measure(load, size, seed)?]));
+        Ok(vec![
+            ASK_NS.slope(of_members.clone()),
+            ASKS_A_SECOND.slope(of_members.iter().map(reciprocal).collect()),
+            ASKS_NEEDED.slope(exact(member_sizes, asks_needed)),
+            ASK_NS_BUDGETS.slope(of_budgets),
+            MEMORY.slope(memory(MEMBERS_LOAD, member_sizes)?),
+            MEMORY_BUDGETS.slope(memory(BUDGETS_LOAD, budget_sizes)?),
+            ROUND_BYTES.slope(exact(WIRE_SIZES, |budgets| round_traffic(budgets).1 as f64)),
+            ROUND_DATAGRAMS.slope(exact(WIRE_SIZES, |budgets| round_traffic(budgets).0 as f64)),
+            MEMBER_BYTES.slope(exact(WIRE_SIZES, |budgets| {
+                round_traffic(budgets).1 as f64 * ASKS_A_LEASE as f64 * 1000.0 / LEASE as f64
+            })),
+        ])
+    }
+}
+
+const ASK_NS: Quantity = Quantity {
+    id: "quota.ask_ns.members",
+    quantity: "the allocator answers an ask",
+    unit: "ns",
+    against: "members",
+    fixed: &[("budgets", 1.0), ("lease_ms", LEASE as f64)],
+    target_size: TARGET_MEMBERS as f64,
+};
+
+const ASKS_A_SECOND: Quantity = Quantity {
+    id: "quota.asks_per_second.members",
+    quantity: "asks that an allocator bears on one core, its sockets not counted",
+    unit: "asks/s",
+    ..ASK_NS
+};
+
+const ASKS_NEEDED: Quantity = Quantity {
+    id: "quota.asks_needed_per_second.members",
+    quantity: "asks of all members for one budget, four a lease",
+    unit: "asks/s",
+    ..ASK_NS
+};
+
+const MEMORY: Quantity = Quantity {
+    id: "quota.allocator_bytes.members",
+    quantity: "resident memory of an allocator",
+    unit: "bytes",
+    fixed: &[("budgets", 1.0)],
+    ..ASK_NS
+};
+
+const ASK_NS_BUDGETS: Quantity = Quantity {
+    id: "quota.ask_ns.budgets",
+    quantity: "the allocators answer an ask, each in its turn",
+    unit: "ns",
+    against: "budgets",
+    fixed: &[("members", BUDGET_MEMBERS as f64), ("lease_ms", LEASE as f64)],
+    target_size: TARGET_BUDGETS as f64,
+};
+
+const MEMORY_BUDGETS: Quantity = Quantity {
+    id: "quota.allocator_bytes.budgets",
+    quantity: "resident memory of the allocators of all budgets",
+    unit: "bytes",
+    ..ASK_NS_BUDGETS
+};
+
+const ROUND_BYTES: Quantity = Quantity {
+    id: "quota.round_bytes.budgets",
+    quantity: "asks of a member for all budgets and their grants, as prost would encode them, packed into datagrams",
+    unit: "bytes",
+    against: "budgets",
+    fixed: &[("tag_bytes", TAG as f64), ("headers_bytes", UDP_HEADERS as f64)],
+    target_size: TARGET_BUDGETS as f64,
+};
+
+const ROUND_DATAGRAMS: Quantity = Quantity {
+    id: "quota.round_datagrams.budgets",
+    quantity: "datagrams of those asks and grants",
+    unit: "datagrams",
+    ..ROUND_BYTES
+};
+
+const MEMBER_BYTES: Quantity = Quantity {
+    id: "quota.member_bytes_per_second.budgets",
+    quantity: "those asks and grants at four rounds a lease",
+    unit: "bytes/s",
+    fixed: &[("tag_bytes", TAG as f64), ("headers_bytes", UDP_HEADERS as f64), ("lease_ms", LEASE as f64)],
+    ..ROUND_BYTES
+};
+
+/// Points of a figure that follows from the size alone.
+fn exact(sizes: &[u64], figure: impl Fn(u64) -> f64) -> Vec<Point> {
+    sizes.iter().map(|size| Point::of(*size as f64, 0, &[figure(*size)])).collect()
+}
+
+/// How often a second what took so many ns can be done.
+fn reciprocal(point: &Point) -> Point {
+    let a_second = |ns: f64| if ns > 0.0 { 1e9 / ns } else { 0.0 };
+    // The least of these figures belongs to the slowest run, which was not kept: the median stands in for it.
+    let median = a_second(point.median);
+    Point { runs: point.runs, ..Point::of(point.size, point.seed, &[median]) }
+}
+
+fn asks_needed(members: u64) -> f64 {
+    members as f64 * ASKS_A_LEASE as f64 * 1000.0 / LEASE as f64
+}
+
+/// The name of a member.
+fn name(member: u64) -> Id {
+    let address = SocketAddrV4::new(Ipv4Addr::from(0x0a00_0000 + member as u32), 1);
+    Id { addr: address, start: 1, bump: 0 }
+}
+
+/// An allocator with its members' clock and numbers.
+struct Load {
+    allocator: Allocator<Id>,
+    rng: ChaCha8Rng,
+    now: Millis,
+    members: u64,
+    seq: u64,
+}
+
+impl Load {
+    /// An allocator to whom all members have lent their shares, and all of whom hold leases.
+    fn new(members: u64, seed: u64) -> Result<Load> {
+        let config = Config {
+            budget: members * 1_000,
+            lease: LEASE,
+            floor_share: MILLION / 2,
+            max_members: 100_000,
+            drift: 1_000,
+            fault: Fault::None,
+        };
+        let mut allocator = Allocator::new(config, name(0));
+        for member in 1..members {
+            let known = allocator.on_member(0, name(member), Reach::Alive);
+            known.map_err(|refusal| anyhow!("member {member}: {refusal}"))?;
+        }
+        let mut load = Load { allocator, rng: ChaCha8Rng::seed_from_u64(seed), now: 0, members, seq: 0 };
+        load.round(None)?;
+        load.round(Some(1))?;
+        Ok(load)
+    }
+
+    /// Every member asks once, within a quarter of a lease.
+    fn round(&mut self, ack: Option<u64>) -> Result<()> {
+        self.seq += 1;
+        let began = self.now;
+        for member in 0..self.members {
+            self.now = began + LEASE / ASKS_A_LEASE * member / self.members;
+            self.ask(member, ack)?;
+        }
+        self.now = began + LEASE / ASKS_A_LEASE;
+        Ok(())
+    }
+
+    /// One member asks. What members want is twice the pool in all, so that shares are cut.
+    fn ask(&mut self, member: u64, ack: Option<u64>) -> Result<Grant> {
+        let wants = self.rng.random_range(0..2_000);
+        let ask = Ask { seq: self.seq, wants, ack };
+        let granted = self.allocator.on_ask(self.now, &name(member), ask);
+        granted.map_err(|refusal| anyhow!("member {member}: {refusal}"))
+    }
+
+    /// The next member in turn asks, as the members of a fleet do: each of them four times a lease.
+    fn next_ask(&mut self, turn: u64) -> Result<Grant> {
+        let member = turn % self.members;
+        if member == 0 {
+            self.seq += 1;
+        }
+        self.now += u64::from(turn % self.members.div_ceil(LEASE / ASKS_A_LEASE).max(1) == 0);
+        self.ask(member, Some(self.seq - 1))
+    }
+}
+
+/// Nanoseconds of an ask with so many members, among so many allocators in turn.
+fn ask_ns(options: &ProbeOptions, members: u64, budgets: u64, seed: u64) -> Result<Vec<f64>> {
+    let first = Load::new(members, seed)?;
+    let mut loads: Vec<Load> = (0..budgets)
+        .map(|budget| Load {
+            allocator: first.allocator.clone(),
+            rng: ChaCha8Rng::seed_from_u64(seed + budget),
+            ..first
+        })
+        .collect();
+    let mut turn = 0;
+    let mut failed = None;
+    let times = nanoseconds(options.runs(RUNS), ASKS, || {
+        for _ in 0..ASKS {
+            let load = &mut loads[(turn % budgets) as usize];
+            match load.next_ask(turn / budgets) {
+                Ok(grant) => drop(black_box(grant)),
+                Err(error) => failed = Some(error),
+            }
+            turn += 1;
+        }
+    });
+    failed.map_or(Ok(times), Err)
+}
+
+/// Resident bytes of an allocator of so many members.
+///
+/// # Errors
+/// If an ask is refused.
+pub fn members_load(members: u64, seed: u64) -> Result<f64> {
+    let count = (MEASURED_MEMBERS / members).max(1);
+    Ok(clones_bytes(members, count, seed)? / count as f64)
+}
+
+/// Resident bytes of so many allocators of [`BUDGET_MEMBERS`] members.
+///
+/// # Errors
+/// If an ask is refused.
+pub fn budgets_load(budgets: u64, seed: u64) -> Result<f64> {
+    clones_bytes(BUDGET_MEMBERS, budgets, seed)
+}
+
+/// Resident bytes of so many allocators alike.
+fn clones_bytes(members: u64, count: u64, seed: u64) -> Result<f64> {
+    let load = Load::new(members, seed)?;
+    let growth = Growth::begin();
+    let clones: Vec<Allocator<Id>> = (0..count).map(|_| load.allocator.clone()).collect();
+    let bytes = growth.bytes();
+    drop(black_box(clones));
+    Ok(bytes)
+}
+
+/// Bytes of a field of a prost message: its key, and a varint.
+fn field(value: u64) -> u64 {
+    let varint = (64 - u64::from((value | 1).leading_zeros())).div_ceil(7);
+    1 + varint
+}
+
+/// Datagrams and bytes of a member's round of asks and of its grants. A message names its budget by a number, and is
+/// preceded by its length; the figures are those of a number of a member that has asked for a day.
+fn round_traffic(budgets: u64) -> (u64, u64) {
+    let seq = 86_400_000 / (LEASE / ASKS_A_LEASE);
+    let ask = |budget| 1 + field(budget) + field(seq) + field(1_000) + field(seq - 1);
+    let grant = |budget| 1 + field(budget) + field(seq) + field(500);
+    let asks = packed((0..budgets).map(ask));
+    let grants = packed((0..budgets).map(grant));
+    (asks.0 + grants.0, asks.1 + grants.1)
+}
+
+/// Datagrams and bytes of messages of these lengths, packed in their order, tags and headers included.
+fn packed(lengths: impl Iterator<Item = u64>) -> (u64, u64) {
+    let room = DATAGRAM - TAG as u64;
+    let (mut datagrams, mut bytes, mut left) = (0, 0, 0);
+    for length in lengths {
+        if length > left {
+            datagrams += 1;
+            bytes += UDP_HEADERS + TAG as u64;
+            left = room;
+        }
+        left -= length;
+        bytes += length;
+    }
+    (datagrams, bytes)
+}
--- /dev/null
+++ b/crates/scale/src/probes/sample.rs
@@ -0,0 +1,69 @@
+//! What the probes have in common: points over sizes and seeds, and the time of repeated work.
+
+use crate::slope::Point;
+use anyhow::{Result, bail};
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::{Mutex, PoisonError};
+use std::time::Instant;
+
+/// Jobs that run at once.
+const WORKERS: usize = 2;
+
+/// A point for each size and seed; `measure` gives the figures of its runs.
+///
+/// # Errors
+/// If a measurement fails.
+pub fn points(
+    sizes: &[u64],
+    seeds: &[u64],
+    mut measure: impl FnMut(u64, u64) -> Result<Vec<f64>>,
+) -> Result<Vec<Point>> {
+    let mut points = Vec::new();
+    for &size in sizes {
+        for &seed in seeds {
+            points.push(Point::of(size as f64, seed, &measure(size, seed)?));
+        }
+    }
+    Ok(points)
+}
+
+/// Runs `job` for each of `inputs`, on [`WORKERS`] threads; the results in the order of the inputs.
+///
+/// # Errors
+/// With the first failure of a job.
+pub fn in_parallel<I: Sync, O: Send>(inputs: &[I], job: impl Fn(&I) -> Result<O> + Sync) -> Result<Vec<O>> {
+    let next = AtomicUsize::new(0);
+    let results: Vec<Mutex<Option<Result<O>>>> = inputs.iter().map(|_| Mutex::new(None)).collect();
+    std::thread::scope(|scope| {
+        for _ in 0..WORKERS {
+            scope.spawn(|| {
+                while let Some((input, result)) = take(&next, inputs, &results) {
+                    let output = job(input);
+                    *result.lock().unwrap_or_else(PoisonError::into_inner) = Some(output);
+                }
+            });
+        }
+    });
+    let result = |cell: Mutex<Option<Result<O>>>| {
+        cell.into_inner()
+            .unwrap_or_else(PoisonError::into_inner)
+            .unwrap_or_else(|| bail!("a job did not run"))
+    };
+    results.into_iter().map(result).collect()
+}
+
+/// The next input that nobody took, with the place of its result.
+fn take<'a, I, O>(next: &AtomicUsize, inputs: &'a [I], results: &'a [O]) -> Option<(&'a I, &'a O)> {
+    let index = next.fetch_add(1, Ordering::Relaxed);
+    inputs.get(index).zip(results.get(index))
+}
+
+/// Nanoseconds of each of `operations` that `work` does, for each of `runs` calls.
+pub fn nanoseconds(runs: usize, operations: u64, mut work: impl FnMut()) -> Vec<f64> {
+    let time = |_| {
+        let began = Instant::now();
+        work();
+        began.elapsed().as_nanos() as f64 / operations as f64
+    };
+    (0..runs).map(time).collect()
+}
--- a/crates/scale/tests/fit.rs
+++ b/crates/scale/tests/fit.rs
@@ -89,6 +89,16 @@
     assert!((slope.at_target_error - spread(&there)).abs() < 1e-6, "{}", slope.at_target_error);
 }
 
+#[test]
+fn one_measurement_at_the_target_is_held_against_the_fit_of_the_others() {
+    let mut points = points(0.0, |size| size);
+    points.push(Point::of(TARGET, 1, &[1.25 * TARGET]));
+    let slope = quantity(TARGET).slope(points);
+    assert!(slope.measured_at_target);
+    assert_eq!(slope.at_target, 1.25 * TARGET);
+    assert!((slope.at_target_error - 0.2).abs() < 0.001, "{}", slope.at_target_error);
+}
+
 #[test]
 fn seeds_that_disagree_show_in_the_error() {
     let mut apart = points(0.0, |size| size);
