--- a/crates/scale/src/probes/mod.rs
+++ b/crates/scale/src/probes/mod.rs
@@ -5,15 +5,21 @@
 mod daemon_process;
 mod daemon_site;
 mod daemon_tables;
+mod fleet;
+mod keyed;
 mod latency;
+mod ledger;
 pub mod open_loop;
 mod policy;
 mod policy_load;
+mod quota;
 mod registry;
 mod registry_lists;
 mod registry_server;
+mod sample;
+mod store;
 
-use crate::child::Load;
+use crate::child::{Load, ReportingLoad};
 use crate::slope::Slope;
 use anyhow::Result;
 
@@ -66,10 +72,27 @@
         Box::new(daemon_connections::ConnectionsProbe),
         Box::new(latency::LatencyProbe),
         Box::new(registry::RegistryProbe),
+        Box::new(fleet::FleetProbe),
+        Box::new(keyed::KeyedProbe),
+        Box::new(ledger::LedgerProbe),
+        Box::new(quota::QuotaProbe),
+        Box::new(store::StoreProbe),
     ]
 }
 
 /// The loads that are measured in a process of their own, by name.
 pub fn child_loads() -> Vec<(&'static str, Load)> {
-    policy::child_loads()
+    let mut loads: Vec<(&'static str, Load)> = vec![
+        (fleet::VIEW_LOAD, fleet::view_load),
+        (keyed::LOAD, keyed::table_load),
+        (quota::MEMBERS_LOAD, quota::members_load),
+        (quota::BUDGETS_LOAD, quota::budgets_load),
+    ];
+    loads.extend(policy::child_loads());
+    loads
+}
+
+/// The same for loads with several figures.
+pub fn reporting_loads() -> Vec<(&'static str, ReportingLoad)> {
+    vec![(fleet::DAYS_LOAD, fleet::days_load), (fleet::CALM_LOAD, fleet::calm_load)]
 }
