--- a/crates/scale/src/probes/daemon_connections.rs
+++ b/crates/scale/src/probes/daemon_connections.rs
@@ -3,7 +3,7 @@
 
 use super::daemon_client::{Client, check_served};
 use super::daemon_process::{Daemon, Program};
-use super::daemon_site::{Size, Surroundings, tenant_name};
+use super::daemon_site::{Size, Surroundings, TICK_MS, tenant_name};
 use super::{Probe, ProbeOptions};
 use crate::descriptors::raise_limit;
 use crate::fit::Quantity;
@@ -83,7 +83,7 @@
         quantity,
         unit,
         against: "open connections of callers",
-        fixed: &[("tenants", TENANTS as f64), ("classes", 8.0)],
+        fixed: &[("tenants", TENANTS as f64), ("classes", 8.0), ("tick_ms", TICK_MS)],
         target_size: 10_000.0,
     }
 }
--- a/crates/scale/src/probes/daemon_site.rs
+++ b/crates/scale/src/probes/daemon_site.rs
@@ -16,6 +16,8 @@
 const AIM_MS: f64 = 1000.0;
 /// When callers give up, ms.
 const GIVE_UP_MS: f64 = 4000.0;
+/// The step of the daemon's timers, ms, as the platform states it.
+pub const TICK_MS: f64 = 5.0;
 /// Cores of the machine that the stand-in worker pool plays.
 pub const CORES: usize = 8;
 /// After this long idle a connection is closed, ms; with one request in a while none ever is.
@@ -105,7 +107,7 @@
         "pool": pool.to_string(), "directory": registry.to_string(),
         "limits": {"cores": 1.0, "memory_mb": memory_mb, "sockets": sockets},
         "settings": {
-            "tick_ms": 1.0, "servers": 1, "profiles": classes, "accounts": tenants,
+            "tick_ms": TICK_MS, "servers": 1, "profiles": classes, "accounts": tenants,
             "safety": {"fall_multiple": 8, "drain_grace_ms": 250, "answer_slack_ms": 80},
             "specifics": {
                 "n_cores": CORES, "memory_kb": 6e8, "run_factor": 8, "key_kb": 10, "say": "share_of",
