Slopes of the decision module: one process a state, each tenant seen before the measurement

The first touch of a tenant's page was measured as part of an arrival: 3.4 us at 390,000 tenants against 1.3 us at 40.

--- a/crates/scale/src/probes/mod.rs
+++ b/crates/scale/src/probes/mod.rs
@@ -82,17 +82,18 @@
 
 /// The loads that are measured in a process of their own, by name.
 pub fn child_loads() -> Vec<(&'static str, Load)> {
-    let mut loads: Vec<(&'static str, Load)> = vec![
+    vec![
         (fleet::VIEW_LOAD, fleet::view_load),
         (keyed::LOAD, keyed::table_load),
         (quota::MEMBERS_LOAD, quota::members_load),
         (quota::BUDGETS_LOAD, quota::budgets_load),
-    ];
-    loads.extend(policy::child_loads());
-    loads
+    ]
 }
 
 /// The same for loads with several figures.
 pub fn reporting_loads() -> Vec<(&'static str, ReportingLoad)> {
-    vec![(fleet::DAYS_LOAD, fleet::days_load), (fleet::CALM_LOAD, fleet::calm_load)]
+    let mut loads: Vec<(&'static str, ReportingLoad)> =
+        vec![(fleet::DAYS_LOAD, fleet::days_load), (fleet::CALM_LOAD, fleet::calm_load)];
+    loads.extend(policy::reporting_loads());
+    loads
 }
--- a/crates/scale/src/probes/policy.rs
+++ b/crates/scale/src/probes/policy.rs
@@ -1,12 +1,13 @@
 //! The decision module: ns of an arrival, an ending and a timer, and its memory, against tenants, classes, held and
-//! running requests. Memory is the growth of the resident memory of a process of its own.
+//! running requests. Each state is built in a process of its own, whose growth in resident memory is the module's.
 
 use super::policy_load::{Costs, Length, Load, Shape};
 use super::{Probe, ProbeOptions};
-use crate::child::{self, Growth};
+use crate::child::{self, Growth, ReportingLoad};
 use crate::fit::Quantity;
 use crate::slope::{Point, Slope};
 use anyhow::{Result, ensure};
+use serde::{Deserialize, Serialize};
 use std::time::Duration;
 
 /// The state but for the size that varies.
@@ -14,9 +15,7 @@
 /// Runs of the load at each size and seed.
 const RUNS: usize = 5;
 /// How long a run is.
-const LENGTH: Length = Length { rounds: 400, time: Duration::from_millis(25) };
-/// How long one is that only shows that the probe works.
-const QUICK_LENGTH: Length = Length { rounds: 20, time: Duration::from_millis(10) };
+const LENGTH: Length = Length { rounds: 400, time: Duration::from_millis(20) };
 
 /// A size of the state that varies.
 struct Axis {
@@ -115,64 +114,60 @@
     }
 }
 
-/// The loads whose memory is measured in a process of their own.
-pub fn child_loads() -> Vec<(&'static str, child::Load)> {
-    vec![
-        ("policy.tenants", |size, seed| memory_of(&AXES[0], size, seed)),
-        ("policy.classes", |size, seed| memory_of(&AXES[1], size, seed)),
-        ("policy.held", |size, seed| memory_of(&AXES[2], size, seed)),
-        ("policy.running", |size, seed| memory_of(&AXES[3], size, seed)),
+/// What is measured of one state.
+#[derive(Serialize, Deserialize)]
+struct Figures {
+    /// Growth of the process by settings and state.
+    memory_bytes: f64,
+    /// The costs of each run.
+    costs: Vec<Costs>,
+}
+
+/// The states that are built in a process of their own.
+pub fn reporting_loads() -> [(&'static str, ReportingLoad); AXES.len()] {
+    [
+        (AXES[0].name, |size, seed| figures(&AXES[0], size, seed)),
+        (AXES[1].name, |size, seed| figures(&AXES[1], size, seed)),
+        (AXES[2].name, |size, seed| figures(&AXES[2], size, seed)),
+        (AXES[3].name, |size, seed| figures(&AXES[3], size, seed)),
     ]
 }
 
-/// Bytes that this process grows by with the state.
-fn memory_of(axis: &Axis, size: u64, seed: u64) -> Result<f64> {
+/// Builds the state and measures it; one run at the beginning is not counted.
+fn figures(axis: &Axis, size: u64, seed: u64) -> Result<String> {
+    let shape = (axis.shape)(size as usize);
     let growth = Growth::begin();
-    let load = Load::new((axis.shape)(size as usize), seed);
-    let bytes = growth.bytes();
-    drop(load);
-    Ok(bytes)
+    let mut load = Load::new(shape, seed);
+    let memory_bytes = growth.bytes();
+    load.run(LENGTH);
+    let costs = (0..RUNS).map(|_| load.run(LENGTH)).collect();
+    ensure!(load.running() == shape.running, "{} run, not {}", load.running(), shape.running);
+    Ok(serde_json::to_string(&Figures { memory_bytes, costs })?)
 }
 
 impl Axis {
     fn measure(&self, options: &ProbeOptions) -> Result<Vec<Slope>> {
         let mut points: [Vec<Point>; 4] = Default::default();
-        let length = if options.quick { QUICK_LENGTH } else { LENGTH };
         for &size in options.sizes(self.sizes, QUICK_SIZES) {
             for &seed in options.seeds() {
-                let costs = self.costs(size, seed, options.runs(RUNS), length)?;
-                let of = |pick: fn(&Costs) -> f64| costs.iter().map(pick).collect::<Vec<f64>>();
+                let figures: Figures = child::report(self.name, size, seed)?;
+                let of = |pick: fn(&Costs) -> f64| figures.costs.iter().map(pick).collect::<Vec<f64>>();
                 points[0].push(Point::of(size as f64, seed, &of(|costs| costs.arrival)));
                 points[1].push(Point::of(size as f64, seed, &of(|costs| costs.ending)));
                 points[2].push(Point::of(size as f64, seed, &of(|costs| costs.timer)));
-                points[3].push(Point::of(size as f64, seed, &[child::measure(self.name, size, seed)?]));
+                points[3].push(Point::of(size as f64, seed, &[figures.memory_bytes]));
             }
         }
         let [arrival, ending, timer, memory] = points;
+        let growth = "growth of resident memory by settings and state, in a process of its own";
         Ok(vec![
             self.time(self.ids.arrival, "`Policy::on_event` of one arrival").slope(arrival),
             self.time(self.ids.ending, "`Policy::on_event` of one ending").slope(ending),
             self.time(self.ids.timer, "`Policy::on_event` of one timer").slope(timer),
-            self.quantity(
-                self.ids.memory,
-                "growth of resident memory by settings and state, in a process of its own",
-                "bytes",
-            )
-            .slope(memory),
+            self.quantity(self.ids.memory, growth, "bytes").slope(memory),
         ])
     }
 
-    /// The costs of several runs, after one that is not counted.
-    fn costs(&self, size: u64, seed: u64, runs: usize, length: Length) -> Result<Vec<Costs>> {
-        let shape = (self.shape)(size as usize);
-        let mut load = Load::new(shape, seed);
-        ensure!(load.running() == shape.running, "{} run, not {}", load.running(), shape.running);
-        load.run(length);
-        let costs = (0..runs).map(|_| load.run(length)).collect();
-        ensure!(load.running() == shape.running, "{} run, not {}", load.running(), shape.running);
-        Ok(costs)
-    }
-
     fn time(&self, id: &'static str, quantity: &'static str) -> Quantity {
         self.quantity(id, quantity, "ns")
     }
--- a/crates/scale/src/probes/policy_load.rs
+++ b/crates/scale/src/probes/policy_load.rs
@@ -3,6 +3,7 @@
 use dunlinspread::{Action, Arrival, Class, Effect, Event, Gauges, Outcome, Policy, RequestId, Settings};
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
+use serde::{Deserialize, Serialize};
 use std::collections::VecDeque;
 use std::time::{Duration, Instant};
 
@@ -16,7 +17,7 @@
 const SURVIVABLE_PER_CORE: f64 = 8.0;
 /// The runs that the module allows for each core.
 const RUNS_PER_CORE: f64 = 1.25;
-/// Requests that are run and ended before anything is measured, so that run times are known.
+/// Requests that are run and ended before anything is measured, at least, so that run times are known.
 const WARM_UP: usize = 64;
 /// Pairs of readings of the clock that tell what one costs.
 const CLOCK_READINGS: usize = 1001;
@@ -35,7 +36,7 @@
 }
 
 /// The mean cost of each event in one run of the load, ns.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Copy, Debug, Serialize, Deserialize)]
 pub struct Costs {
     /// Of an arrival: with none held it is run at once, else it is held.
     pub arrival: f64,
@@ -84,8 +85,9 @@
             clock: clock_cost(),
         };
         load.event(Event::Start);
-        for _ in 0..WARM_UP {
-            load.arrival();
+        // Each tenant sends once, so that the memory kept for it is there and no first touch of it is measured.
+        for tenant in 0..shape.tenants.max(WARM_UP) {
+            load.arrival_of(tenant % shape.tenants.max(1));
             load.ending();
         }
         for _ in 0..shape.running + shape.held {
@@ -114,11 +116,16 @@
     }
 
     fn arrival(&mut self) -> Duration {
+        let tenant = self.random.random_range(0..self.shape.tenants.max(1));
+        self.arrival_of(tenant)
+    }
+
+    fn arrival_of(&mut self, tenant: usize) -> Duration {
         self.last_id += 1;
         let arrival = Arrival {
             id: self.last_id,
             class: self.random.random_range(0..self.shape.classes),
-            tenant: self.random.random_range(0..self.shape.tenants.max(1)),
+            tenant,
             held_kb: 20.0,
             rank: self.random.random::<f64>(),
             ..Arrival::default()
