quota: an ask no longer walks over all members

Sums of what is lent, of the shares and of the wants in order are now kept with each change, and a queue says when a part of them changes by time alone; a time that goes back has them made anew.

--- a/crates/quota/src/allocator.rs
+++ b/crates/quota/src/allocator.rs
@@ -1,8 +1,10 @@
 //! The lender of the pool. Every member keeps one, fed with its view of the fleet; the one whose name is the least of
 //! the members it sees alive lends, the others refuse with [`Refusal::NotAllocator`].
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
+use crate::member::Member;
+use crate::sums::Sums;
 use crate::{Config, Fault, Millis};
 
 /// What the failure detector says of a member.
@@ -55,74 +57,15 @@
     Stale,
 }
 
-/// How many grants sent to one member are remembered for its acknowledgements.
-const SENT: usize = 4;
-
-/// Units lent to one member and counted until `until`.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash)]
-struct Lent {
-    units: u64,
-    until: Millis,
-}
-
-impl Lent {
-    fn at(&self, now: Millis) -> u64 {
-        if now < self.until { self.units } else { 0 }
-    }
-}
-
-#[derive(Clone, Debug, PartialEq, Eq, Hash)]
-struct Member {
-    reach: Reach,
-    /// Left the view; counted for what it may still hold, not among the members.
-    forgotten: bool,
-    wants: u64,
-    /// The newest grant.
-    current: Lent,
-    /// The largest earlier grant that may still be in force: a reply lost on the way leaves the holder with it.
-    /// Guards against counting less than the holder may use.
-    shadow: Lent,
-    /// The newest grants sent, by ask, and when they left: an acknowledgement may name one before the newest when
-    /// the newest was held up on the way. Guards against a share dropping out for one late message.
-    sent: [(u64, Millis); SENT],
-    /// The member's share is in this pool until then.
-    share_until: Millis,
-    /// Its newest ask arrived then.
-    asked: Millis,
-    /// The number of its newest ask.
-    seq: u64,
-}
-
-impl Member {
-    fn counted(&self, now: Millis) -> u64 {
-        self.current.at(now).max(self.shadow.at(now))
-    }
-
-    fn counted_with(&self, now: Millis, fault: Fault) -> u64 {
-        if fault.is(Fault::NoShadow) { self.current.at(now) } else { self.counted(now) }
-    }
-
-    /// Records a new grant. Of the grants before it, one that is larger and may still be held is kept as the
-    /// shadow, with its own end: never a later one, or a shadow would outlive every grant it stands for.
-    fn remember(&mut self, now: Millis, units: u64, until: Millis) {
-        let mut shadow = Lent::default();
-        for earlier in [self.current, self.shadow] {
-            if earlier.at(now) > units {
-                shadow =
-                    Lent { units: shadow.units.max(earlier.units), until: shadow.until.max(earlier.until) };
-            }
-        }
-        self.shadow = shadow;
-        self.current = Lent { units, until };
-    }
-}
-
 /// One member's view of the fleet, and the pool it lends when it is the allocator.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub struct Allocator<M> {
     config: Config,
     me: M,
     members: BTreeMap<M, Member>,
+    /// Those that have left the view and are still counted.
+    forgotten: BTreeSet<M>,
+    sums: Sums<M>,
 }
 
 impl<M: Ord + Clone> Allocator<M> {
@@ -130,8 +73,11 @@
     /// earlier start are not known here.
     pub fn new(config: Config, me: M) -> Self {
         let mut members = BTreeMap::new();
-        members.insert(me.clone(), Member::alive());
-        Self { config, me, members }
+        let mut sums = Sums::new();
+        let mut own = Member::alive();
+        sums.refresh(&me, &mut own, &config);
+        members.insert(me.clone(), own);
+        Self { config, me, members, forgotten: BTreeSet::new(), sums }
     }
 
     /// The settings in force.
@@ -144,20 +90,14 @@
         if member == self.me {
             return Ok(());
         }
-        match self.members.get_mut(&member) {
-            Some(known) => {
-                known.reach = reach;
-                known.forgotten = false;
-            }
-            None => {
-                if self.members.len() >= self.config.max_members {
-                    return Err(Refusal::Full);
-                }
-                let mut fresh = Member::alive();
-                fresh.reach = reach;
-                self.members.insert(member, fresh);
-            }
+        if !self.members.contains_key(&member) && self.members.len() >= self.config.max_members {
+            return Err(Refusal::Full);
         }
+        let known = self.members.entry(member.clone()).or_insert_with(Member::alive);
+        known.reach = reach;
+        known.forgotten = false;
+        self.sums.refresh(&member, known, &self.config);
+        self.forgotten.remove(&member);
         self.expire(now);
         Ok(())
     }
@@ -171,13 +111,15 @@
         if let Some(known) = self.members.get_mut(member) {
             known.forgotten = true;
             known.reach = Reach::Gone;
+            self.sums.refresh(member, known, &self.config);
+            self.forgotten.insert(member.clone());
         }
         self.expire(now);
     }
 
     /// Members in the view, this one included: the `members` of every floor.
     pub fn members(&self) -> usize {
-        self.members.values().filter(|m| !m.forgotten).count()
+        self.members.len() - self.forgotten.len()
     }
 
     /// Members seen alive, this one included.
@@ -213,11 +155,16 @@
 
     /// The part of the pool this allocator may lend: one share of each member that lent it its share.
     pub fn pool_here(&self, now: Millis) -> u64 {
-        let members = self.members() as u128;
+        self.pool_of(self.shares(now))
+    }
+
+    /// The part of the pool that so many shares make.
+    fn pool_of(&self, shares: usize) -> u64 {
+        let members = self.members();
         if self.config.fault.is(Fault::WholePool) {
-            return self.config.pool(self.members());
+            return self.config.pool(members);
         }
-        (self.config.pool(self.members()) as u128 * self.shares(now) as u128 / members.max(1)) as u64
+        (self.config.pool(members) as u128 * shares as u128 / members.max(1) as u128) as u64
     }
 
     /// Units lent and maybe still in use, summed over members.
@@ -233,6 +180,7 @@
     /// Answers an ask that arrived now from `from`; the grant is taken to leave now.
     pub fn on_ask(&mut self, now: Millis, from: &M, ask: Ask) -> Result<Grant, Refusal> {
         self.expire(now);
+        self.sums.advance(now, &mut self.members, &self.config);
         let leading = self.leads();
         let short = self.config.short_lease();
         let Some(asker) = self.members.get_mut(from) else { return Err(Refusal::NotAlive) };
@@ -251,71 +199,37 @@
             // The holder keeps its share here for two leases from the grant's arrival.
             asker.share_until = asker.share_until.max(sent + 2 * short);
         }
+        self.sums.refresh(from, asker, &self.config);
+        let lent = asker.contribution.lent;
         if !leading {
             return Err(Refusal::NotAllocator);
         }
-        let pool = self.pool_here(now);
-        let fair = self.fair_share(now, from, pool);
-        let fault = self.config.fault;
-        let others: u64 = self
-            .members
-            .iter()
-            .filter(|(name, _)| *name != from)
-            .map(|(_, m)| m.counted_with(now, fault))
-            .sum();
+        let pool = self.pool_of(self.sums.shares);
+        // Without a lease of any length nobody takes part for long enough to be divided with.
+        let fair = self.sums.wants.share(&(ask.wants, from.clone()), pool).unwrap_or(ask.wants.min(pool));
+        let others = self.sums.lent - lent;
         let extra = fair.min(pool.saturating_sub(others));
         let until = now + self.config.lease;
         if let Some(asker) = self.members.get_mut(from) {
             asker.remember(now, extra, until);
             asker.sent.rotate_right(1);
             asker.sent[0] = (ask.seq, now);
+            self.sums.refresh(from, asker, &self.config);
         }
         Ok(Grant { seq: ask.seq, extra })
     }
 
-    /// Max-min fair share of `of` in `pool`, over the wants of members alive.
-    fn fair_share(&self, now: Millis, of: &M, pool: u64) -> u64 {
-        let lease = self.config.lease;
-        let mut wants: Vec<(u64, &M)> = self
-            .members
-            .iter()
-            .filter(|(name, m)| {
-                *name == of || (!m.forgotten && m.reach == Reach::Alive && m.asked + lease > now)
-            })
-            .map(|(name, m)| (m.wants, name))
-            .collect();
-        wants.sort();
-        let mut left = pool;
-        let mut count = wants.len() as u64;
-        for (want, name) in wants {
-            let give = want.min(left / count.max(1));
-            if name == of {
-                return give;
-            }
-            left -= give;
-            count -= 1;
-        }
-        0
-    }
-
-    /// Drops what has run out, and members forgotten that hold nothing more.
+    /// Drops members forgotten that hold nothing more.
     fn expire(&mut self, now: Millis) {
-        self.members.retain(|_, m| !(m.forgotten && m.counted(now) == 0));
-    }
-}
-
-impl Member {
-    fn alive() -> Self {
-        Self {
-            reach: Reach::Alive,
-            forgotten: false,
-            wants: 0,
-            current: Lent::default(),
-            shadow: Lent::default(),
-            sent: [(0, 0); SENT],
-            share_until: 0,
-            asked: 0,
-            seq: 0,
-        }
+        let Self { members, forgotten, sums, .. } = self;
+        forgotten.retain(|name| {
+            let Some(member) = members.get_mut(name) else { return false };
+            let is_held = member.counted(now) > 0;
+            if !is_held {
+                sums.remove(name, member);
+                members.remove(name);
+            }
+            is_held
+        });
     }
 }
--- a/crates/quota/src/lib.rs
+++ b/crates/quota/src/lib.rs
@@ -22,6 +22,9 @@
 
 mod allocator;
 mod holder;
+mod member;
+mod sums;
+mod wants;
 
 pub use allocator::{Allocator, Ask, Grant, Reach, Refusal};
 pub use holder::Holder;
