--- a/crates/scale/src/probes/keyed.rs
+++ b/crates/scale/src/probes/keyed.rs
@@ -30,6 +30,9 @@
 const QUICK_ARRIVALS: u64 = 100;
 const RUNS: usize = 5;
 
+/// A run adds one key for so many that are there, so that their number stays about what it is.
+const KEYS_AN_ADDED_KEY: u64 = 20;
+
 /// The name of the load whose memory is measured.
 pub const LOAD: &str = "keyed";
 
@@ -69,9 +72,10 @@
             for &seed in options.seeds() {
                 let mut load = Load::new(size, seed)?;
                 let point = |runs: Vec<f64>| Point::of(size as f64, seed, &runs);
-                first.push(point(load.first_ns(options)));
                 repeat.push(point(load.repeat_ns(options)));
                 sweep.push(point(nanoseconds(options.runs(RUNS), 1, || load.table.sweep(1.0))));
+                // Last, since it adds keys.
+                first.push(point(load.first_ns(options)));
             }
         }
         let memory =
@@ -118,7 +122,7 @@
     }
 
     fn first_ns(&mut self, options: &ProbeOptions) -> Vec<f64> {
-        let arrivals = if options.quick { QUICK_ARRIVALS } else { ARRIVALS };
+        let arrivals = (self.keys.len() as u64 / KEYS_AN_ADDED_KEY).min(ARRIVALS);
         let runs = options.runs(RUNS);
         let keys: Vec<Vec<Rc<[u8]>>> =
             (0..runs).map(|_| (0..arrivals).map(|_| self.new_key()).collect()).collect();
--- a/crates/scale/src/probes/quota.rs
+++ b/crates/scale/src/probes/quota.rs
@@ -23,7 +23,8 @@
 const QUICK_MEMBER_SIZES: &[u64] = &[10, 100];
 
 /// Budgets, one allocator each, of [`BUDGET_MEMBERS`] members.
-const BUDGET_SIZES: &[u64] = &[1, 10, 100, 1_000];
+const BUDGET_SIZES: &[u64] = &[1, 10, 100, MOST_BUDGETS];
+const MOST_BUDGETS: u64 = 1_000;
 const QUICK_BUDGET_SIZES: &[u64] = &[1, 10];
 const BUDGET_MEMBERS: u64 = 1_000;
 
@@ -73,13 +74,13 @@
         Ok(vec![
             ASK_NS.slope(of_members.clone()),
             ASKS_A_SECOND.slope(of_members.iter().map(reciprocal).collect()),
-            ASKS_NEEDED.slope(exact(member_sizes, asks_needed)),
+            ASKS_NEEDED.slope(exact(seeds, member_sizes, asks_needed)),
             ASK_NS_BUDGETS.slope(of_budgets),
             MEMORY.slope(memory(MEMBERS_LOAD, member_sizes)?),
             MEMORY_BUDGETS.slope(memory(BUDGETS_LOAD, budget_sizes)?),
-            ROUND_BYTES.slope(exact(WIRE_SIZES, |budgets| round_traffic(budgets).1 as f64)),
-            ROUND_DATAGRAMS.slope(exact(WIRE_SIZES, |budgets| round_traffic(budgets).0 as f64)),
-            MEMBER_BYTES.slope(exact(WIRE_SIZES, |budgets| {
+            ROUND_BYTES.slope(exact(seeds, WIRE_SIZES, |budgets| round_traffic(budgets).1 as f64)),
+            ROUND_DATAGRAMS.slope(exact(seeds, WIRE_SIZES, |budgets| round_traffic(budgets).0 as f64)),
+            MEMBER_BYTES.slope(exact(seeds, WIRE_SIZES, |budgets| {
                 round_traffic(budgets).1 as f64 * ASKS_A_LEASE as f64 * 1000.0 / LEASE as f64
             })),
         ])
@@ -123,13 +124,14 @@
     unit: "ns",
     against: "budgets",
     fixed: &[("members", BUDGET_MEMBERS as f64), ("lease_ms", LEASE as f64)],
-    target_size: TARGET_BUDGETS as f64,
+    target_size: MOST_BUDGETS as f64,
 };
 
 const MEMORY_BUDGETS: Quantity = Quantity {
     id: "quota.allocator_bytes.budgets",
     quantity: "resident memory of the allocators of all budgets",
     unit: "bytes",
+    target_size: TARGET_BUDGETS as f64,
     ..ASK_NS_BUDGETS
 };
 
@@ -157,9 +159,14 @@
     ..ROUND_BYTES
 };
 
-/// Points of a figure that follows from the size alone.
-fn exact(sizes: &[u64], figure: impl Fn(u64) -> f64) -> Vec<Point> {
-    sizes.iter().map(|size| Point::of(*size as f64, 0, &[figure(*size)])).collect()
+/// Points of a figure that follows from the size alone, the same for each seed.
+fn exact(seeds: &[u64], sizes: &[u64], figure: impl Fn(u64) -> f64) -> Vec<Point> {
+    let point = |size: &u64, seed: &u64| Point::of(*size as f64, *seed, &[figure(*size)]);
+    sizes
+        .iter()
+        .flat_map(|size| seeds.iter().map(move |seed| (size, seed)))
+        .map(|(size, seed)| point(size, seed))
+        .collect()
 }
 
 /// How often a second what took so many ns can be done.
