--- a/crates/scale/src/probes/fleet/mod.rs
+++ b/crates/scale/src/probes/fleet/mod.rs
@@ -1,7 +1,7 @@
 //! Membership: what a member sends, computes and holds, and how fast word of others reaches it.
 
-mod days;
 mod network;
+mod scenarios;
 mod series;
 mod watch;
 
@@ -11,12 +11,12 @@
 use crate::probes::{Probe, ProbeOptions};
 use crate::slope::{Point, Slope};
 use anyhow::{Result, anyhow};
-use days::{CalmDays, Days, TARGET_MEMBERS, settings};
 use dunlinspread_fleet::{Id, Membership};
 use network::address;
-use series::{CALM_SERIES, SERIES};
+use scenarios::{Results, SingleResults, TARGET_MEMBERS, settings};
+use series::{SERIES, SINGLE_SERIES};
 
-/// The sizes of a fleet that is played, the largest first, since it takes the most time.
+/// The sizes of a fleet that is simulated, the largest first, since it takes the most time.
 const SIZES: &[u64] = &[3_000, 1_000, 300, 100];
 const QUICK_SIZES: &[u64] = &[40, 20];
 
@@ -31,11 +31,11 @@
 const LEAST_VIEWS: u64 = 8;
 const MOST_VIEWS: u64 = 40;
 
-/// The name of the load that plays all scenes.
-pub const DAYS_LOAD: &str = "fleet";
+/// The name of the load that runs all scenarios.
+pub const SCENARIOS_LOAD: &str = "fleet";
 
-/// The name of the load that plays the scenes of the large run.
-pub const CALM_LOAD: &str = "fleet-calm";
+/// The name of the load that runs the scenarios of the large run.
+pub const SINGLE_LOAD: &str = "fleet-single";
 
 /// The name of the load that measures the memory of a view.
 pub const VIEW_LOAD: &str = "fleet-view";
@@ -52,50 +52,50 @@
     }
 
     fn run(&self, options: &ProbeOptions) -> Result<Vec<Slope>> {
-        let played = play(options)?;
-        let mut slopes: Vec<Slope> = SERIES.iter().map(|series| series.slope(&played, &[])).collect();
-        let calm: Vec<(Played, CalmDays)> =
-            played.iter().map(|(played, days)| (*played, days.calm)).collect();
-        let large = if options.large { vec![play_large()?] } else { Vec::new() };
-        slopes.extend(CALM_SERIES.iter().map(|series| series.slope(&calm, &large)));
+        let measured = run_cases(options)?;
+        let mut slopes: Vec<Slope> = SERIES.iter().map(|series| series.slope(&measured, &[])).collect();
+        let single: Vec<(Case, SingleResults)> =
+            measured.iter().map(|(case, results)| (*case, results.single)).collect();
+        let large = if options.large { vec![run_large()?] } else { Vec::new() };
+        slopes.extend(SINGLE_SERIES.iter().map(|series| series.slope(&single, &large)));
         slopes.push(view_slope(options)?);
         Ok(slopes)
     }
 }
 
-/// The size and the seed of a fleet that was played.
-type Played = (u64, u64);
+/// The size and the seed of a fleet that was measured.
+type Case = (u64, u64);
 
-/// Plays the scenes at all sizes and seeds, in processes of their own.
-fn play(options: &ProbeOptions) -> Result<Vec<(Played, Days)>> {
+/// Runs the scenarios at all sizes and seeds, in processes of their own.
+fn run_cases(options: &ProbeOptions) -> Result<Vec<(Case, Results)>> {
     let sizes = options.sizes(SIZES, QUICK_SIZES);
-    let inputs: Vec<Played> =
+    let inputs: Vec<Case> =
         sizes.iter().flat_map(|size| options.seeds().iter().map(|seed| (*size, *seed))).collect();
-    let days = in_parallel(&inputs, |(size, seed)| child::report(DAYS_LOAD, *size, *seed))?;
-    let mut played: Vec<(Played, Days)> = inputs.into_iter().zip(days).collect();
-    played.sort_by_key(|(played, _)| *played);
-    Ok(played)
+    let results = in_parallel(&inputs, |(size, seed)| child::report(SCENARIOS_LOAD, *size, *seed))?;
+    let mut measured: Vec<(Case, Results)> = inputs.into_iter().zip(results).collect();
+    measured.sort_by_key(|(case, _)| *case);
+    Ok(measured)
 }
 
-/// Plays the scenes of the large run.
-fn play_large() -> Result<(Played, CalmDays)> {
-    Ok(((TARGET_MEMBERS, LARGE_SEED), child::report(CALM_LOAD, TARGET_MEMBERS, LARGE_SEED)?))
+/// Runs the scenarios of the large run.
+fn run_large() -> Result<(Case, SingleResults)> {
+    Ok(((TARGET_MEMBERS, LARGE_SEED), child::report(SINGLE_LOAD, TARGET_MEMBERS, LARGE_SEED)?))
 }
 
-/// A report of all scenes at one size.
+/// A report of all scenarios at one size.
 ///
 /// # Errors
-/// As [`days::play`].
-pub fn days_load(size: u64, seed: u64) -> Result<String> {
-    Ok(serde_json::to_string(&days::play(size, seed)?)?)
+/// As [`scenarios::run_all`].
+pub fn scenarios_load(size: u64, seed: u64) -> Result<String> {
+    Ok(serde_json::to_string(&scenarios::run_all(size, seed)?)?)
 }
 
-/// A report of the scenes of the large run at one size.
+/// A report of the scenarios of the large run at one size.
 ///
 /// # Errors
-/// As [`days::play_calm`].
-pub fn calm_load(size: u64, seed: u64) -> Result<String> {
-    Ok(serde_json::to_string(&days::play_calm(size, seed)?)?)
+/// As [`scenarios::run_single`].
+pub fn single_load(size: u64, seed: u64) -> Result<String> {
+    Ok(serde_json::to_string(&scenarios::run_single(size, seed)?)?)
 }
 
 /// The memory of one member's view against its members.
@@ -120,22 +120,22 @@
 /// If SWIM fails.
 pub fn view_load(size: u64, seed: u64) -> Result<f64> {
     let views = (VIEWED_MEMBERS / size).clamp(LEAST_VIEWS, MOST_VIEWS);
-    let place_of_view = |view: u64| (size + view) as usize;
-    let member = |place: usize| {
-        let id = Id { addr: address(place), start: 1, bump: 0 };
-        Membership::new(id, &settings(), seed + place as u64, 0)
+    let node_of_view = |view: u64| (size + view) as usize;
+    let member = |node: usize| {
+        let id = Id { addr: address(node), start: 1, bump: 0 };
+        Membership::new(id, &settings(), seed + node as u64, 0)
     };
-    let observers: Vec<_> = (0..views).map(|view| address(place_of_view(view))).collect();
+    let observers: Vec<_> = (0..views).map(|view| address(node_of_view(view))).collect();
     let mut announcements = Vec::new();
-    for place in 0..size - 1 {
-        let mut other = member(place as usize)?;
+    for node in 0..size - 1 {
+        let mut other = member(node as usize)?;
         other.join(0, &observers).map_err(|error| anyhow!("{error}"))?;
         announcements.push(other.take_datagrams());
     }
     let growth = Growth::begin();
     let mut kept = Vec::new();
     for view in 0..views {
-        let mut observer = member(place_of_view(view))?;
+        let mut observer = member(node_of_view(view))?;
         for datagrams in &announcements {
             observer.on_datagram(0, &datagrams[view as usize].1);
             observer.take_datagrams();
--- a/crates/scale/src/probes/fleet/network.rs
+++ b/crates/scale/src/probes/fleet/network.rs
@@ -48,8 +48,8 @@
     Datagram(Vec<u8>),
 }
 
-/// One place in the network, with the member that runs there, if any.
-struct Place {
+/// One node in the network, with the member that runs there, if any.
+struct Node {
     member: Option<Membership>,
     /// Its newest start.
     start: u64,
@@ -62,7 +62,7 @@
     rng: ChaCha8Rng,
     settings: Settings,
     now: Millis,
-    places: Vec<Place>,
+    nodes: Vec<Node>,
     events: BinaryHeap<Reverse<(Millis, u64, usize, Event)>>,
     sequence: u64,
     loss: f64,
@@ -71,24 +71,24 @@
     downs: u64,
 }
 
-/// The address of a place.
-pub fn address(place: usize) -> SocketAddrV4 {
-    SocketAddrV4::new(Ipv4Addr::from(0x0a00_0000 + place as u32), PORT)
+/// The address of a node.
+pub fn address(node: usize) -> SocketAddrV4 {
+    SocketAddrV4::new(Ipv4Addr::from(0x0a00_0000 + node as u32), PORT)
 }
 
-/// The place of an address.
-pub fn place_of(address: &SocketAddrV4) -> usize {
+/// The node of an address.
+pub fn node_of(address: &SocketAddrV4) -> usize {
     (u32::from(*address.ip()) & 0x00ff_ffff) as usize
 }
 
 impl Network {
-    /// A network of so many places, nobody there yet.
-    pub fn new(seed: u64, places: usize, settings: Settings) -> Network {
+    /// A network of so many nodes, nobody there yet.
+    pub fn new(seed: u64, nodes: usize, settings: Settings) -> Network {
         Network {
             rng: ChaCha8Rng::seed_from_u64(seed),
             settings,
             now: 0,
-            places: (0..places).map(|_| Place { member: None, start: 0, wake: None }).collect(),
+            nodes: (0..nodes).map(|_| Node { member: None, start: 0, wake: None }).collect(),
             events: BinaryHeap::new(),
             sequence: 0,
             loss: 0.0,
@@ -118,73 +118,69 @@
         self.loss = loss;
     }
 
-    /// A place where a member runs, drawn evenly.
+    /// A node where a member runs, drawn evenly.
     pub fn any_running(&mut self) -> usize {
         loop {
-            let place = self.rng.random_range(0..self.places.len());
-            if self.places[place].member.is_some() {
-                return place;
+            let node = self.rng.random_range(0..self.nodes.len());
+            if self.nodes[node].member.is_some() {
+                return node;
             }
         }
     }
 
-    /// Members that run, with their places.
+    /// Members that run, with their nodes.
     pub fn running(&self) -> impl Iterator<Item = (usize, &Membership)> {
-        self.places
-            .iter()
-            .enumerate()
-            .filter_map(|(place, p)| p.member.as_ref().map(|member| (place, member)))
+        self.nodes.iter().enumerate().filter_map(|(node, p)| p.member.as_ref().map(|member| (node, member)))
     }
 
-    /// The member at a place, if one runs there.
-    pub fn member(&self, place: usize) -> Option<&Membership> {
-        self.places[place].member.as_ref()
+    /// The member at a node, if one runs there.
+    pub fn member(&self, node: usize) -> Option<&Membership> {
+        self.nodes[node].member.as_ref()
     }
 
     /// Starts a member that asks some of those that run to be taken in, and knows nobody else.
     ///
     /// # Errors
     /// If SWIM fails.
-    pub fn start(&mut self, place: usize) -> Result<()> {
+    pub fn start(&mut self, node: usize) -> Result<()> {
         let introducers: Vec<SocketAddrV4> = (0..INTRODUCERS).map(|_| address(self.any_running())).collect();
-        let mut member = self.new_member(place)?;
-        member.join(self.now, &introducers).map_err(|error| anyhow!("place {place}: {error}"))?;
-        self.places[place].member = Some(member);
-        self.settle(place);
+        let mut member = self.new_member(node)?;
+        member.join(self.now, &introducers).map_err(|error| anyhow!("node {node}: {error}"))?;
+        self.nodes[node].member = Some(member);
+        self.settle(node);
         Ok(())
     }
 
-    /// Starts a member at each of these places, within a second, all of whom know each other.
+    /// Starts a member at each of these nodes, within a second, all of whom know each other.
     ///
     /// # Errors
     /// If SWIM fails.
-    pub fn start_acquainted(&mut self, places: std::ops::Range<usize>) -> Result<()> {
+    pub fn start_acquainted(&mut self, nodes: std::ops::Range<usize>) -> Result<()> {
         let first = self.now;
-        let all: Vec<Id> =
-            places.clone().map(|place| Id { addr: address(place), start: 1, bump: 0 }).collect();
-        for place in places.clone() {
-            self.run_until(first + START_SPAN * (place - places.start) as Millis / places.len() as Millis);
-            let mut member = self.new_member(place)?;
-            let others = all.iter().copied().filter(|id| id.addr != address(place));
-            member.learn(self.now, others).map_err(|error| anyhow!("place {place}: {error}"))?;
-            self.places[place].member = Some(member);
-            self.settle(place);
+        let all: Vec<Id> = nodes.clone().map(|node| Id { addr: address(node), start: 1, bump: 0 }).collect();
+        for node in nodes.clone() {
+            self.run_until(first + START_SPAN * (node - nodes.start) as Millis / nodes.len() as Millis);
+            let mut member = self.new_member(node)?;
+            let others = all.iter().copied().filter(|id| id.addr != address(node));
+            member.learn(self.now, others).map_err(|error| anyhow!("node {node}: {error}"))?;
+            self.nodes[node].member = Some(member);
+            self.settle(node);
         }
         self.run_until(first + START_SPAN);
         Ok(())
     }
 
-    /// The next start of the member of a place.
-    fn new_member(&mut self, place: usize) -> Result<Membership> {
-        self.places[place].start += 1;
-        let me = Id { addr: address(place), start: self.places[place].start, bump: 0 };
+    /// The next start of the member of a node.
+    fn new_member(&mut self, node: usize) -> Result<Membership> {
+        self.nodes[node].start += 1;
+        let me = Id { addr: address(node), start: self.nodes[node].start, bump: 0 };
         Ok(Membership::new(me, &self.settings, self.rng.random(), self.now)?)
     }
 
-    /// Ends the member at a place without a word.
-    pub fn kill(&mut self, place: usize) -> Option<Id> {
-        self.places[place].wake = None;
-        self.places[place].member.take().map(|member| *member.me())
+    /// Ends the member at a node without a word.
+    pub fn kill(&mut self, node: usize) -> Option<Id> {
+        self.nodes[node].wake = None;
+        self.nodes[node].member.take().map(|member| *member.me())
     }
 
     /// Watches how word of these members spreads from now on.
@@ -208,17 +204,17 @@
             if *due > until {
                 break;
             }
-            if let Some(Reverse((due, _, place, event))) = self.events.pop() {
+            if let Some(Reverse((due, _, node, event))) = self.events.pop() {
                 self.now = due;
-                self.on_event(place, event);
+                self.on_event(node, event);
             }
         }
         self.now = until;
     }
 
-    fn on_event(&mut self, place: usize, event: Event) {
+    fn on_event(&mut self, node: usize, event: Event) {
         let now = self.now;
-        let at = &mut self.places[place];
+        let at = &mut self.nodes[node];
         let Some(member) = at.member.as_mut() else { return };
         match event {
             Event::Datagram(bytes) => {
@@ -230,12 +226,12 @@
             }
             Event::Wake => return,
         }
-        self.settle(place);
+        self.settle(node);
     }
 
     /// Sends what a member has to send, takes its changes, and sees that it is woken for its next timer.
-    fn settle(&mut self, place: usize) {
-        let Some(member) = self.places[place].member.as_mut() else { return };
+    fn settle(&mut self, node: usize) {
+        let Some(member) = self.nodes[node].member.as_mut() else { return };
         let datagrams = member.take_datagrams();
         let changes = member.take_changes();
         let next = member.next_due().map(|due| due.max(self.now));
@@ -245,15 +241,15 @@
         for change in changes {
             self.downs += u64::from(matches!(change, Change::Down(_)));
             if let Some(watch) = &mut self.watch {
-                watch.on_change(self.now, place, &change);
+                watch.on_change(self.now, node, &change);
             }
         }
-        let wake = self.places[place].wake;
+        let wake = self.nodes[node].wake;
         if let Some(next) = next
             && wake.is_none_or(|wake| next < wake)
         {
-            self.places[place].wake = Some(next);
-            self.push(next, place, Event::Wake);
+            self.nodes[node].wake = Some(next);
+            self.push(next, node, Event::Wake);
         }
     }
 
@@ -264,11 +260,11 @@
             return;
         }
         let due = self.now + self.rng.random_range(DELAY);
-        self.push(due, place_of(to), Event::Datagram(bytes));
+        self.push(due, node_of(to), Event::Datagram(bytes));
     }
 
-    fn push(&mut self, due: Millis, place: usize, event: Event) {
+    fn push(&mut self, due: Millis, node: usize, event: Event) {
         self.sequence += 1;
-        self.events.push(Reverse((due, self.sequence, place, event)));
+        self.events.push(Reverse((due, self.sequence, node, event)));
     }
 }
--- a/crates/scale/src/probes/fleet/days.rs
+++ b/crates/scale/src/probes/fleet/scenarios.rs
@@ -1,5 +1,5 @@
-//! What befalls a fleet, one after the other in one network: it rests, loses datagrams, takes a member in, loses one,
-//! sees members restarted all the time, loses a rack, loses a zone, and takes the zone in again.
+//! The scenarios, one after the other in one simulated network: nothing happens, a member joins, a member fails,
+//! datagrams are lost, members are restarted all the time, a rack fails, a zone fails, and the zone joins again.
 
 use super::network::{Network, Traffic};
 use super::watch::{Wanted, Watch};
@@ -32,7 +32,7 @@
 /// Most time for word to reach everyone, ms.
 const SPREAD_LIMIT: Millis = 120_000;
 
-/// How long the fleet is left alone between two scenes, ms: a member passes an update on for some two seconds.
+/// How long the fleet is left alone between two scenarios, ms: a member passes an update on for some two seconds.
 const REST: Millis = 6_000;
 
 /// How long it is left alone after a zone joined, ms; nothing comes after that.
@@ -68,15 +68,15 @@
     pub bytes: f64,
     /// Datagrams sent.
     pub datagrams: f64,
-    /// Processor time of the members and of the played network, ns.
+    /// Processor time of the members and of the simulated network, ns.
     pub processor_ns: f64,
 }
 
 /// How long word took to spread, in seconds, over all pairs of an observer and a member told of.
 #[derive(Clone, Copy, Debug, Serialize, Deserialize)]
-pub struct Spread {
+pub struct Dissemination {
     /// To 99 of 100 pairs.
-    pub most: f64,
+    pub p99: f64,
     /// To all of them.
     pub all: f64,
     /// What it cost until then.
@@ -85,70 +85,70 @@
 
 /// What was seen while at most one member came or went.
 #[derive(Clone, Copy, Debug, Serialize, Deserialize)]
-pub struct CalmDays {
+pub struct SingleResults {
     /// Nothing happens.
     pub steady: Cost,
     /// One joins.
-    pub join: Spread,
+    pub join: Dissemination,
     /// The part of all members that the one that joined knows once word of it has spread and [`REST`] has passed.
     pub joiner_knows: f64,
     /// One fails.
-    pub failure: Spread,
+    pub failure: Dissemination,
 }
 
 /// All that was seen.
 #[derive(Clone, Copy, Debug, Serialize, Deserialize)]
-pub struct Days {
+pub struct Results {
     /// With at most one that came or went.
-    pub calm: CalmDays,
+    pub single: SingleResults,
     /// Nothing happens but datagrams lost.
     pub lossy: Cost,
     /// Members declared down meanwhile, by those who declared or heard of it.
     pub lossy_downs: f64,
     /// A rack fails.
-    pub rack: Spread,
+    pub rack: Dissemination,
     /// A zone fails.
-    pub zone: Spread,
+    pub zone: Dissemination,
     /// The zone joins again, cold.
-    pub zone_join: Spread,
+    pub zone_join: Dissemination,
     /// The part of all members that the least knowing one of the zone knows [`ZONE_REST`] after word of them has spread.
     pub zone_knows: f64,
     /// Members are restarted at the target's rate.
     pub churn: Cost,
 }
 
-/// Plays the part that the large run has, at one size.
+/// Runs the part that the large run has, at one size.
 ///
 /// # Errors
-/// As [`play`].
-pub fn play_calm(size: u64, seed: u64) -> Result<CalmDays> {
-    Stage::new(size as usize, seed)?.play_calm()
+/// As [`run_all`].
+pub fn run_single(size: u64, seed: u64) -> Result<SingleResults> {
+    Simulation::new(size as usize, seed)?.run_single()
 }
 
-/// Plays all of it at one size.
+/// Runs all of it at one size.
 ///
 /// # Errors
 /// If SWIM fails, or word does not reach everyone within the limit.
-pub fn play(size: u64, seed: u64) -> Result<Days> {
-    Stage::new(size as usize, seed)?.play()
+pub fn run_all(size: u64, seed: u64) -> Result<Results> {
+    Simulation::new(size as usize, seed)?.run_all()
 }
 
-struct Stage {
+struct Simulation {
     network: Network,
     size: usize,
 }
 
-impl Stage {
-    /// A network with a place more than the fleet has members.
-    fn new(size: usize, seed: u64) -> Result<Stage> {
+impl Simulation {
+    /// A network with a node more than the fleet has members.
+    fn new(size: usize, seed: u64) -> Result<Simulation> {
         if size < 20 {
             bail!("a fleet of {size} has no zone to lose: 20 members at least");
         }
-        Ok(Stage { network: Network::new(seed, size + 1, settings()), size })
+        Ok(Simulation { network: Network::new(seed, size + 1, settings()), size })
     }
 
-    /// The scenes that each member sees alone, which the large run has too.
-    fn play_calm(&mut self) -> Result<CalmDays> {
+    /// The scenarios that each member sees alone, which the large run has too.
+    fn run_single(&mut self) -> Result<SingleResults> {
         self.network.start_acquainted(0..self.size)?;
         self.rest(REST);
         let steady = self.watch_cost(STEADY, |_| Ok(()))?;
@@ -156,11 +156,11 @@
         let join = self.join(&newcomer, REST)?;
         let joiner_knows = self.least_known(&newcomer);
         let failure = self.fail(&newcomer)?;
-        Ok(CalmDays { steady, join, joiner_knows, failure })
+        Ok(SingleResults { steady, join, joiner_knows, failure })
     }
 
-    fn play(mut self) -> Result<Days> {
-        let calm = self.play_calm()?;
+    fn run_all(mut self) -> Result<Results> {
+        let single = self.run_single()?;
         let downs = self.network.downs();
         self.network.set_loss(LOSS);
         let lossy = self.watch_cost(STEADY, |_| Ok(()))?;
@@ -170,13 +170,13 @@
         self.rest(REST);
         let rack = (RACK as usize).min(self.size / LARGEST_RACK_PART as usize);
         let zone = (self.size as u64 * ZONE).div_ceil(TARGET_MEMBERS) as usize;
-        let rack_places: Vec<usize> = (0..rack).collect();
-        let zone_places: Vec<usize> = (rack..rack + zone).collect();
-        let rack = self.fail(&rack_places)?;
-        let zone = self.fail(&zone_places)?;
-        let zone_join = self.join(&zone_places, ZONE_REST)?;
-        let zone_knows = self.least_known(&zone_places);
-        Ok(Days { calm, lossy, lossy_downs, rack, zone, zone_join, zone_knows, churn })
+        let rack_nodes: Vec<usize> = (0..rack).collect();
+        let zone_nodes: Vec<usize> = (rack..rack + zone).collect();
+        let rack = self.fail(&rack_nodes)?;
+        let zone = self.fail(&zone_nodes)?;
+        let zone_join = self.join(&zone_nodes, ZONE_REST)?;
+        let zone_knows = self.least_known(&zone_nodes);
+        Ok(Results { single, lossy, lossy_downs, rack, zone, zone_join, zone_knows, churn })
     }
 
     fn rest(&mut self, time: Millis) {
@@ -198,24 +198,24 @@
         Ok(meter.cost(&self.network, self.size))
     }
 
-    /// New members start at once at these places, where nobody runs.
-    fn join(&mut self, places: &[usize], rest: Millis) -> Result<Spread> {
-        for place in places {
-            self.network.start(*place)?;
+    /// New members start at once at these nodes, where nobody runs.
+    fn join(&mut self, nodes: &[usize], rest: Millis) -> Result<Dissemination> {
+        for node in nodes {
+            self.network.start(*node)?;
         }
         let ids: Vec<Id> =
-            places.iter().filter_map(|place| self.network.member(*place)).map(|m| *m.me()).collect();
+            nodes.iter().filter_map(|node| self.network.member(*node)).map(|m| *m.me()).collect();
         self.spread(Wanted::Up, &ids, rest)
     }
 
-    /// The members at these places end without a word.
-    fn fail(&mut self, places: &[usize]) -> Result<Spread> {
-        let ids: Vec<Id> = places.iter().filter_map(|place| self.network.kill(*place)).collect();
+    /// The members at these nodes end without a word.
+    fn fail(&mut self, nodes: &[usize]) -> Result<Dissemination> {
+        let ids: Vec<Id> = nodes.iter().filter_map(|node| self.network.kill(*node)).collect();
         self.spread(Wanted::Down, &ids, REST)
     }
 
     /// How word of these members spreads; then the fleet rests.
-    fn spread(&mut self, wanted: Wanted, ids: &[Id], rest: Millis) -> Result<Spread> {
+    fn spread(&mut self, wanted: Wanted, ids: &[Id], rest: Millis) -> Result<Dissemination> {
         let watch = Watch::begin(&self.network, self.size + 1, wanted, ids);
         self.network.set_watch(watch);
         let meter = Meter::begin(&self.network);
@@ -226,16 +226,17 @@
         let cost = meter.cost(&self.network, self.size);
         self.rest(rest);
         let Some(mut watch) = self.network.take_watch() else { bail!("no watch") };
-        let limit = SPREAD_LIMIT as f64 / 1000.0;
-        let (most, all) = (watch.seconds(0.99).unwrap_or(limit), watch.seconds(1.0).unwrap_or(limit));
-        Ok(Spread { most, all, cost })
+        match (watch.seconds(0.99), watch.seconds(1.0)) {
+            (Some(p99), Some(all)) => Ok(Dissemination { p99, all, cost }),
+            _ => bail!("word of {} members had not reached all after {SPREAD_LIMIT} ms", ids.len()),
+        }
     }
 
     /// The least part of the others that one of these members knows.
-    fn least_known(&self, places: &[usize]) -> f64 {
+    fn least_known(&self, nodes: &[usize]) -> f64 {
         let others = self.network.running().count().saturating_sub(1).max(1);
-        let known = |place: &usize| self.network.member(*place).map(|member| member.up());
-        places.iter().filter_map(known).min().unwrap_or(0) as f64 / others as f64
+        let known = |node: &usize| self.network.member(*node).map(|member| member.up());
+        nodes.iter().filter_map(known).min().unwrap_or(0) as f64 / others as f64
     }
 
     /// Members are restarted one by one at the target's rate.
@@ -245,9 +246,9 @@
         self.watch_cost(CHURN, |network| {
             while next <= network.now() {
                 next += interval;
-                let place = network.any_running();
-                network.kill(place);
-                network.start(place)?;
+                let node = network.any_running();
+                network.kill(node);
+                network.start(node)?;
             }
             Ok(())
         })
--- a/crates/scale/src/probes/fleet/watch.rs
+++ b/crates/scale/src/probes/fleet/watch.rs
@@ -1,6 +1,6 @@
 //! How word of some members spreads: when each running member first knows that each of them is up, or down.
 
-use super::network::{Network, place_of};
+use super::network::{Network, node_of};
 use dunlinspread_fleet::{Change, Id, Millis, Standing};
 use std::collections::HashMap;
 
@@ -17,9 +17,9 @@
 pub struct Watch {
     wanted: Wanted,
     since: Millis,
-    /// The members by place, with their position and start.
+    /// The members by node, with their position and start.
     subjects: HashMap<usize, (usize, u64)>,
-    places: usize,
+    nodes: usize,
     /// Which observer has yet to learn of which subject.
     pending: Vec<bool>,
     left: usize,
@@ -29,30 +29,29 @@
 
 impl Watch {
     /// From now on, for everyone who runs and does not know it yet. `subjects` themselves do not observe.
-    pub fn begin(network: &Network, places: usize, wanted: Wanted, subjects: &[Id]) -> Watch {
+    pub fn begin(network: &Network, nodes: usize, wanted: Wanted, subjects: &[Id]) -> Watch {
         let positions = subjects.iter().enumerate();
         let subjects: HashMap<usize, (usize, u64)> =
-            positions.map(|(position, id)| (place_of(&id.addr), (position, id.start))).collect();
+            positions.map(|(position, id)| (node_of(&id.addr), (position, id.start))).collect();
         let mut watch = Watch {
             wanted,
             since: network.now(),
-            pending: vec![false; subjects.len() * places],
+            pending: vec![false; subjects.len() * nodes],
             subjects,
-            places,
+            nodes,
             left: 0,
             learned: Vec::new(),
         };
-        let observers = network.running().filter(|(place, _)| !watch.subjects.contains_key(place));
+        let observers = network.running().filter(|(node, _)| !watch.subjects.contains_key(node));
         let mut pending = std::mem::take(&mut watch.pending);
         for (observer, member) in observers {
             for (position, _) in watch.subjects.values() {
-                pending[position * places + observer] = wanted == Wanted::Up;
+                pending[position * nodes + observer] = wanted == Wanted::Up;
             }
-            for (id, standing) in member.members().filter(|(_, standing)| *standing != Standing::Down) {
+            for (id, _) in member.members().filter(|(_, standing)| *standing != Standing::Down) {
                 if let Some(position) = watch.position(id) {
                     // Up in this view: known already if that is wanted, to be learned otherwise.
-                    pending[position * places + observer] = wanted == Wanted::Down;
-                    let _ = standing;
+                    pending[position * nodes + observer] = wanted == Wanted::Down;
                 }
             }
         }
@@ -63,7 +62,7 @@
 
     /// The position of a member among those watched.
     fn position(&self, id: &Id) -> Option<usize> {
-        let (position, start) = self.subjects.get(&place_of(&id.addr))?;
+        let (position, start) = self.subjects.get(&node_of(&id.addr))?;
         (id.start == *start).then_some(*position)
     }
 
@@ -75,7 +74,7 @@
             _ => return,
         };
         let Some(position) = self.position(known) else { return };
-        let pending = &mut self.pending[position * self.places + observer];
+        let pending = &mut self.pending[position * self.nodes + observer];
         if std::mem::take(pending) {
             self.left -= 1;
             self.learned.push((now - self.since) as u32);
--- a/crates/scale/src/probes/mod.rs
+++ b/crates/scale/src/probes/mod.rs
@@ -75,5 +75,5 @@
 
 /// The same for loads with several figures.
 pub fn reporting_loads() -> Vec<(&'static str, ReportingLoad)> {
-    vec![(fleet::DAYS_LOAD, fleet::days_load), (fleet::CALM_LOAD, fleet::calm_load)]
+    vec![(fleet::SCENARIOS_LOAD, fleet::scenarios_load), (fleet::SINGLE_LOAD, fleet::single_load)]
 }
--- a/crates/scale/tests/command.rs
+++ b/crates/scale/tests/command.rs
@@ -86,14 +86,14 @@
 }
 
 #[test]
-fn a_fleet_is_played_alike_on_the_same_seed() {
-    let play = || {
+fn a_fleet_is_simulated_alike_on_the_same_seed() {
+    let simulate = || {
         let mut report: Value = serde_json::from_slice(&run(&["child", "fleet", "30", "9"])).expect("JSON");
         without_processor_time(&mut report);
         report
     };
-    let first = play();
-    assert_eq!(first, play());
+    let first = simulate();
+    assert_eq!(first, simulate());
     let seconds = |scene: &str| first[scene]["all"].as_f64().expect("a number");
     // Nobody is declared down before a probe, its end and the suspicion, and everyone hears of it in the end.
     assert!((4.0..60.0).contains(&seconds("zone")), "{first}");
