--- a/crates/scale/src/probes/latency.rs
+++ b/crates/scale/src/probes/latency.rs
@@ -22,7 +22,7 @@
 /// Runs at each rate and seed, each once with the daemon and once without.
 const RUNS: usize = 3;
 /// Requests of a run.
-const REQUESTS: usize = 800;
+const REQUESTS: usize = 700;
 /// The same, only to show that the probe works.
 const QUICK_REQUESTS: usize = 60;
 /// Tries of a run in which most requests are turned away.
