--- /dev/null
+++ b/crates/scale/src/capacity/roles/configuration.rs
@@ -0,0 +1,144 @@
+//! The publisher of configuration and its relays.
+
+use crate::capacity::assumptions::{
+    COLD_ZONE_SECONDS, CONTROL_MACHINE_BYTES_PER_SECOND, CONTROL_MACHINE_MEMORY_BYTES, REGION_RELAYS,
+    RELAYS_OF_A_ZONE,
+};
+use crate::capacity::book::Book;
+use crate::capacity::estimate::Estimate;
+use crate::capacity::row::{Role, Row, Unit, When};
+use crate::capacity::target;
+use anyhow::Result;
+
+/// Bytes of a kilobyte as the system counts resident memory.
+const KIB: f64 = 1024.0;
+
+/// The rows of the publisher.
+///
+/// # Errors
+/// If a measurement is missing.
+pub fn publisher(book: &Book) -> Result<Role> {
+    let burst = target::CHANGES_PER_SECOND * target::CHANGE_BURST;
+    let commit = book.at("store.commit_us.records", 1.0)?.times(1e-6 * burst);
+    let rows = vec![
+        Row::new(
+            "changes, mean",
+            When::Steady,
+            Unit::PerSecond,
+            Estimate::exact(target::CHANGES_PER_SECOND),
+            "22,000 / 86,400",
+        )
+        .carried_by("`crates/config-sync` publisher"),
+        Row::new(
+            "changes, burst",
+            When::ChangeBurst,
+            Unit::PerSecond,
+            Estimate::exact(burst),
+            "100 times the mean",
+        )
+        .carried_by("`crates/config-sync` publisher"),
+        Row::new(
+            "share of time in commits, one sync a change",
+            When::ChangeBurst,
+            Unit::Count,
+            commit,
+            "`store.commit_us.records` at 1 x 25.5/s",
+        )
+        .limit(1.0)
+        .carried_by("`crates/store`"),
+        Row::new(
+            "sessions",
+            When::Steady,
+            Unit::Count,
+            Estimate::assumed(REGION_RELAYS),
+            "a relay of each region",
+        )
+        .carried_by("`crates/config-sync` publisher"),
+        Row::new(
+            "in force everywhere reachable, slowest change",
+            When::ChangeBurst,
+            Unit::Milliseconds,
+            book.propagated("in_force_ms_max")?,
+            "`in_force_ms_max` of the propagation runs, relays killed and stopped meanwhile",
+        )
+        .limit(target::IN_FORCE_MS)
+        .carried_by("`crates/config-sync`"),
+    ];
+    Ok(Role { id: "publisher", rows })
+}
+
+/// The rows of a relay.
+///
+/// # Errors
+/// If a measurement is missing.
+pub fn relay(book: &Book) -> Result<Role> {
+    let of_a_zone = target::SERVERS_OF_A_ZONE / RELAYS_OF_A_ZONE;
+    let after_a_loss = target::SERVERS_OF_A_ZONE;
+    let snapshot = book.propagated("snapshot_bytes")?;
+    let cold_rate = snapshot.clone().times(target::SERVERS_OF_A_ZONE / RELAYS_OF_A_ZONE / COLD_ZONE_SECONDS);
+    let from_disk = book.propagated("cold_zone_ms")?;
+    let rows = vec![
+        Row::new(
+            "sessions of a zone's relay",
+            When::Steady,
+            Unit::Count,
+            Estimate::assumed(of_a_zone),
+            "444 / 2",
+        )
+        .carried_by("rendezvous order in the zone"),
+        Row::new(
+            "sessions with the other one lost",
+            When::RackLost,
+            Unit::Count,
+            Estimate::assumed(after_a_loss),
+            "444",
+        )
+        .carried_by("rendezvous order in the zone"),
+        Row::new(
+            "bytes out",
+            When::ChangeBurst,
+            Unit::BytesPerSecond,
+            book.propagated("bytes_per_second_relay")?,
+            "`bytes_per_second_relay` of the propagation runs",
+        )
+        .limit(CONTROL_MACHINE_BYTES_PER_SECOND)
+        .carried_by("`crates/config-sync` relay"),
+        Row::new(
+            "core",
+            When::ChangeBurst,
+            Unit::CoreShare,
+            book.propagated("cpu_share_relay")?,
+            "`cpu_share_relay` of the propagation runs",
+        )
+        .limit(1.0)
+        .carried_by("`crates/config-sync` relay, one thread"),
+        Row::new(
+            "memory",
+            When::Steady,
+            Unit::Bytes,
+            book.propagated("kb_per_relay")?.times(KIB),
+            "`kb_per_relay` of the propagation runs",
+        )
+        .limit(CONTROL_MACHINE_MEMORY_BYTES)
+        .carried_by("`crates/config-sync` relay"),
+        Row::new(
+            "a zone restarted from its state on disk, until in force",
+            When::ZoneCold,
+            Unit::Milliseconds,
+            from_disk,
+            "`cold_zone_ms` of the propagation runs",
+        )
+        .limit(target::IN_FORCE_MS)
+        .carried_by("state on disk, then the difference"),
+        Row::new(
+            "bytes out for a zone with nothing on disk, in 60 s",
+            When::ZoneCold,
+            Unit::BytesPerSecond,
+            cold_rate,
+            "`snapshot_bytes` x 444 / 2 / 60 s",
+        )
+        .limit(CONTROL_MACHINE_BYTES_PER_SECOND)
+        .carried_by("snapshots in bounded pieces, a bounded number at once"),
+    ];
+    Ok(Role { id: "relay", rows })
+}
--- a/crates/scale/src/main.rs
+++ b/crates/scale/src/main.rs
@@ -2,7 +2,8 @@
 //! configuration at the size of the target fleet.
 
 use clap::{Parser, Subcommand};
-use dunlinspread_scale::{child, slopes};
+use dunlinspread_scale::{capacity, child, slopes};
+use std::ffi::OsString;
 use std::process::ExitCode;
 
 /// Scale tests of the parts of dunlinspread.
@@ -17,15 +18,32 @@
 enum Command {
     /// Measure slopes: the cost of each part against its size.
     Slopes(slopes::Options),
+    /// Make the tables of the capacity page from the measurements, or check that it says what follows from them.
+    Capacity(capacity::Options),
     /// Measure one load in this process and print what it came to; `slopes` starts it.
     #[command(hide = true)]
     Child(child::Options),
+    /// Be the daemon, with its own arguments; quick probes start it.
+    #[command(hide = true, disable_help_flag = true)]
+    Daemon(DaemonArguments),
+}
+
+/// The daemon's own arguments.
+#[derive(clap::Args)]
+struct DaemonArguments {
+    #[arg(trailing_var_arg = true, allow_hyphen_values = true)]
+    arguments: Vec<OsString>,
 }
 
 fn main() -> ExitCode {
     let result = match Cli::parse().command {
         Command::Slopes(options) => slopes::run(&options),
+        Command::Capacity(options) => capacity::run(&options),
         Command::Child(options) => child::run(&options),
+        Command::Daemon(daemon) => {
+            let program = OsString::from("dunlinspread");
+            return dunlinspread::daemon::run([program].into_iter().chain(daemon.arguments));
+        }
     };
     match result {
         Ok(()) => ExitCode::SUCCESS,
--- a/crates/scale/src/probes/mod.rs
+++ b/crates/scale/src/probes/mod.rs
@@ -1,9 +1,21 @@
 //! The probes: each measures the slopes of one part. A new one is added to [`all`], its child loads to [`child_loads`].
 
+mod daemon_client;
+mod daemon_connections;
+mod daemon_process;
+mod daemon_site;
+mod daemon_tables;
 mod fleet;
 mod keyed;
+mod latency;
 mod ledger;
+pub mod open_loop;
+mod policy;
+mod policy_load;
 mod quota;
+mod registry;
+mod registry_lists;
+mod registry_server;
 mod sample;
 mod store;
 
@@ -60,17 +72,24 @@
         Box::new(ledger::LedgerProbe),
         Box::new(quota::QuotaProbe),
         Box::new(store::StoreProbe),
+        Box::new(policy::PolicyProbe),
+        Box::new(daemon_tables::TablesProbe),
+        Box::new(daemon_connections::ConnectionsProbe),
+        Box::new(latency::LatencyProbe),
+        Box::new(registry::RegistryProbe),
     ]
 }
 
 /// The loads that are measured in a process of their own, by name.
 pub fn child_loads() -> Vec<(&'static str, Load)> {
-    vec![
+    let mut loads: Vec<(&'static str, Load)> = vec![
         (fleet::VIEW_LOAD, fleet::view_load),
         (keyed::LOAD, keyed::table_load),
         (quota::MEMBERS_LOAD, quota::members_load),
         (quota::BUDGETS_LOAD, quota::budgets_load),
-    ]
+    ];
+    loads.extend(policy::child_loads());
+    loads
 }
 
 /// The same for loads with several figures.
