--- /dev/null
+++ b/crates/config-sync/src/fanout/watch.rs
@@ -0,0 +1,182 @@
+//! How a session begins, and how deltas go out.
+
+use super::session::Stage;
+use super::{CloseReason, Fanout, FanoutAction, SessionId};
+use crate::message::{Member, ToClient};
+use crate::resource::{Digest, Millis, Position, Transaction};
+use crate::size::transaction_bytes;
+use std::collections::BTreeMap;
+use std::sync::{Arc, Weak};
+
+/// Entries of [`SharedDeltas`] after which those of messages that nobody holds any more are cleared away.
+const SHARED_DELTAS: usize = 1_024;
+
+/// Messages of deltas that are still on their way to someone, by the position that they start from, so that many
+/// sessions that begin at the same position share them. Holds no message alive; bounded by those alive, and by
+/// [`SHARED_DELTAS`] beside them.
+#[derive(Debug, Default)]
+pub(super) struct SharedDeltas {
+    messages: BTreeMap<Position, Weak<ToClient>>,
+}
+
+impl SharedDeltas {
+    fn get(&self, from: Position) -> Option<Arc<ToClient>> {
+        self.messages.get(&from)?.upgrade()
+    }
+
+    fn remember(&mut self, from: Position, message: &Arc<ToClient>) {
+        if self.messages.len() >= SHARED_DELTAS {
+            self.messages.retain(|_, message| message.strong_count() > 0);
+        }
+        self.messages.insert(from, Arc::downgrade(message));
+    }
+
+    pub(super) fn clear(&mut self) {
+        self.messages.clear();
+    }
+}
+
+impl Fanout {
+    pub(super) fn on_watch(
+        &mut self,
+        now: Millis,
+        id: SessionId,
+        member: Member,
+        position: Position,
+        digest: Digest,
+        out: &mut Vec<FanoutAction>,
+    ) {
+        if let Some(&older) = self.names.get(&member.name) {
+            self.close(older, CloseReason::Replaced, out);
+        }
+        if !self.count_in(id, &member, out) {
+            return;
+        }
+        self.names.insert(member.name.clone(), id);
+        if let Some(session) = self.sessions.get_mut(&id) {
+            session.member = Some(member);
+        }
+        self.begin(now, id, position, digest, out);
+    }
+
+    /// Serves a session from what it has: deltas if the log leads from there, else a snapshot. A session that has more
+    /// than this server is only told the head: it is this server that is behind.
+    pub(super) fn begin(
+        &mut self,
+        now: Millis,
+        id: SessionId,
+        position: Position,
+        digest: Digest,
+        out: &mut Vec<FanoutAction>,
+    ) {
+        if position > self.head() {
+            self.set_stage(now, id, Stage::Ahead { position, digest });
+            return self.send(id, ToClient::Heartbeat { head: self.head() }, out);
+        }
+        if position > self.flushed {
+            self.flush(now, out);
+        }
+        if self.log.digest_at(position) != Some(digest) {
+            return self.require_resync(now, id, out);
+        }
+        self.catch_up(now, id, position, out);
+    }
+
+    /// Sends the next message to a session that has everything up to `position`, or makes it a live one.
+    pub(super) fn catch_up(
+        &mut self,
+        now: Millis,
+        id: SessionId,
+        position: Position,
+        out: &mut Vec<FanoutAction>,
+    ) {
+        if position == self.flushed {
+            return self.set_stage(now, id, Stage::Live);
+        }
+        let Some((message, reached)) = self.deltas_from(position) else {
+            return self.require_resync(now, id, out);
+        };
+        let stage =
+            if reached == self.flushed { Stage::Live } else { Stage::CatchingUp { position: reached } };
+        self.set_stage(now, id, stage);
+        out.push(FanoutAction::Send { session: id, message });
+    }
+
+    /// Sends one more message to each session that catches up and has little unsent.
+    pub(super) fn catch_all_up(&mut self, now: Millis, out: &mut Vec<FanoutAction>) {
+        let ids: Vec<SessionId> = self.catching_up.iter().copied().collect();
+        for id in ids {
+            let Some(session) = self.sessions.get(&id) else { continue };
+            let Stage::CatchingUp { position } = session.stage else { continue };
+            if session.backlog_bytes <= self.settings.max_message_bytes {
+                self.catch_up(now, id, position, out);
+            }
+        }
+    }
+
+    /// Sends the transactions after the last flush to all live sessions, and begins with those that were ahead and no
+    /// longer are.
+    pub(super) fn flush(&mut self, now: Millis, out: &mut Vec<FanoutAction>) {
+        if self.flushed == self.head() {
+            return;
+        }
+        let messages = self.messages_to_head();
+        self.flushed = self.head();
+        self.last_flush = Some(now);
+        let ids: Vec<SessionId> = self.sessions.keys().copied().collect();
+        for session in ids {
+            match (self.sessions.get(&session).map(|session| &session.stage), &messages) {
+                (Some(Stage::Live), Some(messages)) => {
+                    let sends = messages.iter().cloned();
+                    out.extend(sends.map(|message| FanoutAction::Send { session, message }));
+                }
+                (Some(Stage::Live), None) => self.require_resync(now, session, out),
+                (Some(&Stage::Ahead { position, digest }), _) if position <= self.flushed => {
+                    self.begin(now, session, position, digest, out);
+                }
+                _ => {}
+            }
+        }
+    }
+
+    /// What leads from the last flush to the head; nothing if the log was compacted in between.
+    fn messages_to_head(&self) -> Option<Vec<Arc<ToClient>>> {
+        let mut position = self.flushed;
+        let mut messages = Vec::new();
+        while position < self.head() {
+            let (message, reached) = self.next_deltas(position, self.head())?;
+            messages.push(message);
+            position = reached;
+        }
+        Some(messages)
+    }
+
+    /// A message from `position` on, at most to the last flush, and the position that it leads to.
+    fn deltas_from(&mut self, position: Position) -> Option<(Arc<ToClient>, Position)> {
+        if let Some(message) = self.shared_deltas.get(position) {
+            if let ToClient::Deltas(transactions) = &*message {
+                let reached = transactions.last()?.position;
+                return Some((message, reached));
+            }
+        }
+        let (message, reached) = self.next_deltas(position, self.flushed)?;
+        self.shared_deltas.remember(position, &message);
+        Some((message, reached))
+    }
+
+    /// As many of the transactions after `position`, up to `end`, as fit into one message; one at least.
+    fn next_deltas(&self, position: Position, end: Position) -> Option<(Arc<ToClient>, Position)> {
+        let mut batch: Vec<Arc<Transaction>> = Vec::new();
+        let mut bytes = 0;
+        for transaction in self.log.after(position)? {
+            bytes += transaction_bytes(transaction);
+            let full = bytes > self.settings.max_message_bytes && !batch.is_empty();
+            if full || transaction.position > end {
+                break;
+            }
+            batch.push(transaction.clone());
+        }
+        let reached = batch.last()?.position;
+        Some((Arc::new(ToClient::Deltas(batch)), reached))
+    }
+}
