--- a/crates/scale/src/capacity/roles/configuration.rs
+++ b/crates/scale/src/capacity/roles/configuration.rs
@@ -74,7 +74,7 @@
 pub fn relay(book: &Book) -> Result<Role> {
     let of_a_zone = target::SERVERS_OF_A_ZONE / RELAYS_OF_A_ZONE;
     let after_a_loss = target::SERVERS_OF_A_ZONE;
-    let snapshot = book.propagated("snapshot_bytes")?;
+    let snapshot = book.at_target("config.snapshot_bytes.resources")?;
     let cold_rate = snapshot.clone().times(target::SERVERS_OF_A_ZONE / RELAYS_OF_A_ZONE / COLD_ZONE_SECONDS);
     let from_disk = book.propagated("cold_zone_ms")?;
     let rows = vec![
@@ -116,8 +116,8 @@
             "memory",
             When::Steady,
             Unit::Bytes,
-            book.propagated("kb_per_relay")?.times(KIB),
-            "`kb_per_relay` of the propagation runs",
+            book.propagated("kb_relay_max")?.times(KIB),
+            "`kb_relay_max` of the propagation runs",
         )
         .limit(CONTROL_MACHINE_MEMORY_BYTES)
         .carried_by("`crates/config-sync` relay"),
@@ -135,7 +135,7 @@
             When::ZoneCold,
             Unit::BytesPerSecond,
             cold_rate,
-            "`snapshot_bytes` x 444 / 2 / 60 s",
+            "`config.snapshot_bytes.resources` x 444 / 2 / 60 s",
         )
         .limit(CONTROL_MACHINE_BYTES_PER_SECOND)
         .carried_by("snapshots in bounded pieces, a bounded number at once"),
--- a/crates/scale/src/probes/mod.rs
+++ b/crates/scale/src/probes/mod.rs
@@ -1,5 +1,6 @@
 //! The probes: each measures the slopes of one part. A new one is added to [`all`], its child loads to [`child_loads`].
 
+mod config_sync;
 mod daemon_client;
 mod daemon_connections;
 mod daemon_process;
@@ -67,6 +68,7 @@
 /// All probes.
 pub fn all() -> Vec<Box<dyn Probe>> {
     vec![
+        Box::new(config_sync::ConfigSyncProbe),
         Box::new(fleet::FleetProbe),
         Box::new(keyed::KeyedProbe),
         Box::new(ledger::LedgerProbe),
@@ -83,6 +85,7 @@
 /// The loads that are measured in a process of their own, by name.
 pub fn child_loads() -> Vec<(&'static str, Load)> {
     let mut loads: Vec<(&'static str, Load)> = vec![
+        (config_sync::LOAD, config_sync::table_load),
         (fleet::VIEW_LOAD, fleet::view_load),
         (keyed::LOAD, keyed::table_load),
         (quota::MEMBERS_LOAD, quota::members_load),
