--- a/crates/scale/src/main.rs
+++ b/crates/scale/src/main.rs
@@ -2,7 +2,7 @@
 //! configuration at the size of the target fleet.
 
 use clap::{Parser, Subcommand};
-use dunlinspread_scale::{child, slopes};
+use dunlinspread_scale::{capacity, child, slopes};
 use std::ffi::OsString;
 use std::process::ExitCode;
 
@@ -18,6 +18,8 @@
 enum Command {
     /// Measure slopes: the cost of each part against its size.
     Slopes(slopes::Options),
+    /// Make the tables of the capacity page from the measurements, or check that it says what follows from them.
+    Capacity(capacity::Options),
     /// Measure one load in this process and print what it came to; `slopes` starts it.
     #[command(hide = true)]
     Child(child::Options),
@@ -36,6 +38,7 @@
 fn main() -> ExitCode {
     let result = match Cli::parse().command {
         Command::Slopes(options) => slopes::run(&options),
+        Command::Capacity(options) => capacity::run(&options),
         Command::Child(options) => child::run(&options),
         Command::Daemon(daemon) => {
             let program = OsString::from("dunlinspread");
