Heartbeats say how old the server's own state is

A subscriber below a relay that was cut off from above called itself up to date, since a heartbeat said the relay's head alone. Now it says the age of what the relay serves too; a client is as old as its server said when it had all that the server had.

On the wire a third field of the heartbeat, left out at age 0: version 1 and its stored bytes stay.

Tests: relay's 'cut off' test now asks for the ages in its heartbeats, where it compared whole messages, and its relay is told a heartbeat before, which a publisher sends each second: without one nothing is known of an age.

--- a/crates/config-sync/src/client.rs
+++ b/crates/config-sync/src/client.rs
@@ -104,7 +104,8 @@
         }
     }
 
-    /// How long ago it last knew that it had all there is, ms; none before the first time in this run.
+    /// How long ago it last knew that it had all there is, by what its servers say of their own age, ms; none before the
+    /// first time in this run.
     pub fn age_ms(&self) -> Option<u64> {
         self.handle.as_ref().and_then(SubscriberHandle::age_ms)
     }
--- a/crates/config-sync/src/codec/message.rs
+++ b/crates/config-sync/src/codec/message.rs
@@ -3,10 +3,10 @@
 use super::convert::{at_most, digest, position};
 use super::{DecodeError, wire};
 use crate::message::{
-    BUCKETS, BucketContent, MAX_REPORTED_REFUSALS, MAX_REPORTED_ZONES, Member, Refusal, ToClient, ToServer,
-    ZoneProgress,
+    BUCKETS, BucketContent, MAX_AGE_MS, MAX_REPORTED_REFUSALS, MAX_REPORTED_ZONES, Member, Refusal, ToClient,
+    ToServer, ZoneProgress,
 };
-use crate::resource::Transaction;
+use crate::resource::{Position, Transaction};
 use prost::Message as _;
 use std::sync::Arc;
 
@@ -84,7 +84,9 @@
                 published_unix_ms: *published_unix_ms,
             })
         }
-        ToClient::Heartbeat { head } => Kind::Heartbeat((*head).into()),
+        ToClient::Heartbeat { head, age_ms } => {
+            Kind::Heartbeat(wire::Heartbeat { epoch: head.epoch, revision: head.revision, age_ms: *age_ms })
+        }
     };
     encode(&wire::ToClient { kind: Some(kind) }, out);
 }
@@ -114,10 +116,19 @@
             pieces: end.pieces,
             published_unix_ms: end.published_unix_ms,
         },
-        Kind::Heartbeat(head) => ToClient::Heartbeat { head: head.into() },
+        Kind::Heartbeat(heartbeat) => decode_heartbeat(&heartbeat)?,
     })
 }
 
+fn decode_heartbeat(heartbeat: &wire::Heartbeat) -> Result<ToClient, DecodeError> {
+    let age_ms = heartbeat.age_ms;
+    if age_ms > MAX_AGE_MS {
+        return Err(DecodeError::Value { field: "heartbeat.age_ms", value: age_ms });
+    }
+    let head = Position { epoch: heartbeat.epoch, revision: heartbeat.revision };
+    Ok(ToClient::Heartbeat { head, age_ms })
+}
+
 fn convert<W, T>(
     items: Vec<W>,
     convert_one: impl Fn(W) -> Result<T, DecodeError>,
--- a/crates/config-sync/src/fanout.rs
+++ b/crates/config-sync/src/fanout.rs
@@ -17,6 +17,7 @@
 use crate::delta_log::DeltaLog;
 use crate::message::{Refusal, ToClient, ToServer, ZoneProgress};
 use crate::resource::{Digest, Millis, Position, Transaction};
+use crate::state_age::ServerAge;
 use crate::table::Table;
 use progress::Progress;
 use rand::{RngExt, SeedableRng};
@@ -36,6 +37,8 @@
     table: Table,
     /// When the head's transaction was accepted.
     published_unix_ms: u64,
+    /// How old the table is.
+    age: ServerAge,
     /// What all live sessions have been sent.
     flushed: Position,
     last_flush: Option<Millis>,
@@ -61,6 +64,7 @@
             log: DeltaLog::new(settings.log, Position::default(), Digest::default()),
             table: Table::new(),
             published_unix_ms: 0,
+            age: ServerAge::Publisher,
             flushed: Position::default(),
             last_flush: None,
             last_heartbeat: None,
@@ -87,6 +91,12 @@
         &self.table
     }
 
+    /// How old the table is from now on, for heartbeats: a relay says so before each event. Without it, the fan-out is a
+    /// publisher's.
+    pub fn set_age(&mut self, age: ServerAge) {
+        self.age = age;
+    }
+
     /// The log of deltas.
     pub fn log(&self) -> &DeltaLog {
         &self.log
@@ -241,12 +251,12 @@
         if heartbeat_due {
             self.last_heartbeat = Some(now);
             self.close_silent(now, out);
-            self.send_heartbeats(out);
+            self.send_heartbeats(now, out);
         }
     }
 
-    fn send_heartbeats(&self, out: &mut Vec<FanoutAction>) {
-        let message = Arc::new(ToClient::Heartbeat { head: self.head() });
+    fn send_heartbeats(&self, now: Millis, out: &mut Vec<FanoutAction>) {
+        let message = Arc::new(self.heartbeat(now));
         for (&session, state) in &self.sessions {
             if state.member.is_some() {
                 out.push(FanoutAction::Send { session, message: message.clone() });
@@ -254,6 +264,11 @@
         }
     }
 
+    /// What this server has, and how old it is.
+    fn heartbeat(&self, now: Millis) -> ToClient {
+        ToClient::Heartbeat { head: self.head(), age_ms: self.age.at(now) }
+    }
+
     fn close_silent(&mut self, now: Millis, out: &mut Vec<FanoutAction>) {
         let overdue: Vec<(SessionId, CloseReason)> =
             self.sessions.iter().filter_map(|(&id, state)| Some((id, self.silence(now, state)?))).collect();
--- a/crates/config-sync/src/follower.rs
+++ b/crates/config-sync/src/follower.rs
@@ -17,6 +17,7 @@
 
 use crate::message::ToServer;
 use crate::resource::{Millis, Position};
+use crate::state_age::StateAge;
 use crate::table::Table;
 use candidates::Candidates;
 use staging::Staging;
@@ -46,6 +47,8 @@
     proven: bool,
     /// Whether a snapshot was asked for because something did not fit; the second time the server is left.
     repaired: bool,
+    /// What the server's last heartbeat said: its head and its age.
+    told: Option<(Position, StateAge)>,
     /// When a nearer server is tried again.
     return_at: Option<Millis>,
 }
@@ -58,8 +61,8 @@
     session: Session,
     position: Position,
     table: Table,
-    /// When it last knew itself at the head of its server.
-    at_head_at: Option<Millis>,
+    /// How old the table is: since it was last known to be at the publisher's head.
+    age: Option<StateAge>,
     /// The next snapshot is fetched whole, since one that was put together from differences did not fit.
     fetch_whole: bool,
     counters: FollowerCounters,
@@ -75,7 +78,7 @@
             session: Session::default(),
             position,
             table,
-            at_head_at: None,
+            age: None,
             fetch_whole: false,
             counters: FollowerCounters::default(),
         }
@@ -107,10 +110,15 @@
         matches!(self.link, Link::Following | Link::Fetching(_))
     }
 
-    /// How long ago it last knew itself at the head of the server it watches; nothing if it never did. What lies above
-    /// that server is not seen.
+    /// How long ago it last knew itself at the publisher's head, by what its servers say of themselves; nothing if it
+    /// never did.
     pub fn age_ms(&self, now: Millis) -> Option<Millis> {
-        self.at_head_at.map(|at| now.saturating_sub(at))
+        self.age.map(|age| age.at(now))
+    }
+
+    /// The same as it grows, for those that follow this one.
+    pub fn state_age(&self) -> Option<StateAge> {
+        self.age
     }
 
     /// Its counters.
--- a/crates/config-sync/src/follower/messages.rs
+++ b/crates/config-sync/src/follower/messages.rs
@@ -5,6 +5,7 @@
 };
 use crate::message::{BucketContent, ToClient, ToServer};
 use crate::resource::{Digest, Millis, Position, Transaction};
+use crate::state_age::StateAge;
 use crate::table::Table;
 use std::sync::Arc;
 
@@ -35,8 +36,8 @@
                 self.on_resync(now, head, out);
                 Ok(())
             }
-            ToClient::Heartbeat { head } => {
-                self.on_heartbeat(now, head, out);
+            ToClient::Heartbeat { head, age_ms } => {
+                self.on_heartbeat(now, head, age_ms, out);
                 Ok(())
             }
             ToClient::Busy { retry_after_ms } => {
@@ -54,7 +55,8 @@
         }
     }
 
-    fn on_heartbeat(&mut self, now: Millis, head: Position, out: &mut Vec<FollowerAction>) {
+    fn on_heartbeat(&mut self, now: Millis, head: Position, age_ms: Millis, out: &mut Vec<FollowerAction>) {
+        self.session.told = Some((head, StateAge::new(now, age_ms)));
         if head < self.position {
             self.leave_behind(now, head, out);
         } else if head == self.position {
@@ -69,10 +71,18 @@
         }
         self.session.progress_at = now;
         self.session.proven = true;
-        self.at_head_at = Some(now);
+        self.grow_young(now);
         self.candidates.session_proven();
     }
 
+    /// The table is as young as the server's was when it last spoke, if it has all that the server had then. Deltas alone
+    /// are no sign of youth: a server that is cut off has some for those that have less.
+    fn grow_young(&mut self, now: Millis) {
+        if let Some((_, age)) = self.session.told.filter(|(head, _)| *head <= self.position) {
+            self.age = Some(age.younger(self.age, now));
+        }
+    }
+
     fn leave_behind(&mut self, now: Millis, head: Position, out: &mut Vec<FollowerAction>) {
         self.counters.servers_behind += 1;
         self.leave(now, DisconnectReason::ServerBehind { head, position: self.position }, out);
--- a/crates/config-sync/src/lib.rs
+++ b/crates/config-sync/src/lib.rs
@@ -25,6 +25,7 @@
 pub mod resource;
 pub mod selection;
 pub mod size;
+pub mod state_age;
 pub mod state_store;
 pub mod subscriber;
 pub mod table;
--- a/crates/config-sync/src/message.rs
+++ b/crates/config-sync/src/message.rs
@@ -23,6 +23,9 @@
 /// The most refusals that one progress report names; the rest is only counted.
 pub const MAX_REPORTED_REFUSALS: usize = 16;
 
+/// The most that a heartbeat says of its server's age, about 50 days; also what one says that knows nothing of it.
+pub const MAX_AGE_MS: u64 = u32::MAX as u64;
+
 /// What a client is.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub enum Role {
@@ -146,5 +149,7 @@
     Heartbeat {
         /// The server's head.
         head: Position,
+        /// How long ago the server last knew itself at the publisher's head, [`MAX_AGE_MS`] at most; 0 at the publisher.
+        age_ms: u64,
     },
 }
--- a/crates/config-sync/src/relay.rs
+++ b/crates/config-sync/src/relay.rs
@@ -2,7 +2,7 @@
 //!
 //! Deltas are passed on as soon as they are applied. A snapshot from above moves the head of the fan-out in one step;
 //! sessions below it resync by bucket digests. Cut off from above, a relay goes on serving what it has, and its
-//! heartbeats say its head.
+//! heartbeats say its head and how old that is.
 
 use crate::fanout::{Fanout, FanoutAction, FanoutEvent, FanoutSettings};
 use crate::follower::{
@@ -134,7 +134,13 @@
         self.follower_actions = actions;
     }
 
+    /// The fan-out says how old the state is that it serves.
+    fn tell_age(&mut self) {
+        self.fanout.set_age(self.follower.state_age().into());
+    }
+
     fn pass_on(&mut self, now: Millis, advance: Advance, out: &mut Vec<RelayAction>) {
+        self.tell_age();
         let mut actions = std::mem::take(&mut self.fanout_actions);
         let table = self.follower.table();
         match advance {
@@ -150,6 +156,7 @@
     }
 
     fn on_downstream(&mut self, now: Millis, event: FanoutEvent, out: &mut Vec<RelayAction>) {
+        self.tell_age();
         let mut actions = std::mem::take(&mut self.fanout_actions);
         self.fanout.on_event(now, event, &mut actions);
         out.extend(actions.drain(..).map(RelayAction::Downstream));
--- a/crates/config-sync/tests/client_support/mod.rs
+++ b/crates/config-sync/tests/client_support/mod.rs
@@ -98,7 +98,12 @@
     }
 
     pub fn heartbeat(&self) -> ToClient {
-        ToClient::Heartbeat { head: self.position }
+        self.heartbeat_aged(0)
+    }
+
+    /// From a server whose state is so old.
+    pub fn heartbeat_aged(&self, age_ms: Millis) -> ToClient {
+        ToClient::Heartbeat { head: self.position, age_ms }
     }
 
     /// A snapshot for a client with these bucket digests, a bucket a piece.
--- a/crates/config-sync/tests/follower_servers.rs
+++ b/crates/config-sync/tests/follower_servers.rs
@@ -79,8 +79,8 @@
 fn a_server_that_is_behind_is_left_and_never_followed() {
     let history = history();
     let behind = [
-        ToClient::Heartbeat { head: at(1, 9) },
-        ToClient::Heartbeat { head: at(0, 99) },
+        ToClient::Heartbeat { head: at(1, 9), age_ms: 0 },
+        ToClient::Heartbeat { head: at(0, 99), age_ms: 0 },
         ToClient::Resync { head: at(1, 9) },
         ToClient::Resync { head: Position::default() },
     ];
@@ -117,7 +117,7 @@
     let mut driver = driver(&history);
     for _ in 0..200 {
         driver.accept();
-        driver.receive(ToClient::Heartbeat { head: at(1, 3) });
+        driver.receive(ToClient::Heartbeat { head: at(1, 3), age_ms: 0 });
     }
     assert!(driver.now > 100_000, "200 attempts within {} ms", driver.now);
 }
@@ -149,7 +149,7 @@
         second += 1;
         assert!(second < 10, "it was never left");
         driver.now = second * 1_000;
-        driver.receive(ToClient::Heartbeat { head: at(1, 11) });
+        driver.receive(ToClient::Heartbeat { head: at(1, 11), age_ms: 0 });
     }
     assert_eq!(driver.left(), Some(DisconnectReason::Stalled(4_000)));
 }
@@ -160,7 +160,7 @@
     driver.accept();
     for second in 1..=4 {
         driver.now = second * 1_000;
-        driver.receive(ToClient::Heartbeat { head: Position::default() });
+        driver.receive(ToClient::Heartbeat { head: Position::default(), age_ms: 0 });
     }
     assert!(matches!(driver.left(), Some(DisconnectReason::Stalled(_))));
     assert_eq!(driver.follower.age_ms(driver.now), None);
--- a/crates/config-sync/tests/relay.rs
+++ b/crates/config-sync/tests/relay.rs
@@ -5,7 +5,7 @@
 use client_support::{History, at, member, server};
 use dunlinspread_config_sync::fanout::{FanoutAction, FanoutEvent, FanoutSettings, SessionId};
 use dunlinspread_config_sync::follower::{FollowerEvent, FollowerSettings, LinkAction};
-use dunlinspread_config_sync::message::{Refusal, Role, ToClient, ToServer, ZoneProgress};
+use dunlinspread_config_sync::message::{MAX_AGE_MS, Refusal, Role, ToClient, ToServer, ZoneProgress};
 use dunlinspread_config_sync::relay::{Relay, RelayAction, RelayEvent, RelaySettings};
 use dunlinspread_config_sync::resource::{Digest, Millis, Position};
 use std::sync::Arc;
@@ -38,6 +38,7 @@
         let mut relayed = Relayed::new();
         relayed.connect();
         relayed.fetch(history);
+        relayed.above(FollowerEvent::Received(history.heartbeat()));
         relayed
     }
 
@@ -116,6 +117,19 @@
         reports.collect()
     }
 
+    /// The ages of the heartbeats that a session was sent, all of which say `head`.
+    fn ages_told_to(&self, session: u64, head: Position) -> Vec<Millis> {
+        let own = self.down.iter().filter(|(to, _)| *to == SessionId(session));
+        let ages = own.filter_map(|(_, message)| match **message {
+            ToClient::Heartbeat { head: told, age_ms } => {
+                assert_eq!(told, head);
+                Some(age_ms)
+            }
+            _ => None,
+        });
+        ages.collect()
+    }
+
     /// What a session was sent since the last look, but for heartbeats.
     fn sent_to(&mut self, session: u64) -> Vec<Arc<ToClient>> {
         let down = std::mem::take(&mut self.down);
@@ -249,10 +263,9 @@
             relayed.above(FollowerEvent::ConnectFailed);
         }
     }
-    let heartbeats = relayed.down.iter().filter(|(session, message)| {
-        *session == SessionId(1) && **message == ToClient::Heartbeat { head: known }
-    });
-    assert!(heartbeats.count() >= 25, "heartbeats go on");
+    let ages = relayed.ages_told_to(1, known);
+    assert!(ages.len() >= 25, "heartbeats go on");
+    assert!(ages.is_sorted() && ages.last() >= Some(&29_000), "they say how old it is: {ages:?}");
     assert!(relayed.relay.follower().age_ms(relayed.now).expect("it was at the head") >= 29_000);
     assert!(relayed.reports().is_empty(), "nobody to tell");
     relayed.watch(2, "server-2", "a1", Position::default(), Digest::default());
@@ -294,5 +307,6 @@
     let told: Vec<_> = relayed.down.iter().map(|(_, message)| message.clone()).collect();
     assert!(!told.is_empty());
     let nothing = Position::default();
-    assert!(told.iter().all(|message| **message == ToClient::Heartbeat { head: nothing }), "{told:?}");
+    let old = ToClient::Heartbeat { head: nothing, age_ms: MAX_AGE_MS };
+    assert!(told.iter().all(|message| **message == old), "{told:?}");
 }
--- a/crates/config-sync/tests/support/mod.rs
+++ b/crates/config-sync/tests/support/mod.rs
@@ -2,7 +2,7 @@
 #![allow(dead_code, reason = "each test file uses a part")]
 
 use dunlinspread_config_sync::message::{
-    BUCKETS, BucketContent, Member, Refusal, Role, ToClient, ToServer, ZoneProgress,
+    BUCKETS, BucketContent, MAX_AGE_MS, Member, Refusal, Role, ToClient, ToServer, ZoneProgress,
 };
 use dunlinspread_config_sync::resource::{Change, Digest, Key, Position, Resource, Transaction};
 use proptest::collection::vec;
@@ -114,6 +114,6 @@
                 published_unix_ms,
             }
         ),
-        position().prop_map(|head| ToClient::Heartbeat { head }),
+        (position(), 0..=MAX_AGE_MS).prop_map(|(head, age_ms)| ToClient::Heartbeat { head, age_ms }),
     ]
 }
