A server that alone is cut off from the publisher is left for a fresher one

A follower stayed with a relay that was heard but cut off from above. Once the server's own age passes stale_after_ms (3 s for relays, 5 s for subscribers, each session up to half longer) the next server is tried; it is kept if it is fresh, or younger than the one left by more than that limit, else the follower goes back. A nearer server that is cut off is not gone back to from a fresh farther one. A session has as long to show that its server is young, since a relay that has just begun is not.

--- a/crates/config-sync/src/follower.rs
+++ b/crates/config-sync/src/follower.rs
@@ -9,6 +9,7 @@
 mod candidates;
 mod messages;
 mod staging;
+mod staleness;
 
 pub use api::{
     Advance, DisconnectReason, FollowerAction, FollowerCounters, FollowerEvent, FollowerSettings, LinkAction,
@@ -49,6 +50,12 @@
     repaired: bool,
     /// What the server's last heartbeat said: its head and its age.
     told: Option<(Position, StateAge)>,
+    /// The age at which its server is left.
+    stale_after_ms: Millis,
+    /// So long a new session has to show that its server is not that old, as one that has just begun itself.
+    fresh_by: Millis,
+    /// When its server is left for its age, if that goes on growing.
+    stale_at: Millis,
     /// When a nearer server is tried again.
     return_at: Option<Millis>,
 }
@@ -146,14 +153,15 @@
             Link::Following | Link::Fetching(_) => {
                 let silent = self.session.heard_at.saturating_add(self.silence_limit());
                 let stalled = self.session.progress_at.saturating_add(self.settings.stall_ms);
-                silent.min(stalled).min(self.session.return_at.unwrap_or(Millis::MAX))
+                let return_at = self.session.return_at.unwrap_or(Millis::MAX);
+                silent.min(stalled).min(return_at).min(self.session.stale_at)
             }
         }
     }
 
     /// A server that is only tried again has to answer as fast as it has to accept the connection.
     fn silence_limit(&self) -> Millis {
-        let unproven_return = self.candidates.is_trying_nearer() && !self.session.heard;
+        let unproven_return = self.candidates.trial().is_some() && !self.session.heard;
         if unproven_return { self.settings.connect_limit_ms } else { self.settings.silence_ms }
     }
 
@@ -163,7 +171,17 @@
         }
         self.link = Link::Following;
         let return_at = self.candidates.next_return(now);
-        self.session = Session { heard_at: now, progress_at: now, return_at, ..Session::default() };
+        let stale_after_ms = self.candidates.stretched(self.settings.stale_after_ms);
+        let fresh_by = now.saturating_add(stale_after_ms);
+        self.session = Session {
+            heard_at: now,
+            progress_at: now,
+            stale_after_ms,
+            fresh_by,
+            stale_at: fresh_by.max(self.candidates.fresher_not_before()),
+            return_at,
+            ..Session::default()
+        };
         self.counters.sessions += 1;
         send(
             out,
@@ -217,6 +235,8 @@
             self.leave(now, DisconnectReason::Stalled(stall), out);
         } else if self.session.return_at.is_some_and(|at| now >= at) {
             self.try_nearer(now, out);
+        } else if now >= self.session.stale_at {
+            self.try_fresher(now, out);
         }
     }
 
@@ -227,7 +247,7 @@
             return;
         }
         disconnect(out, DisconnectReason::TryingNearer);
-        self.candidates.try_nearer();
+        self.candidates.try_nearer(self.session.told.map(|(_, age)| age));
         self.connect(now, out);
     }
 
--- a/crates/config-sync/src/follower/api.rs
+++ b/crates/config-sync/src/follower/api.rs
@@ -2,7 +2,7 @@
 
 use crate::backoff::BackoffSettings;
 use crate::client::Server;
-use crate::message::{Member, ToClient, ToServer};
+use crate::message::{Member, Role, ToClient, ToServer};
 use crate::resource::{Millis, Position, Transaction};
 use crate::table::Table;
 use std::sync::Arc;
@@ -26,6 +26,10 @@
     pub stall_ms: u64,
     /// On a farther server, a nearer one is tried again after about this time, ms; each wait is half to one and a half of it.
     pub return_ms: u64,
+    /// A server that says that its own state is older than this, because it is cut off from the publisher, is left for one
+    /// that is fresher, ms; each session waits up to half of it longer. A relay waits for less than those below it, so
+    /// that it mends itself before they leave it.
+    pub stale_after_ms: u64,
     /// The longest wait that a server without a place for a snapshot can ask for, ms.
     pub max_busy_wait_ms: u64,
     /// The most resources of a table; one that would grow past it is not taken.
@@ -35,6 +39,10 @@
 impl FollowerSettings {
     /// The defaults for `member`, which may watch `servers`.
     pub fn new(member: Member, servers: Vec<Server>, seed: u64) -> FollowerSettings {
+        let stale_after_ms = match member.role {
+            Role::Relay => 3_000,
+            Role::Subscriber => 5_000,
+        };
         FollowerSettings {
             member,
             servers,
@@ -44,6 +52,7 @@
             silence_ms: 3_500,
             stall_ms: 3_500,
             return_ms: 20_000,
+            stale_after_ms,
             max_busy_wait_ms: 5_000,
             max_resources: 1_000_000,
         }
@@ -133,6 +142,12 @@
     /// What the server sends does not fit together; the old table is kept.
     #[error("{0}")]
     Fault(#[from] SessionFault),
+    /// The server is heard but is cut off from the publisher, and another may not be.
+    #[error("the server's state is {0} ms old, trying another")]
+    Stale(Millis),
+    /// The server on trial is no better than the one that was left for it.
+    #[error("the server's state is {0} ms old, returning to the one before")]
+    NoFresher(Millis),
     /// A nearer server is tried again.
     #[error("trying a nearer server again")]
     TryingNearer,
@@ -189,6 +204,8 @@
     pub digest_mismatches: u64,
     /// Servers left because they were behind.
     pub servers_behind: u64,
+    /// Servers left because they were cut off from the publisher.
+    pub servers_stale: u64,
     /// Answers that there is no place for a snapshot.
     pub busy: u64,
     /// Sessions given up because of what the server sent.
--- a/crates/config-sync/src/follower/messages.rs
+++ b/crates/config-sync/src/follower/messages.rs
@@ -56,9 +56,13 @@
     }
 
     fn on_heartbeat(&mut self, now: Millis, head: Position, age_ms: Millis, out: &mut Vec<FollowerAction>) {
-        self.session.told = Some((head, StateAge::new(now, age_ms)));
+        let age = StateAge::new(now, age_ms);
+        self.session.told = Some((head, age));
+        self.note_age(now, age);
         if head < self.position {
             self.leave_behind(now, head, out);
+        } else if head == self.position && self.fails_trial(now, age) {
+            self.leave(now, DisconnectReason::NoFresher(age_ms), out);
         } else if head == self.position {
             self.at_head(now);
         }
--- a/crates/config-sync/tests/fleet_support/faults.rs
+++ b/crates/config-sync/tests/fleet_support/faults.rs
@@ -65,6 +65,7 @@
         }
         let mut out = Vec::new();
         self.publisher.on_durable(self.net.now, position, &mut out);
+        self.published.set_head(self.net.now, self.publisher.head());
         self.publisher_actions(out);
     }
 
@@ -153,6 +154,7 @@
         self.store.clear();
         self.epoch += 1;
         self.published.begin(self.epoch);
+        self.published.set_head(self.net.now, Position { epoch: self.epoch, revision: 0 });
         self.publisher = Publisher::new(publisher_settings(), self.epoch);
     }
 }
--- a/crates/config-sync/tests/fleet_support/mod.rs
+++ b/crates/config-sync/tests/fleet_support/mod.rs
@@ -273,6 +273,7 @@
         assert!(relay.position() >= before, "relay {number} regressed");
         assert_eq!(relay.position(), relay.fanout().head());
         self.published.check(relay.follower());
+        self.published.check_age(self.net.now, relay.follower());
         for action in out {
             match action {
                 RelayAction::Upstream(action) => self.link_action(Node::Relay(number), action),
@@ -288,6 +289,7 @@
         node.subscriber.on_event(self.net.now, event, &mut out);
         assert!(node.subscriber.follower().position() >= before, "subscriber {number} regressed");
         self.published.check(node.subscriber.follower());
+        self.published.check_age(self.net.now, node.subscriber.follower());
         let updated = out.iter().any(|action| matches!(action, SubscriberAction::InForce(_)));
         self.subscriber_actions(number, out);
         if updated {
