Clients that fall silent are closed and no longer counted; signs of life by quiet ones

A client that died without closing its connection, or was stopped, held its zone's least position back until the connection ended. Clients now send Alive when they sent nothing for 7.5 s, and a fan-out closes a session from which nothing came during 15 heartbeats (client_silence_ms, 15 s), with a reason of its own; what it reported goes at once. Counted in heartbeats, so that a server that was itself held up does not take all of its clients for silent.

Tests: relay's 'cut off' test and the one of ages send Alive from their clients, as clients have to now.

--- a/crates/config-sync/src/codec/message.rs
+++ b/crates/config-sync/src/codec/message.rs
@@ -27,6 +27,7 @@
             zones: zones.iter().map(wire::ZoneProgress::from).collect(),
             refusals: refusals.iter().map(wire::Refusal::from).collect(),
         }),
+        ToServer::Alive => Kind::Alive(wire::Alive {}),
     };
     encode(&wire::ToServer { kind: Some(kind) }, out);
 }
@@ -52,6 +53,7 @@
             Ok(ToServer::FetchDifferences { bucket_digests: fetch.bucket_digests })
         }
         Kind::PieceTaken(sequence) => Ok(ToServer::PieceTaken { sequence }),
+        Kind::Alive(_) => Ok(ToServer::Alive),
         Kind::Progress(progress) => {
             at_most("zones", progress.zones.len(), MAX_REPORTED_ZONES)?;
             at_most("refusals", progress.refusals.len(), MAX_REPORTED_REFUSALS)?;
--- a/crates/config-sync/src/codec/wire.rs
+++ b/crates/config-sync/src/codec/wire.rs
@@ -4,7 +4,7 @@
 
 #[derive(Clone, PartialEq, prost::Message)]
 pub(super) struct ToServer {
-    #[prost(oneof = "to_server::Kind", tags = "1, 2, 3, 4")]
+    #[prost(oneof = "to_server::Kind", tags = "1, 2, 3, 4, 5")]
     pub kind: Option<to_server::Kind>,
 }
 
@@ -19,6 +19,8 @@
         PieceTaken(u32),
         #[prost(message, tag = "4")]
         Progress(super::Progress),
+        #[prost(message, tag = "5")]
+        Alive(super::Alive),
     }
 }
 
@@ -110,6 +112,10 @@
     pub refusals: Vec<Refusal>,
 }
 
+/// Without fields.
+#[derive(Clone, Copy, PartialEq, prost::Message)]
+pub(super) struct Alive {}
+
 #[derive(Clone, PartialEq, prost::Message)]
 pub(super) struct ZoneProgress {
     #[prost(string, tag = "1")]
--- a/crates/config-sync/src/fanout.rs
+++ b/crates/config-sync/src/fanout.rs
@@ -216,7 +216,8 @@
     }
 
     fn on_received(&mut self, now: Millis, id: SessionId, message: ToServer, out: &mut Vec<FanoutAction>) {
-        let Some(session) = self.sessions.get(&id) else { return };
+        let Some(session) = self.sessions.get_mut(&id) else { return };
+        session.unanswered = 0;
         let watches = session.member.is_some();
         match message {
             ToServer::Watch { member, position, digest } if !watches => {
@@ -227,6 +228,7 @@
             ToServer::FetchDifferences { bucket_digests } => self.on_fetch(now, id, &bucket_digests, out),
             ToServer::PieceTaken { sequence } => self.on_piece_taken(now, id, sequence, out),
             ToServer::Progress { zones, refusals } => self.on_progress(id, zones, refusals, out),
+            ToServer::Alive => {}
         }
     }
 
@@ -255,10 +257,11 @@
         }
     }
 
-    fn send_heartbeats(&self, now: Millis, out: &mut Vec<FanoutAction>) {
+    fn send_heartbeats(&mut self, now: Millis, out: &mut Vec<FanoutAction>) {
         let message = Arc::new(self.heartbeat(now));
-        for (&session, state) in &self.sessions {
+        for (&session, state) in &mut self.sessions {
             if state.member.is_some() {
+                state.unanswered = state.unanswered.saturating_add(1);
                 out.push(FanoutAction::Send { session, message: message.clone() });
             }
         }
@@ -283,11 +286,17 @@
             Stage::Opened => (self.settings.silence_ms, CloseReason::NoWatch),
             Stage::Resync => (self.settings.silence_ms, CloseReason::NoFetch),
             Stage::Snapshot(_) => (self.settings.stall_ms, CloseReason::Stalled),
-            Stage::Live | Stage::CatchingUp { .. } | Stage::Ahead { .. } => return None,
+            Stage::Live | Stage::CatchingUp { .. } | Stage::Ahead { .. } => return self.unanswered(session),
         };
         (now > session.since.saturating_add(limit)).then_some(why)
     }
 
+    fn unanswered(&self, session: &Session) -> Option<CloseReason> {
+        let heartbeats = session.unanswered;
+        let time = self.settings.heartbeat_ms.saturating_mul(heartbeats.into());
+        (time >= self.settings.client_silence_ms).then_some(CloseReason::Silent { heartbeats })
+    }
+
     fn flush_due(&self) -> Millis {
         self.last_flush.map_or(0, |last| last.saturating_add(self.settings.flush_ms))
     }
--- a/crates/config-sync/src/fanout/interface.rs
+++ b/crates/config-sync/src/fanout/interface.rs
@@ -18,6 +18,9 @@
     pub heartbeat_ms: Millis,
     /// How long a session may be silent while its `Watch` or `FetchDifferences` is awaited.
     pub silence_ms: Millis,
+    /// A client that was sent heartbeats for so long, and from which nothing came, is closed. Counted in heartbeats, so
+    /// that a server that was itself held up does not take its clients for silent.
+    pub client_silence_ms: Millis,
     /// How long a snapshot may wait for a piece to be confirmed.
     pub stall_ms: Millis,
     /// The most sessions.
@@ -47,6 +50,7 @@
             flush_ms: 20,
             heartbeat_ms: 1_000,
             silence_ms: 5_000,
+            client_silence_ms: 15_000,
             stall_ms: 10_000,
             max_sessions: 2_048,
             max_snapshots: 64,
@@ -121,6 +125,12 @@
     /// No `FetchDifferences` in time.
     #[error("no FetchDifferences in time after a Resync")]
     NoFetch,
+    /// Nothing came from it for too long, not even a sign of life.
+    #[error("nothing heard from the client during {heartbeats} heartbeats")]
+    Silent {
+        /// Those that it was sent meanwhile.
+        heartbeats: u32,
+    },
     /// It did not confirm a piece of its snapshot in time.
     #[error("a snapshot's piece was not confirmed in time")]
     Stalled,
--- a/crates/config-sync/src/fanout/session.rs
+++ b/crates/config-sync/src/fanout/session.rs
@@ -50,6 +50,8 @@
     pub(super) pieces_taken: u32,
     /// Its unsent bytes as last told.
     pub(super) backlog_bytes: usize,
+    /// Heartbeats that it was sent since it was last heard.
+    pub(super) unanswered: u32,
     /// What it contributes to the progress of zones.
     pub(super) reported: Vec<ZoneProgress>,
 }
@@ -63,6 +65,7 @@
             pieces_sent: 0,
             pieces_taken: 0,
             backlog_bytes: 0,
+            unanswered: 0,
             reported: Vec::new(),
         }
     }
--- a/crates/config-sync/src/message.rs
+++ b/crates/config-sync/src/message.rs
@@ -110,6 +110,8 @@
         /// New refusals, at most [`MAX_REPORTED_REFUSALS`].
         refusals: Vec<Refusal>,
     },
+    /// Nothing new; sent when nothing else was for a while, so that a client that died without a word is noticed.
+    Alive,
 }
 
 /// From a server to a client.
--- a/crates/config-sync/src/progress.rs
+++ b/crates/config-sync/src/progress.rs
@@ -1,5 +1,5 @@
 //! When a client tells its server how far it, or all below it, have come: at once in a new session, then at most once in
-//! an interval and only when something changed.
+//! an interval and only when something changed. When nothing does, a sign of life at a slow pace.
 
 use crate::message::{MAX_REPORTED_REFUSALS, MAX_REPORTED_ZONES, Refusal, ToServer, ZoneProgress};
 use crate::resource::Millis;
@@ -8,6 +8,12 @@
 /// The most refusals that wait to be reported; later ones are only counted.
 const MAX_WAITING_REFUSALS: usize = 256;
 
+/// The pace of signs of life, ms: twice within the time after which servers close a silent session.
+///
+/// A frame of 39 bytes; with headers of TCP and IP (52 bytes) and its acknowledgement, which often travels by itself,
+/// 143 bytes each 7.5 s.
+const ALIVE_MS: Millis = 7_500;
+
 /// What was told last, and what waits to be told.
 pub(crate) struct ProgressReporter {
     interval_ms: Millis,
@@ -15,6 +21,8 @@
     told: Option<Vec<ZoneProgress>>,
     /// Not before this time.
     next_at: Millis,
+    /// When anything was told last.
+    told_at: Millis,
     /// Whether something may have changed before that time.
     waiting: bool,
     refusals: VecDeque<Refusal>,
@@ -27,6 +35,7 @@
             interval_ms,
             told: None,
             next_at: 0,
+            told_at: 0,
             waiting: false,
             refusals: VecDeque::new(),
             refusals_dropped: 0,
@@ -37,6 +46,7 @@
     pub(crate) fn session_opened(&mut self, now: Millis) {
         self.told = None;
         self.next_at = now;
+        self.told_at = now;
     }
 
     /// A refusal to be reported once.
@@ -53,12 +63,25 @@
         self.refusals_dropped
     }
 
-    /// When something that may have changed has to be looked at again.
-    pub(crate) fn deadline(&self) -> Option<Millis> {
-        self.waiting.then_some(self.next_at)
+    /// When something that may have changed has to be looked at again, or a sign of life is due.
+    pub(crate) fn deadline(&self) -> Millis {
+        let changed = if self.waiting { self.next_at } else { Millis::MAX };
+        changed.min(self.alive_at())
+    }
+
+    fn alive_at(&self) -> Millis {
+        self.told_at.saturating_add(ALIVE_MS)
+    }
+
+    fn sign_of_life(&mut self, now: Millis) -> Option<ToServer> {
+        if now < self.alive_at() {
+            return None;
+        }
+        self.told_at = now;
+        Some(ToServer::Alive)
     }
 
-    /// The report that is due, if there is one. `zones` is asked only when the interval has passed.
+    /// The report that is due, if there is one, or a sign of life. `zones` is asked only when the interval has passed.
     pub(crate) fn report(
         &mut self,
         now: Millis,
@@ -71,8 +94,9 @@
         let mut zones = zones();
         zones.truncate(MAX_REPORTED_ZONES);
         if self.refusals.is_empty() && self.told.as_ref() == Some(&zones) {
-            return None;
+            return self.sign_of_life(now);
         }
+        self.told_at = now;
         let count = self.refusals.len().min(MAX_REPORTED_REFUSALS);
         let refusals = self.refusals.drain(..count).collect();
         self.told = Some(zones.clone());
--- a/crates/config-sync/src/relay.rs
+++ b/crates/config-sync/src/relay.rs
@@ -88,8 +88,8 @@
 
     /// When the next tick is needed at the latest.
     pub fn deadline(&self) -> Millis {
-        let report = self.reporter.deadline().filter(|_| self.follower.is_open());
-        self.follower.deadline().min(self.fanout.deadline()).min(report.unwrap_or(Millis::MAX))
+        let report = if self.follower.is_open() { self.reporter.deadline() } else { Millis::MAX };
+        self.follower.deadline().min(self.fanout.deadline()).min(report)
     }
 
     /// The side towards the publisher.
--- a/crates/config-sync/src/subscriber.rs
+++ b/crates/config-sync/src/subscriber.rs
@@ -129,8 +129,8 @@
 
     /// When the next tick is needed at the latest.
     pub fn deadline(&self) -> Millis {
-        let report = self.reporter.deadline().filter(|_| self.follower.is_open());
-        self.follower.deadline().min(report.unwrap_or(Millis::MAX))
+        let report = if self.follower.is_open() { self.reporter.deadline() } else { Millis::MAX };
+        self.follower.deadline().min(report)
     }
 
     /// The link and the mirror.
--- a/crates/config-sync/tests/format_v1.rs
+++ b/crates/config-sync/tests/format_v1.rs
@@ -66,6 +66,19 @@
     assert_eq!(decode_to_server(&unhex(WATCH)), Ok(message));
 }
 
+#[test]
+fn a_sign_of_life_and_a_heartbeat_with_an_age() {
+    let mut written = Vec::new();
+    encode_to_server(&ToServer::Alive, &mut written);
+    assert_eq!(hex(&written), "2a00");
+    assert_eq!(decode_to_server(&written), Ok(ToServer::Alive));
+    let message = ToClient::Heartbeat { head: POSITION, age_ms: 300 };
+    let mut written = Vec::new();
+    encode_to_client(&message, &mut written);
+    assert_eq!(hex(&written), "b20108080310ac0218ac02");
+    assert_eq!(decode_to_client(&written), Ok(message));
+}
+
 #[test]
 fn a_heartbeat_in_its_frame() {
     let key = FrameKey::new(b"0123456789abcdef").expect("16 bytes");
--- a/crates/config-sync/tests/relay.rs
+++ b/crates/config-sync/tests/relay.rs
@@ -258,6 +258,7 @@
     let (cut_at, known) = (history.clone(), history.position);
     for _ in 0..60 {
         relayed.pass(500);
+        relayed.below(FanoutEvent::Received(SessionId(1), ToServer::Alive));
         if relayed.up.iter().any(|action| matches!(action, LinkAction::Connect(_))) {
             relayed.up.clear();
             relayed.above(FollowerEvent::ConnectFailed);
--- a/crates/config-sync/tests/state_age.rs
+++ b/crates/config-sync/tests/state_age.rs
@@ -109,6 +109,8 @@
         let now = second * 1_000;
         let heartbeat = FollowerEvent::Received(history.heartbeat_aged(now));
         relay.on_event(now, RelayEvent::Upstream(heartbeat), &mut out);
+        let alive = FanoutEvent::Received(SessionId(1), ToServer::Alive);
+        relay.on_event(now, RelayEvent::Downstream(alive), &mut out);
         relay.on_event(now, RelayEvent::Tick, &mut out);
         assert_eq!(told(&out), Some(now), "the server above is cut off since 0, though it is heard");
     }
--- a/crates/config-sync/tests/support/mod.rs
+++ b/crates/config-sync/tests/support/mod.rs
@@ -93,6 +93,7 @@
             digest
         }),
         bucket_digests.prop_map(|bucket_digests| ToServer::FetchDifferences { bucket_digests }),
+        Just(ToServer::Alive),
         any::<u32>().prop_map(|sequence| ToServer::PieceTaken { sequence }),
         (vec(zone_progress(), 0..5), vec(refusal(), 0..5))
             .prop_map(|(zones, refusals)| ToServer::Progress { zones, refusals }),
