Refusals told on a link that broke are told again in the next session

A refusal was forgotten once it was handed to the socket, and lost with a link that broke. At-least-once: one that had arrived in that last second is told twice.

--- a/crates/config-sync/src/progress.rs
+++ b/crates/config-sync/src/progress.rs
@@ -8,6 +8,12 @@
 /// The most refusals that wait to be reported; later ones are only counted.
 const MAX_WAITING_REFUSALS: usize = 256;
 
+/// Refusals that are told again in a new session, the newest ones, since the link that they were told on may have been
+/// broken already.
+const MAX_REPEATED_REFUSALS: usize = 64;
+/// What was told so long before the server was last heard has arrived, ms: the link worked meanwhile.
+const ARRIVED_MS: Millis = 1_000;
+
 /// The pace of signs of life, ms: twice within the time after which servers close a silent session.
 ///
 /// A frame of 39 bytes; with headers of TCP and IP (52 bytes) and its acknowledgement, which often travels by itself,
@@ -26,6 +32,8 @@
     /// Whether something may have changed before that time.
     waiting: bool,
     refusals: VecDeque<Refusal>,
+    /// Told in the present session and not known to have arrived, each with the time.
+    refusals_told: VecDeque<(Millis, Refusal)>,
     refusals_dropped: u64,
 }
 
@@ -38,15 +46,38 @@
             told_at: 0,
             waiting: false,
             refusals: VecDeque::new(),
+            refusals_told: VecDeque::new(),
             refusals_dropped: 0,
         }
     }
 
-    /// A new session knows nothing, and is told at once.
+    /// A new session knows nothing, and is told at once; also the refusals that may have been lost with the one before.
     pub(crate) fn session_opened(&mut self, now: Millis) {
         self.told = None;
         self.next_at = now;
         self.told_at = now;
+        self.repeat_refusals();
+    }
+
+    /// Something arrived from the server.
+    pub(crate) fn server_heard(&mut self, now: Millis) {
+        while self.refusals_told.front().is_some_and(|(at, _)| at.saturating_add(ARRIVED_MS) <= now) {
+            self.refusals_told.pop_front();
+        }
+    }
+
+    fn repeat_refusals(&mut self) {
+        while let Some((_, refusal)) = self.refusals_told.pop_back() {
+            if self.refusals.len() < MAX_WAITING_REFUSALS {
+                self.refusals.push_front(refusal);
+            }
+        }
+    }
+
+    fn note_refusals_told(&mut self, now: Millis, refusals: &[Refusal]) {
+        self.refusals_told.extend(refusals.iter().map(|refusal| (now, refusal.clone())));
+        let excess = self.refusals_told.len().saturating_sub(MAX_REPEATED_REFUSALS);
+        self.refusals_told.drain(..excess);
     }
 
     /// A refusal to be reported once.
@@ -98,7 +129,8 @@
         }
         self.told_at = now;
         let count = self.refusals.len().min(MAX_REPORTED_REFUSALS);
-        let refusals = self.refusals.drain(..count).collect();
+        let refusals: Vec<Refusal> = self.refusals.drain(..count).collect();
+        self.note_refusals_told(now, &refusals);
         self.told = Some(zones.clone());
         self.waiting = !self.refusals.is_empty();
         self.next_at = now.saturating_add(self.interval_ms);
--- a/crates/config-sync/src/relay.rs
+++ b/crates/config-sync/src/relay.rs
@@ -118,6 +118,9 @@
     }
 
     fn on_upstream(&mut self, now: Millis, event: FollowerEvent, out: &mut Vec<RelayAction>) {
+        if matches!(event, FollowerEvent::Received(_)) {
+            self.reporter.server_heard(now);
+        }
         let mut actions = std::mem::take(&mut self.follower_actions);
         self.follower.on_event(now, event, &mut actions);
         for action in actions.drain(..) {
--- a/crates/config-sync/src/subscriber.rs
+++ b/crates/config-sync/src/subscriber.rs
@@ -11,6 +11,7 @@
 mod confirmed;
 mod held_back;
 mod persistence;
+mod reason;
 
 pub use api::{SubscriberAction, SubscriberCounters, SubscriberEvent, SubscriberSettings};
 pub use persistence::{Persist, PersistedState};
@@ -23,12 +24,10 @@
 use crate::table::Table;
 use held_back::HeldBack;
 use persistence::WaitingRecords;
+use reason::reported_reason;
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
-/// The longest reason that is reported, in bytes.
-const MAX_REASON: usize = 256;
-
 /// What the owner was told to put in force.
 struct InForce {
     position: Position,
@@ -177,6 +176,9 @@
     }
 
     fn on_link(&mut self, now: Millis, event: FollowerEvent, out: &mut Vec<SubscriberAction>) {
+        if matches!(event, FollowerEvent::Received(_)) {
+            self.reporter.server_heard(now);
+        }
         let mut actions = std::mem::take(&mut self.follower_actions);
         self.follower.on_event(now, event, &mut actions);
         for action in actions.drain(..) {
@@ -355,7 +357,7 @@
     }
 
     fn refuse(&mut self, position: Position, reason: &str) {
-        let reason = truncated(reason, MAX_REASON).into();
+        let reason = reported_reason(reason).into();
         self.reporter.refuse(Refusal { member: self.member.clone(), position, reason });
     }
 
@@ -386,12 +388,3 @@
         }
     }
 }
-
-/// The longest beginning of `text` of at most `limit` bytes that ends between characters.
-fn truncated(text: &str, limit: usize) -> &str {
-    let mut end = text.len().min(limit);
-    while !text.is_char_boundary(end) {
-        end -= 1;
-    }
-    &text[..end]
-}
