--- a/crates/config-sync/tests/follower_property.rs
+++ b/crates/config-sync/tests/follower_property.rs
@@ -23,7 +23,8 @@
     /// Two of them change places.
     SwappedDeltas(usize, usize),
     DamagedDelta(usize, usize),
-    Heartbeat(usize, usize),
+    /// Of a server whose state is so old.
+    Heartbeat(usize, usize, u64),
     Resync(usize, usize),
     /// The server, as it stood after so many transactions, answers the last `FetchDifferences` with all or the beginning
     /// of a snapshot.
@@ -45,7 +46,9 @@
         6 => triple.clone().prop_map(|(history, from, count)| Step::Deltas(history, from, count)),
         1 => pair.clone().prop_map(|(history, from)| Step::SwappedDeltas(history, from)),
         1 => pair.clone().prop_map(|(history, from)| Step::DamagedDelta(history, from)),
-        2 => pair.clone().prop_map(|(history, head)| Step::Heartbeat(history, head)),
+        2 => pair.clone().prop_map(|(history, head)| Step::Heartbeat(history, head, 0)),
+        2 => (pair.clone(), 0_u64..60_000)
+            .prop_map(|((history, head), age)| Step::Heartbeat(history, head, age)),
         5 => pair.prop_map(|(history, head)| Step::Resync(history, head)),
         5 => triple.clone().prop_map(|(history, head, sent)| Step::Snapshot(history, head, sent)),
         1 => triple.prop_map(|(history, head, lost)| Step::TornSnapshot(history, head, lost)),
@@ -114,7 +117,9 @@
                 let damaged = history(number).transactions.get(from).map(damaged);
                 received(ToClient::Deltas(damaged.into_iter().collect()))
             }
-            Step::Heartbeat(number, head) => received(as_of(history(number), *head).heartbeat()),
+            Step::Heartbeat(number, head, age) => {
+                received(as_of(history(number), *head).heartbeat_aged(*age))
+            }
             Step::Resync(number, head) => {
                 received(ToClient::Resync { head: as_of(history(number), *head).position })
             }
