--- a/crates/config-sync/src/fanout.rs
+++ b/crates/config-sync/src/fanout.rs
@@ -17,6 +17,7 @@
 use crate::delta_log::DeltaLog;
 use crate::message::{Refusal, ToClient, ToServer, ZoneProgress};
 use crate::resource::{Digest, Millis, Position, Transaction};
+use crate::state_age::ServerAge;
 use crate::table::Table;
 use progress::Progress;
 use rand::{RngExt, SeedableRng};
@@ -36,6 +37,8 @@
     table: Table,
     /// When the head's transaction was accepted.
     published_unix_ms: u64,
+    /// How old the table is.
+    age: ServerAge,
     /// What all live sessions have been sent.
     flushed: Position,
     last_flush: Option<Millis>,
@@ -61,6 +64,7 @@
             log: DeltaLog::new(settings.log, Position::default(), Digest::default()),
             table: Table::new(),
             published_unix_ms: 0,
+            age: ServerAge::Publisher,
             flushed: Position::default(),
             last_flush: None,
             last_heartbeat: None,
@@ -87,6 +91,12 @@
         &self.table
     }
 
+    /// How old the table is from now on, for heartbeats: a relay says so before each event. Without it, the fan-out is a
+    /// publisher's.
+    pub fn set_age(&mut self, age: ServerAge) {
+        self.age = age;
+    }
+
     /// The log of deltas.
     pub fn log(&self) -> &DeltaLog {
         &self.log
@@ -206,7 +216,8 @@
     }
 
     fn on_received(&mut self, now: Millis, id: SessionId, message: ToServer, out: &mut Vec<FanoutAction>) {
-        let Some(session) = self.sessions.get(&id) else { return };
+        let Some(session) = self.sessions.get_mut(&id) else { return };
+        session.unanswered = 0;
         let watches = session.member.is_some();
         match message {
             ToServer::Watch { member, position, digest } if !watches => {
@@ -217,6 +228,7 @@
             ToServer::FetchDifferences { bucket_digests } => self.on_fetch(now, id, &bucket_digests, out),
             ToServer::PieceTaken { sequence } => self.on_piece_taken(now, id, sequence, out),
             ToServer::Progress { zones, refusals } => self.on_progress(id, zones, refusals, out),
+            ToServer::Alive => {}
         }
     }
 
@@ -241,19 +253,25 @@
         if heartbeat_due {
             self.last_heartbeat = Some(now);
             self.close_silent(now, out);
-            self.send_heartbeats(out);
+            self.send_heartbeats(now, out);
         }
     }
 
-    fn send_heartbeats(&self, out: &mut Vec<FanoutAction>) {
-        let message = Arc::new(ToClient::Heartbeat { head: self.head() });
-        for (&session, state) in &self.sessions {
+    fn send_heartbeats(&mut self, now: Millis, out: &mut Vec<FanoutAction>) {
+        let message = Arc::new(self.heartbeat(now));
+        for (&session, state) in &mut self.sessions {
             if state.member.is_some() {
+                state.unanswered = state.unanswered.saturating_add(1);
                 out.push(FanoutAction::Send { session, message: message.clone() });
             }
         }
     }
 
+    /// What this server has, and how old it is.
+    fn heartbeat(&self, now: Millis) -> ToClient {
+        ToClient::Heartbeat { head: self.head(), age_ms: self.age.at(now) }
+    }
+
     fn close_silent(&mut self, now: Millis, out: &mut Vec<FanoutAction>) {
         let overdue: Vec<(SessionId, CloseReason)> =
             self.sessions.iter().filter_map(|(&id, state)| Some((id, self.silence(now, state)?))).collect();
@@ -268,11 +286,17 @@
             Stage::Opened => (self.settings.silence_ms, CloseReason::NoWatch),
             Stage::Resync => (self.settings.silence_ms, CloseReason::NoFetch),
             Stage::Snapshot(_) => (self.settings.stall_ms, CloseReason::Stalled),
-            Stage::Live | Stage::CatchingUp { .. } | Stage::Ahead { .. } => return None,
+            Stage::Live | Stage::CatchingUp { .. } | Stage::Ahead { .. } => return self.unanswered(session),
         };
         (now > session.since.saturating_add(limit)).then_some(why)
     }
 
+    fn unanswered(&self, session: &Session) -> Option<CloseReason> {
+        let heartbeats = session.unanswered;
+        let time = self.settings.heartbeat_ms.saturating_mul(heartbeats.into());
+        (time >= self.settings.client_silence_ms).then_some(CloseReason::Silent { heartbeats })
+    }
+
     fn flush_due(&self) -> Millis {
         self.last_flush.map_or(0, |last| last.saturating_add(self.settings.flush_ms))
     }
--- a/crates/config-sync/tests/support/mod.rs
+++ b/crates/config-sync/tests/support/mod.rs
@@ -2,7 +2,7 @@
 #![allow(dead_code, reason = "each test file uses a part")]
 
 use dunlinspread_config_sync::message::{
-    BUCKETS, BucketContent, Member, Refusal, Role, ToClient, ToServer, ZoneProgress,
+    BUCKETS, BucketContent, MAX_AGE_MS, Member, Refusal, Role, ToClient, ToServer, ZoneProgress,
 };
 use dunlinspread_config_sync::resource::{Change, Digest, Key, Position, Resource, Transaction};
 use proptest::collection::vec;
@@ -93,6 +93,7 @@
             digest
         }),
         bucket_digests.prop_map(|bucket_digests| ToServer::FetchDifferences { bucket_digests }),
+        Just(ToServer::Alive),
         any::<u32>().prop_map(|sequence| ToServer::PieceTaken { sequence }),
         (vec(zone_progress(), 0..5), vec(refusal(), 0..5))
             .prop_map(|(zones, refusals)| ToServer::Progress { zones, refusals }),
@@ -114,6 +115,6 @@
                 published_unix_ms,
             }
         ),
-        position().prop_map(|head| ToClient::Heartbeat { head }),
+        (position(), 0..=MAX_AGE_MS).prop_map(|(head, age_ms)| ToClient::Heartbeat { head, age_ms }),
     ]
 }
