Model of publisher, relay and subscribers over the real machines

Crashes, restarts, broken links and late disks in every order within small bounds; states are told apart by a digest of what matters and reached by playing their steps again.

--- /dev/null
+++ b/crates/config-sync/tests/model.rs
@@ -0,0 +1,130 @@
+//! Publisher, relay and subscribers as a model, over the real `Publisher`, `Relay` and `Subscriber`: messages are
+//! delivered at any time, links break at any point, the publisher crashes with changes proposed, written or told, the
+//! relay starts again with nothing. In every state reached nobody has what is not durable, nobody's table is torn,
+//! nobody goes back; and wherever nothing more can happen without a fault, all have the same.
+
+mod model_support;
+
+use model_support::explore::{Bounds, Distribution, State};
+use model_support::fault::Fault;
+use model_support::links::Server;
+use stateright::{Checker, Model, Property};
+
+const THREADS: usize = 2;
+
+/// A subscriber behind the relay, both still to connect; the publisher crashes.
+const CRASH: Bounds = Bounds {
+    subscribers: 1,
+    servers: &[Server::Relay],
+    connected: false,
+    changes: 2,
+    crashes: 1,
+    relay_restarts: 0,
+    breaks: 0,
+    heartbeats: 0,
+};
+/// The same, connected; any link breaks once, and a heartbeat is sent at any time.
+const CRASH_AND_BREAK: Bounds = Bounds { connected: true, breaks: 1, heartbeats: 1, ..CRASH };
+/// A subscriber that turns to the relay once its link to the publisher breaks.
+const LAGGING_RELAY: Bounds = Bounds {
+    servers: &[Server::Publisher, Server::Relay],
+    connected: true,
+    changes: 3,
+    crashes: 0,
+    breaks: 1,
+    ..CRASH
+};
+/// The relay starts again with nothing, behind a subscriber that has something, and any link breaks once.
+const EMPTY_RELAY: Bounds = Bounds { connected: true, crashes: 0, relay_restarts: 1, breaks: 1, ..CRASH };
+/// Two subscribers behind the relay, and any link breaks once.
+const TWO_SUBSCRIBERS: Bounds = Bounds { subscribers: 2, connected: true, crashes: 0, breaks: 1, ..CRASH };
+
+impl Model for Distribution {
+    type State = State;
+    type Action = model_support::world::Step;
+
+    fn init_states(&self) -> Vec<State> {
+        vec![self.replay(Vec::new())]
+    }
+
+    fn actions(&self, state: &State, steps: &mut Vec<Self::Action>) {
+        steps.extend(state.possible.iter().copied());
+    }
+
+    fn next_state(&self, last: &State, step: Self::Action) -> Option<State> {
+        let mut steps = last.steps.clone();
+        steps.push(step);
+        Some(self.replay(steps))
+    }
+
+    fn properties(&self) -> Vec<Property<Self>> {
+        vec![
+            Property::always("only what is durable", |_, state: &State| !state.seen.judged.not_durable),
+            Property::always("never torn", |_, state: &State| !state.seen.judged.torn),
+            Property::always("never back", |_, state: &State| !state.seen.judged.regressed),
+            Property::always("equal when quiet", |_, state: &State| {
+                !state.seen.judged.quiet || state.seen.judged.equal
+            }),
+            Property::always("quiet at the end", |_, state: &State| {
+                !state.possible.is_empty() || state.seen.judged.quiet
+            }),
+            Property::sometimes("quiet with all changes", |_, state: &State| state.seen.judged.quiet),
+            Property::sometimes("a snapshot in a subscriber", |_, state: &State| state.snapshots > 0),
+        ]
+    }
+}
+
+fn explore(name: &str, bounds: Bounds, fault: Fault) -> impl Checker<Distribution> {
+    let started = std::time::Instant::now();
+    let checker = Distribution { bounds, fault }.checker().threads(THREADS).spawn_bfs().join();
+    println!(
+        "{name}, {fault:?}: {} states in all, {} different, depth {}, {:?}",
+        checker.state_count(),
+        checker.unique_state_count(),
+        checker.max_depth(),
+        started.elapsed()
+    );
+    checker
+}
+
+#[test]
+fn the_properties_hold_when_the_publisher_crashes() {
+    explore("crash", CRASH, Fault::None).assert_properties();
+}
+
+#[test]
+fn the_properties_hold_when_the_publisher_crashes_and_a_link_breaks() {
+    explore("crash and break", CRASH_AND_BREAK, Fault::None).assert_properties();
+}
+
+#[test]
+fn the_properties_hold_when_a_subscriber_turns_to_a_lagging_relay() {
+    explore("lagging relay", LAGGING_RELAY, Fault::None).assert_properties();
+}
+
+#[test]
+fn the_properties_hold_when_the_relay_starts_with_nothing() {
+    explore("empty relay", EMPTY_RELAY, Fault::None).assert_properties();
+}
+
+#[test]
+fn the_properties_hold_with_two_subscribers() {
+    explore("two subscribers", TWO_SUBSCRIBERS, Fault::None).assert_properties();
+}
+
+/// The model bites: a store that says "durable" before it wrote is found.
+#[test]
+fn a_change_told_before_it_is_durable_is_found() {
+    let checker = explore("crash", CRASH, Fault::ToldBeforeDurable);
+    let found = checker.discovery("only what is durable");
+    println!("{:?}", found.expect("a change told before it was durable was not found").into_actions());
+}
+
+/// The model bites: a snapshot of an older position that takes the place of newer changes is found.
+#[test]
+fn a_snapshot_applied_over_a_newer_delta_is_found() {
+    let bounds = Bounds { changes: 2, ..LAGGING_RELAY };
+    let checker = explore("lagging relay", bounds, Fault::SnapshotOverNewerDelta);
+    let found = checker.discovery("never torn");
+    println!("{:?}", found.expect("a snapshot over a newer delta was not found").into_actions());
+}
