--- a/crates/config-sync/tests/regions.rs
+++ b/crates/config-sync/tests/regions.rs
@@ -6,7 +6,7 @@
 
 mod regions_support;
 
-use regions_support::{Report, play};
+use regions_support::{Report, play, play_told_before_durable};
 
 const SUBSCRIBERS: usize = 1_600;
 const ALL_SUBSCRIBERS: usize = 7_100;
@@ -65,3 +65,10 @@
     assert_eq!(first, play(11, FEW_SUBSCRIBERS));
     assert_ne!(first.digest, play(12, FEW_SUBSCRIBERS).digest);
 }
+
+/// The judge bites: whoever has what is not on the publisher's disk is found.
+#[test]
+fn a_change_told_before_it_is_durable_is_found() {
+    let report = play_told_before_durable(1, FEW_SUBSCRIBERS);
+    assert!(report.not_durable > 0, "not found: {report:?}");
+}
--- a/crates/config-sync/tests/regions_support/mod.rs
+++ b/crates/config-sync/tests/regions_support/mod.rs
@@ -15,3 +15,10 @@
 pub fn play(seed: u64, subscribers: usize) -> Report {
     world::World::new(seed, subscribers).play()
 }
+
+/// The same with a publisher that hears that a change is durable as soon as it is given to the disk.
+pub fn play_told_before_durable(seed: u64, subscribers: usize) -> Report {
+    let mut world = world::World::new(seed, subscribers);
+    world.tells_before_durable = true;
+    world.play()
+}
--- a/crates/config-sync/tests/regions_support/processes.rs
+++ b/crates/config-sync/tests/regions_support/processes.rs
@@ -263,6 +263,9 @@
                     let position: Position = transaction.position;
                     self.under_way.push_back((transaction, self.net.now));
                     self.net.after(delay, Event::Durable(self.publisher_starts, position));
+                    if self.tells_before_durable {
+                        self.tell_durable(position);
+                    }
                 }
             }
         }
--- a/crates/config-sync/tests/regions_support/world.rs
+++ b/crates/config-sync/tests/regions_support/world.rs
@@ -35,6 +35,8 @@
     pub publisher_up_since: Micros,
     /// Given to the disk, and when each was proposed.
     pub under_way: VecDeque<(Arc<Transaction>, Micros)>,
+    /// A fault that has to be found.
+    pub tells_before_durable: bool,
     pub relays: Vec<RelayProcess>,
     pub subscribers: Vec<SubscriberProcess>,
     /// When each node's next tick is.
@@ -56,6 +58,7 @@
             publisher_starts: 0,
             publisher_up_since: 0,
             under_way: VecDeque::new(),
+            tells_before_durable: false,
             relays: (0..RELAYS).map(|_| RelayProcess::default()).collect(),
             subscribers: processes,
             armed: BTreeMap::new(),
@@ -181,6 +184,10 @@
             let (transaction, proposed_at) = self.under_way.pop_front().expect("looked at");
             self.history.push(transaction, proposed_at);
         }
+        self.tell_durable(position);
+    }
+
+    pub fn tell_durable(&mut self, position: Position) {
         let now_ms = self.now_ms();
         let Some(publisher) = &mut self.publisher else { return };
         let mut out = Vec::new();
