Heartbeats say how old a relay's head is, so that a cut-off age is true

A subscriber behind a relay that was cut off went on counting itself as current: the relay's heartbeats said only its head. Heartbeats now carry the age of the server's head, and it counts in the client's. On the wire a heartbeat with age 0 is the same bytes as before.

Tests that build or match heartbeats name the new field; the test of a relay that is cut off now checks the ages as well.

--- a/crates/config-sync/src/codec/message.rs
+++ b/crates/config-sync/src/codec/message.rs
@@ -84,7 +84,9 @@
                 published_unix_ms: *published_unix_ms,
             })
         }
-        ToClient::Heartbeat { head } => Kind::Heartbeat((*head).into()),
+        ToClient::Heartbeat { head, age_ms } => {
+            Kind::Heartbeat(wire::Heartbeat { epoch: head.epoch, revision: head.revision, age_ms: *age_ms })
+        }
     };
     encode(&wire::ToClient { kind: Some(kind) }, out);
 }
@@ -114,7 +116,9 @@
             pieces: end.pieces,
             published_unix_ms: end.published_unix_ms,
         },
-        Kind::Heartbeat(head) => ToClient::Heartbeat { head: head.into() },
+        Kind::Heartbeat(wire::Heartbeat { epoch, revision, age_ms }) => {
+            ToClient::Heartbeat { head: wire::Position { epoch, revision }.into(), age_ms }
+        }
     })
 }
 
--- a/crates/config-sync/src/codec/wire.rs
+++ b/crates/config-sync/src/codec/wire.rs
@@ -42,10 +42,20 @@
         #[prost(message, tag = "21")]
         SnapshotEnd(super::SnapshotEnd),
         #[prost(message, tag = "22")]
-        Heartbeat(super::Position),
+        Heartbeat(super::Heartbeat),
     }
 }
 
+#[derive(Clone, Copy, PartialEq, prost::Message)]
+pub(super) struct Heartbeat {
+    #[prost(uint64, tag = "1")]
+    pub epoch: u64,
+    #[prost(uint64, tag = "2")]
+    pub revision: u64,
+    #[prost(uint64, tag = "3")]
+    pub age_ms: u64,
+}
+
 #[derive(Clone, Copy, PartialEq, prost::Message)]
 pub(super) struct Position {
     #[prost(uint64, tag = "1")]
--- a/crates/config-sync/src/fanout.rs
+++ b/crates/config-sync/src/fanout.rs
@@ -36,6 +36,8 @@
     table: Table,
     /// When the head's transaction was accepted.
     published_unix_ms: u64,
+    /// How long ago the head was last known to be the publisher's.
+    age_ms: Millis,
     /// What all live sessions have been sent.
     flushed: Position,
     last_flush: Option<Millis>,
@@ -61,6 +63,7 @@
             log: DeltaLog::new(settings.log, Position::default(), Digest::default()),
             table: Table::new(),
             published_unix_ms: 0,
+            age_ms: 0,
             flushed: Position::default(),
             last_flush: None,
             last_heartbeat: None,
@@ -245,8 +248,17 @@
         }
     }
 
+    /// How long ago the head was last known to be the publisher's, ms; said in heartbeats. 0 unless it is set.
+    pub fn set_age_ms(&mut self, age_ms: Millis) {
+        self.age_ms = age_ms;
+    }
+
+    fn heartbeat(&self) -> ToClient {
+        ToClient::Heartbeat { head: self.head(), age_ms: self.age_ms }
+    }
+
     fn send_heartbeats(&self, out: &mut Vec<FanoutAction>) {
-        let message = Arc::new(ToClient::Heartbeat { head: self.head() });
+        let message = Arc::new(self.heartbeat());
         for (&session, state) in &self.sessions {
             if state.member.is_some() {
                 out.push(FanoutAction::Send { session, message: message.clone() });
--- a/crates/config-sync/src/fanout/watch.rs
+++ b/crates/config-sync/src/fanout/watch.rs
@@ -71,7 +71,7 @@
     ) {
         if position > self.head() {
             self.set_stage(now, id, Stage::Ahead { position, digest });
-            return self.send(id, ToClient::Heartbeat { head: self.head() }, out);
+            return self.send(id, self.heartbeat(), out);
         }
         if position > self.flushed {
             self.flush(now, out);
--- a/crates/config-sync/src/follower.rs
+++ b/crates/config-sync/src/follower.rs
@@ -46,6 +46,8 @@
     proven: bool,
     /// Whether a snapshot was asked for because something did not fit; the second time the server is left.
     repaired: bool,
+    /// How old the server's own head was when it said so last; 0 before that.
+    server_age_ms: Millis,
     /// When a nearer server is tried again.
     return_at: Option<Millis>,
 }
@@ -58,7 +60,7 @@
     session: Session,
     position: Position,
     table: Table,
-    /// When it last knew itself at the head of its server.
+    /// When what it has was last known to be the publisher's head.
     at_head_at: Option<Millis>,
     /// The next snapshot is fetched whole, since one that was put together from differences did not fit.
     fetch_whole: bool,
@@ -107,8 +109,8 @@
         matches!(self.link, Link::Following | Link::Fetching(_))
     }
 
-    /// How long ago it last knew itself at the head of the server it watches; nothing if it never did. What lies above
-    /// that server is not seen.
+    /// How long ago what it has was last known to be the publisher's head; nothing if it never was. The age that its
+    /// server states is counted in from the server's first heartbeat of the session on.
     pub fn age_ms(&self, now: Millis) -> Option<Millis> {
         self.at_head_at.map(|at| now.saturating_sub(at))
     }
--- a/crates/config-sync/src/follower/messages.rs
+++ b/crates/config-sync/src/follower/messages.rs
@@ -35,7 +35,8 @@
                 self.on_resync(now, head, out);
                 Ok(())
             }
-            ToClient::Heartbeat { head } => {
+            ToClient::Heartbeat { head, age_ms } => {
+                self.session.server_age_ms = age_ms;
                 self.on_heartbeat(now, head, out);
                 Ok(())
             }
@@ -69,7 +70,7 @@
         }
         self.session.progress_at = now;
         self.session.proven = true;
-        self.at_head_at = Some(now);
+        self.at_head_at = Some(now.saturating_sub(self.session.server_age_ms));
         self.candidates.session_proven();
     }
 
--- a/crates/config-sync/src/message.rs
+++ b/crates/config-sync/src/message.rs
@@ -146,5 +146,8 @@
     Heartbeat {
         /// The server's head.
         head: Position,
+        /// How long ago the server last knew that this was the publisher's head, ms; 0 from the publisher itself. It grows
+        /// in a relay that is cut off.
+        age_ms: u64,
     },
 }
--- a/crates/config-sync/src/relay.rs
+++ b/crates/config-sync/src/relay.rs
@@ -2,7 +2,7 @@
 //!
 //! Deltas are passed on as soon as they are applied. A snapshot from above moves the head of the fan-out in one step;
 //! sessions below it resync by bucket digests. Cut off from above, a relay goes on serving what it has, and its
-//! heartbeats say its head.
+//! heartbeats say its head and how long ago that was known to be the publisher's.
 
 use crate::fanout::{Fanout, FanoutAction, FanoutEvent, FanoutSettings};
 use crate::follower::{
@@ -151,6 +151,7 @@
 
     fn on_downstream(&mut self, now: Millis, event: FanoutEvent, out: &mut Vec<RelayAction>) {
         let mut actions = std::mem::take(&mut self.fanout_actions);
+        self.fanout.set_age_ms(self.follower.age_ms(now).unwrap_or(0));
         self.fanout.on_event(now, event, &mut actions);
         out.extend(actions.drain(..).map(RelayAction::Downstream));
         self.fanout_actions = actions;
--- a/crates/config-sync/src/subscriber.rs
+++ b/crates/config-sync/src/subscriber.rs
@@ -143,7 +143,7 @@
         self.applied
     }
 
-    /// How long ago it last knew itself at the head of its server.
+    /// How long ago what it follows was last known to be the publisher's head; see [`Follower::age_ms`].
     pub fn age_ms(&self, now: Millis) -> Option<Millis> {
         self.follower.age_ms(now)
     }
--- a/crates/config-sync/tests/client_support/mod.rs
+++ b/crates/config-sync/tests/client_support/mod.rs
@@ -98,7 +98,7 @@
     }
 
     pub fn heartbeat(&self) -> ToClient {
-        ToClient::Heartbeat { head: self.position }
+        ToClient::Heartbeat { head: self.position, age_ms: 0 }
     }
 
     /// A snapshot for a client with these bucket digests, a bucket a piece.
--- a/crates/config-sync/tests/fanout_deltas.rs
+++ b/crates/config-sync/tests/fanout_deltas.rs
@@ -326,7 +326,7 @@
     }
     let to = |action: &FanoutAction| match action {
         FanoutAction::Send { session, message } => {
-            assert_eq!(**message, ToClient::Heartbeat { head: at(0) });
+            assert_eq!(**message, ToClient::Heartbeat { head: at(0), age_ms: 0 });
             *session
         }
         FanoutAction::Close { session, why } => panic!("{session:?} closed: {why}"),
--- a/crates/config-sync/tests/follower_servers.rs
+++ b/crates/config-sync/tests/follower_servers.rs
@@ -79,8 +79,8 @@
 fn a_server_that_is_behind_is_left_and_never_followed() {
     let history = history();
     let behind = [
-        ToClient::Heartbeat { head: at(1, 9) },
-        ToClient::Heartbeat { head: at(0, 99) },
+        ToClient::Heartbeat { head: at(1, 9), age_ms: 0 },
+        ToClient::Heartbeat { head: at(0, 99), age_ms: 0 },
         ToClient::Resync { head: at(1, 9) },
         ToClient::Resync { head: Position::default() },
     ];
@@ -117,7 +117,7 @@
     let mut driver = driver(&history);
     for _ in 0..200 {
         driver.accept();
-        driver.receive(ToClient::Heartbeat { head: at(1, 3) });
+        driver.receive(ToClient::Heartbeat { head: at(1, 3), age_ms: 0 });
     }
     assert!(driver.now > 100_000, "200 attempts within {} ms", driver.now);
 }
@@ -149,7 +149,7 @@
         second += 1;
         assert!(second < 10, "it was never left");
         driver.now = second * 1_000;
-        driver.receive(ToClient::Heartbeat { head: at(1, 11) });
+        driver.receive(ToClient::Heartbeat { head: at(1, 11), age_ms: 0 });
     }
     assert_eq!(driver.left(), Some(DisconnectReason::Stalled(4_000)));
 }
@@ -160,7 +160,7 @@
     driver.accept();
     for second in 1..=4 {
         driver.now = second * 1_000;
-        driver.receive(ToClient::Heartbeat { head: Position::default() });
+        driver.receive(ToClient::Heartbeat { head: Position::default(), age_ms: 0 });
     }
     assert!(matches!(driver.left(), Some(DisconnectReason::Stalled(_))));
     assert_eq!(driver.follower.age_ms(driver.now), None);
@@ -275,6 +275,25 @@
     assert_eq!(driver.follower.age_ms(driver.now + 60_000), Some(60_000));
 }
 
+#[test]
+fn the_age_of_what_its_server_has_counts() {
+    let mut history = history();
+    let mut driver = driver(&history);
+    driver.accept();
+    driver.now += 1_000;
+    driver.receive(ToClient::Heartbeat { head: history.position, age_ms: 400 });
+    assert_eq!(driver.follower.age_ms(driver.now), Some(400));
+    driver.now += 1_000;
+    driver.receive(ToClient::Heartbeat { head: history.position, age_ms: 60_000 });
+    assert_eq!(driver.follower.age_ms(driver.now), Some(60_000), "its server is cut off");
+    let position = history.position;
+    history.grow(1);
+    driver.receive(history.since(position));
+    assert_eq!(driver.follower.age_ms(driver.now), Some(60_000), "news of a server that is cut off are old");
+    driver.receive(ToClient::Heartbeat { head: history.position, age_ms: 0 });
+    assert_eq!(driver.follower.age_ms(driver.now + 5), Some(5), "the server is back at the head");
+}
+
 #[test]
 fn without_servers_it_waits() {
     let mut driver = Driver::new(FollowerSettings { servers: vec![], ..settings() });
--- a/crates/config-sync/tests/format_v1.rs
+++ b/crates/config-sync/tests/format_v1.rs
@@ -69,7 +69,7 @@
 #[test]
 fn a_heartbeat_in_its_frame() {
     let key = FrameKey::new(b"0123456789abcdef").expect("16 bytes");
-    let message = ToClient::Heartbeat { head: POSITION };
+    let message = ToClient::Heartbeat { head: POSITION, age_ms: 0 };
     let written = key.seal(|out| encode_to_client(&message, out)).expect("short");
     assert_eq!(hex(&written), hex(&unhex(HEARTBEAT_FRAME)));
     let mut decoder = FrameDecoder::new(key);
--- a/crates/config-sync/tests/net_faults.rs
+++ b/crates/config-sync/tests/net_faults.rs
@@ -126,7 +126,7 @@
     let mut subscribers = Subscribers::new();
     subscribers.add(client_settings("round-server", "zone-a", servers), Box::new(Refusing("")), &log);
     let (mut stream, _) = listener.accept().expect("it connects");
-    let heartbeat = ToClient::Heartbeat { head: Position { epoch: 1, revision: 9 } };
+    let heartbeat = ToClient::Heartbeat { head: Position { epoch: 1, revision: 9 }, age_ms: 0 };
     let mut frame = key().seal(|out| encode_to_client(&heartbeat, out)).expect("short").to_vec();
     let end = frame.len() - 1;
     frame[end] ^= 1;
@@ -303,7 +303,7 @@
                 assert_eq!((position, digest), (first, publisher.status().digest));
                 seen.push("end");
             }
-            ToClient::Heartbeat { head } => {
+            ToClient::Heartbeat { head, age_ms: 0 } => {
                 assert_eq!(head, first);
                 if seen.len() == 3 {
                     seen.push("heartbeat");
--- a/crates/config-sync/tests/publisher.rs
+++ b/crates/config-sync/tests/publisher.rs
@@ -66,7 +66,7 @@
     assert_eq!((publisher.head(), publisher.table().len(), publisher.under_way()), (at(0), 0, 2));
     assert!(watch(&mut publisher, 2, at(0), Digest::default()).is_empty());
     let heartbeats = event(&mut publisher, FanoutEvent::Tick);
-    assert!(heartbeats.iter().all(|message| **message == ToClient::Heartbeat { head: at(0) }));
+    assert!(heartbeats.iter().all(|message| **message == ToClient::Heartbeat { head: at(0), age_ms: 0 }));
 
     let mut out = Vec::new();
     publisher.on_durable(0, first.position, &mut out);
--- a/crates/config-sync/tests/regions_support/faults.rs
+++ b/crates/config-sync/tests/regions_support/faults.rs
@@ -78,7 +78,7 @@
         let region = self.net.rng.random_range(0..REGIONS);
         let duration = self.between(2, 15);
         self.net.cut_off(region);
-        self.net.after(duration, Event::Heal(region));
+        self.net.after(duration, Event::Heal(region, duration));
         format!("region {region} cut off for {} ms", duration / 1_000)
     }
 
--- a/crates/config-sync/tests/regions_support/network.rs
+++ b/crates/config-sync/tests/regions_support/network.rs
@@ -46,7 +46,8 @@
     Propose,
     Fault(FaultKind),
     Start(Node),
-    Heal(usize),
+    /// A region that was cut off for so long can be reached again.
+    Heal(usize, Micros),
     SpeedUp(ConnectionId),
 }
 
--- a/crates/config-sync/tests/regions_support/report.rs
+++ b/crates/config-sync/tests/regions_support/report.rs
@@ -26,6 +26,8 @@
     pub regressed: u64,
     /// Updates of a position that was not durable.
     pub not_durable: u64,
+    /// Subscribers that said, at the end of a cut, that they were up to date during it.
+    pub age_understated: u64,
     /// Zones of which the publisher doesn't know at the end that all is in force.
     pub zones_not_known: u64,
     pub faults: Vec<String>,
@@ -78,8 +80,9 @@
             self.regressed,
             self.not_durable,
             self.zones_not_known,
+            self.age_understated,
         ];
         let slow = self.in_force_ms_max >= limit_ms;
-        (slow || wrong != [0; 7]).then(|| format!("seed {}: {self:#?}", self.seed))
+        (slow || wrong != [0; 8]).then(|| format!("seed {}: {self:#?}", self.seed))
     }
 }
--- a/crates/config-sync/tests/regions_support/world.rs
+++ b/crates/config-sync/tests/regions_support/world.rs
@@ -23,6 +23,8 @@
 const LOAD_END: Micros = 48 * SECOND;
 /// Faults have healed by then, and all have caught up.
 const END: Micros = 70 * SECOND;
+/// Two heartbeats, which a subscriber that has just come to a server may still wait for, and the ways.
+const AGE_TOLERANCE_MS: u64 = 2_500;
 /// Changes at random times, and in one second.
 const CHANGES: usize = 24;
 const BURST: usize = 20;
@@ -124,7 +126,7 @@
             Event::Fault(kind) => self.fault(kind),
             Event::Start(node) if !self.is_up(node) => self.start(node),
             Event::Start(_) => {}
-            Event::Heal(region) => self.heal(region),
+            Event::Heal(region, cut_for) => self.heal(region, cut_for),
             Event::SpeedUp(id) => self.net.set_slow(id, false),
         }
     }
@@ -231,7 +233,21 @@
         }
     }
 
-    fn heal(&mut self, region: usize) {
+    /// A subscriber that nothing newer can have reached since the cut has to say so, less what was on its way.
+    fn check_ages(&mut self, region: usize, cut_for: Micros) {
+        let now_ms = self.now_ms();
+        let least = (cut_for / 1_000).saturating_sub(AGE_TOLERANCE_MS);
+        let home = Node::Publisher.region();
+        for (number, process) in self.subscribers.iter().enumerate() {
+            let own = Node::Subscriber(number).region();
+            let cut_off = own != home && (region == own || region == home);
+            let age = process.machine.as_ref().and_then(|machine| machine.age_ms(now_ms));
+            self.report.age_understated += u64::from(cut_off && age.is_some_and(|age| age < least));
+        }
+    }
+
+    pub fn heal(&mut self, region: usize, cut_for: Micros) {
+        self.check_ages(region, cut_for);
         self.net.cut.retain(|cut| *cut != region);
         let home = Node::Publisher.region();
         for other in 0..self.region_since.len() {
--- a/crates/config-sync/tests/relay.rs
+++ b/crates/config-sync/tests/relay.rs
@@ -249,10 +249,16 @@
             relayed.above(FollowerEvent::ConnectFailed);
         }
     }
-    let heartbeats = relayed.down.iter().filter(|(session, message)| {
-        *session == SessionId(1) && **message == ToClient::Heartbeat { head: known }
-    });
-    assert!(heartbeats.count() >= 25, "heartbeats go on");
+    let ages: Vec<u64> = relayed
+        .down
+        .iter()
+        .filter_map(|(session, message)| match **message {
+            ToClient::Heartbeat { head, age_ms } if *session == SessionId(1) && head == known => Some(age_ms),
+            _ => None,
+        })
+        .collect();
+    assert!(ages.len() >= 25, "heartbeats go on");
+    assert!(ages.is_sorted() && ages.last() >= Some(&28_000), "they say how old the head is: {ages:?}");
     assert!(relayed.relay.follower().age_ms(relayed.now).expect("it was at the head") >= 29_000);
     assert!(relayed.reports().is_empty(), "nobody to tell");
     relayed.watch(2, "server-2", "a1", Position::default(), Digest::default());
@@ -294,5 +300,8 @@
     let told: Vec<_> = relayed.down.iter().map(|(_, message)| message.clone()).collect();
     assert!(!told.is_empty());
     let nothing = Position::default();
-    assert!(told.iter().all(|message| **message == ToClient::Heartbeat { head: nothing }), "{told:?}");
+    assert!(
+        told.iter().all(|message| **message == ToClient::Heartbeat { head: nothing, age_ms: 0 }),
+        "{told:?}"
+    );
 }
--- a/crates/config-sync/tests/server_support/mod.rs
+++ b/crates/config-sync/tests/server_support/mod.rs
@@ -234,7 +234,7 @@
                 assert_eq!(*pieces, self.pieces, "all pieces came");
                 self.on_snapshot(*position, *digest);
             }
-            ToClient::Heartbeat { head } => self.heads.push(*head),
+            ToClient::Heartbeat { head, .. } => self.heads.push(*head),
         }
         Vec::new()
     }
--- a/crates/config-sync/tests/support/mod.rs
+++ b/crates/config-sync/tests/support/mod.rs
@@ -114,6 +114,6 @@
                 published_unix_ms,
             }
         ),
-        position().prop_map(|head| ToClient::Heartbeat { head }),
+        (position(), any::<u64>()).prop_map(|(head, age_ms)| ToClient::Heartbeat { head, age_ms }),
     ]
 }
