An age that is older than the process; confirmations that overtake each other in the simulation

The age of a server's head can be greater than the client's own clock: it is kept beside the time and not taken from it.

--- a/crates/config-sync/src/follower.rs
+++ b/crates/config-sync/src/follower.rs
@@ -52,6 +52,13 @@
     return_at: Option<Millis>,
 }
 
+/// It had what its server had, which was so old.
+#[derive(Clone, Copy)]
+struct AtHead {
+    at: Millis,
+    server_age_ms: Millis,
+}
+
 /// The client side of sessions.
 pub struct Follower {
     settings: FollowerSettings,
@@ -60,8 +67,8 @@
     session: Session,
     position: Position,
     table: Table,
-    /// When what it has was last known to be the publisher's head.
-    at_head_at: Option<Millis>,
+    /// When it was last at the head of its server.
+    at_head: Option<AtHead>,
     /// The next snapshot is fetched whole, since one that was put together from differences did not fit.
     fetch_whole: bool,
     counters: FollowerCounters,
@@ -77,7 +84,7 @@
             session: Session::default(),
             position,
             table,
-            at_head_at: None,
+            at_head: None,
             fetch_whole: false,
             counters: FollowerCounters::default(),
         }
@@ -112,7 +119,7 @@
     /// How long ago what it has was last known to be the publisher's head; nothing if it never was. The age that its
     /// server states is counted in from the server's first heartbeat of the session on.
     pub fn age_ms(&self, now: Millis) -> Option<Millis> {
-        self.at_head_at.map(|at| now.saturating_sub(at))
+        self.at_head.map(|known| now.saturating_sub(known.at).saturating_add(known.server_age_ms))
     }
 
     /// Its counters.
--- a/crates/config-sync/src/follower/messages.rs
+++ b/crates/config-sync/src/follower/messages.rs
@@ -1,7 +1,8 @@
 //! What a follower does with the messages of its server.
 
 use super::{
-    Advance, DisconnectReason, Follower, FollowerAction, Link, SessionFault, Staging, disconnect, send,
+    Advance, AtHead, DisconnectReason, Follower, FollowerAction, Link, SessionFault, Staging, disconnect,
+    send,
 };
 use crate::message::{BucketContent, ToClient, ToServer};
 use crate::resource::{Digest, Millis, Position, Transaction};
@@ -70,7 +71,7 @@
         }
         self.session.progress_at = now;
         self.session.proven = true;
-        self.at_head_at = Some(now.saturating_sub(self.session.server_age_ms));
+        self.at_head = Some(AtHead { at: now, server_age_ms: self.session.server_age_ms });
         self.candidates.session_proven();
     }
 
--- a/crates/config-sync/src/net/subscriber_handle.rs
+++ b/crates/config-sync/src/net/subscriber_handle.rs
@@ -5,11 +5,16 @@
 use crate::resource::{Digest, Millis, Position};
 use crate::subscriber::Subscriber;
 use async_channel::{Receiver, Sender};
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::{AtomicI64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 /// What stands for "never" where a time is expected.
-const NEVER: u64 = u64::MAX;
+const NEVER: i64 = i64::MIN;
+
+/// A time or an age as one that can lie before the clock's start: what a server has may be older than this process.
+fn signed(millis: Millis) -> i64 {
+    i64::try_from(millis).unwrap_or(i64::MAX)
+}
 
 /// What a subscriber is at.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
@@ -46,8 +51,8 @@
 pub(super) struct Shared {
     clock: Clock,
     status: Mutex<SubscriberStatus>,
-    /// When it last knew that it had all there is, or [`NEVER`].
-    at_head_at: AtomicU64,
+    /// When it last knew that it had all there is, by the clock, which starts at 0; or [`NEVER`].
+    at_head_at: AtomicI64,
     confirmed: Mutex<Position>,
     /// Closed when no handle is left.
     wake: Sender<()>,
@@ -60,7 +65,7 @@
         let shared = Shared {
             clock,
             status: Mutex::default(),
-            at_head_at: AtomicU64::new(NEVER),
+            at_head_at: AtomicI64::new(NEVER),
             confirmed: Mutex::default(),
             wake,
         };
@@ -82,7 +87,7 @@
 
     /// Tells the handles how things stand.
     pub(super) fn publish(&self, now: Millis, subscriber: &Subscriber, traffic: Traffic) {
-        let at_head_at = subscriber.age_ms(now).map_or(NEVER, |age| now.saturating_sub(age));
+        let at_head_at = subscriber.age_ms(now).map_or(NEVER, |age| signed(now).saturating_sub(signed(age)));
         self.at_head_at.store(at_head_at, Ordering::Relaxed);
         let (follower, counters) = (subscriber.follower(), subscriber.follower().counters());
         let mut status = self.status();
@@ -131,7 +136,8 @@
     pub fn age_ms(&self) -> Option<u64> {
         let shared = &self.shared.0;
         let at_head_at = shared.at_head_at.load(Ordering::Relaxed);
-        (at_head_at != NEVER).then(|| shared.clock.now().saturating_sub(at_head_at))
+        let age = || signed(shared.clock.now()).saturating_sub(at_head_at).max(0).unsigned_abs();
+        (at_head_at != NEVER).then(age)
     }
 
     /// What it is at.
--- a/crates/config-sync/tests/regions_support/world.rs
+++ b/crates/config-sync/tests/regions_support/world.rs
@@ -202,7 +202,9 @@
         if process.starts != starts || process.machine.is_none() {
             return;
         }
-        let before = std::mem::replace(&mut process.confirmed, position);
+        // Confirmations can overtake each other; a later one stands for those before it.
+        let before = process.confirmed;
+        process.confirmed = before.max(position);
         self.measure(number, before, position);
         self.subscriber_event(number, SubscriberEvent::Applied(position));
     }
