--- a/crates/config-sync/tests/model_support/explore.rs
+++ b/crates/config-sync/tests/model_support/explore.rs
@@ -17,7 +17,8 @@
     pub subscribers: usize,
     /// What a subscriber watches, the nearest first.
     pub servers: &'static [Server],
-    /// Whether it begins with all sessions open, and not with the attempts to connect.
+    /// Whether it begins with all sessions open and all at the publisher's first position, and not with nothing and the
+    /// attempts to connect.
     pub connected: bool,
     pub changes: u8,
     /// Crashes of the publisher.
