--- a/crates/config-sync/src/follower.rs
+++ b/crates/config-sync/src/follower.rs
@@ -46,8 +46,8 @@
     proven: bool,
     /// Whether a snapshot was asked for because something did not fit; the second time the server is left.
     repaired: bool,
-    /// How old the server's own head was when it said so last; 0 before that.
-    server_age_ms: Millis,
+    /// How old the server's own head was when it said so last.
+    server_age_ms: Option<Millis>,
     /// When a nearer server is tried again.
     return_at: Option<Millis>,
 }
@@ -116,8 +116,9 @@
         matches!(self.link, Link::Following | Link::Fetching(_))
     }
 
-    /// How long ago what it has was last known to be the publisher's head; nothing if it never was. The age that its
-    /// server states is counted in from the server's first heartbeat of the session on.
+    /// How long ago what it has was last known to be the publisher's head; nothing if it never was. The age of the
+    /// server's own head is part of it, so a session counts from the server's first heartbeat on; only the very first
+    /// one counts at once.
     pub fn age_ms(&self, now: Millis) -> Option<Millis> {
         self.at_head.map(|known| now.saturating_sub(known.at).saturating_add(known.server_age_ms))
     }
--- a/crates/config-sync/src/follower/messages.rs
+++ b/crates/config-sync/src/follower/messages.rs
@@ -37,7 +37,7 @@
                 Ok(())
             }
             ToClient::Heartbeat { head, age_ms } => {
-                self.session.server_age_ms = age_ms;
+                self.session.server_age_ms = Some(age_ms);
                 self.on_heartbeat(now, head, out);
                 Ok(())
             }
@@ -71,7 +71,11 @@
         }
         self.session.progress_at = now;
         self.session.proven = true;
-        self.at_head = Some(AtHead { at: now, server_age_ms: self.session.server_age_ms });
+        // Until the server has said its age, what was known before stands; the first time, the age begins now.
+        let unsaid = if self.at_head.is_none() { Some(0) } else { None };
+        if let Some(server_age_ms) = self.session.server_age_ms.or(unsaid) {
+            self.at_head = Some(AtHead { at: now, server_age_ms });
+        }
         self.candidates.session_proven();
     }
 
--- a/crates/config-sync/tests/follower_servers.rs
+++ b/crates/config-sync/tests/follower_servers.rs
@@ -292,6 +292,17 @@
     assert_eq!(driver.follower.age_ms(driver.now), Some(60_000), "news of a server that is cut off are old");
     driver.receive(ToClient::Heartbeat { head: history.position, age_ms: 0 });
     assert_eq!(driver.follower.age_ms(driver.now + 5), Some(5), "the server is back at the head");
+    driver.event(FollowerEvent::Disconnected);
+    driver.accept();
+    let (position, known) = (history.position, driver.now);
+    history.grow(1);
+    driver.now += 700;
+    driver.receive(history.since(position));
+    let age = driver.follower.age_ms(driver.now);
+    assert!(
+        age >= Some(700) && age <= Some(driver.now - known + 700),
+        "a server that has not said its age: {age:?}"
+    );
 }
 
 #[test]
