--- a/crates/config-sync/tests/regions_support/world.rs
+++ b/crates/config-sync/tests/regions_support/world.rs
@@ -221,6 +221,7 @@
     }
 
     fn measure(&mut self, number: usize, before: Position, position: Position) {
+        let healed = self.subscribers[number].healing.take_if(|(_, head)| *head <= position);
         let Some(since) = self.reachable_since(number) else { return };
         let now = self.net.now;
         // What is not newer than the base was never under way.
@@ -229,7 +230,7 @@
             let proposed_at = self.history.proposed_at(Position { revision, ..position });
             self.times.record((now - proposed_at.max(since)).div_ceil(1_000));
         }
-        if let Some((at, _)) = self.subscribers[number].healing.take_if(|(_, head)| *head <= position) {
+        if let Some((at, _)) = healed {
             let healed_ms = (now - at.max(since)).div_ceil(1_000);
             self.report.heal_ms_max = self.report.heal_ms_max.max(healed_ms);
         }
