--- /dev/null
+++ b/crates/scale/src/propagation/node/publisher.rs
@@ -0,0 +1,101 @@
+//! The process of the publisher.
+
+use super::file_log::file_logger;
+use super::{Commands, emit};
+use crate::propagation::changes::{PlannedTransaction, planned_transactions};
+use crate::propagation::control::{Command, DigestLine, Event, PublisherSetup};
+use crate::propagation::dataset::base_transactions;
+use crate::propagation::process::{UsageMeter, allow_connections, unix_ms};
+use anyhow::{Context, Result, bail};
+use dunlinspread_config_sync::net::{Pending, PublisherNode, PublisherNodeSettings};
+use dunlinspread_config_sync::resource::Position;
+use std::collections::VecDeque;
+use std::sync::Arc;
+use std::sync::mpsc::{Receiver, channel};
+use std::thread;
+use std::time::Duration;
+
+/// Transactions of the first table that are under way at once.
+const BASE_WINDOW: usize = 8;
+/// How often refusals are asked for.
+const REFUSALS_PERIOD: Duration = Duration::from_millis(200);
+
+/// A proposal whose answer is awaited.
+struct Submitted {
+    sequence: u64,
+    proposed_unix_ms: u64,
+    pending: Pending,
+}
+
+pub fn run(setup: &PublisherSetup, commands: Commands) -> Result<()> {
+    let run = &setup.run;
+    allow_connections(run.topology.relays.len())?;
+    let mut settings = PublisherNodeSettings::new("publisher", setup.listen, run.fleet_key.as_bytes());
+    settings.seed = run.seed;
+    let node = PublisherNode::open(settings, &setup.directory, file_logger(&setup.log)?)?;
+    emit(&Event::Listening(vec![node.address()]));
+    if node.head() == Position::default() || node.head().revision == 0 {
+        publish_base(&node, setup)?;
+    }
+    let node = Arc::new(node);
+    let planned = planned_transactions(run.shape(), run.seed, run.changes);
+    let (submitted, answers) = channel();
+    thread::spawn(move || tell_answers(&answers));
+    let refusing = node.clone();
+    thread::spawn(move || tell_refusals(&refusing));
+    let usage = UsageMeter::start();
+    emit(&Event::Ready { head: node.head().into(), base_digest: DigestLine::default() });
+    for command in commands {
+        match command? {
+            Command::Propose { sequence } => submitted.send(submit(&node, &planned, sequence)?)?,
+            Command::Usage => emit(&Event::Usage(usage.read())),
+            other => bail!("not a command for a publisher: {other:?}"),
+        }
+    }
+    Ok(())
+}
+
+fn publish_base(node: &PublisherNode, setup: &PublisherSetup) -> Result<()> {
+    let mut under_way: VecDeque<Pending> = VecDeque::new();
+    for changes in base_transactions(setup.run.shape(), setup.run.seed) {
+        if under_way.len() == BASE_WINDOW {
+            if let Some(oldest) = under_way.pop_front() {
+                oldest.wait().context("publishing the first table")?;
+            }
+        }
+        under_way.push_back(node.submit(changes));
+    }
+    for pending in under_way {
+        pending.wait().context("publishing the first table")?;
+    }
+    Ok(())
+}
+
+fn submit(node: &PublisherNode, planned: &[PlannedTransaction], sequence: u64) -> Result<Submitted> {
+    let index = usize::try_from(sequence)?.checked_sub(1).context("sequence numbers begin with 1")?;
+    let transaction = planned.get(index).with_context(|| format!("transaction {sequence} is not planned"))?;
+    let proposed_unix_ms = unix_ms();
+    let pending = node.submit(transaction.changes.clone());
+    Ok(Submitted { sequence, proposed_unix_ms, pending })
+}
+
+fn tell_answers(answers: &Receiver<Submitted>) {
+    for Submitted { sequence, proposed_unix_ms, pending } in answers {
+        emit(&match pending.wait() {
+            Ok(position) => Event::Accepted { sequence, position: position.into(), proposed_unix_ms },
+            Err(failure) => Event::Rejected { sequence, reason: failure.to_string() },
+        });
+    }
+}
+
+fn tell_refusals(node: &PublisherNode) {
+    loop {
+        thread::sleep(REFUSALS_PERIOD);
+        let refusals = node.take_refusals();
+        if !refusals.is_empty() {
+            let refusals =
+                refusals.iter().map(|refusal| (refusal.member.to_string(), refusal.position.into())).collect();
+            emit(&Event::Refusals { refusals });
+        }
+    }
+}
--- /dev/null
+++ b/crates/scale/src/propagation/node/relay.rs
@@ -0,0 +1,45 @@
+//! The process of a relay.
+
+use super::file_log::file_logger;
+use super::{Commands, emit};
+use crate::propagation::control::{Command, DigestLine, Event, RelaySetup};
+use crate::propagation::process::{UsageMeter, allow_connections};
+use crate::propagation::servers::servers;
+use crate::propagation::topology::{region_name, relay_name, zone_name};
+use anyhow::{Context, Result, bail};
+use dunlinspread_config_sync::message::{Member, Role};
+use dunlinspread_config_sync::net::{RelayNode, RelayNodeSettings};
+
+/// A region's relay has no zone of its own.
+const NO_ZONE: &str = "none";
+
+pub fn run(setup: &RelaySetup, commands: Commands) -> Result<()> {
+    let topology = &setup.run.topology;
+    allow_connections(topology.shape.subscribers + topology.relays.len())?;
+    let place = &topology.relays[setup.relay];
+    let settings = RelayNodeSettings {
+        member: Member {
+            name: relay_name(setup.relay).into(),
+            zone: place.zone.map_or_else(|| NO_ZONE.to_owned(), zone_name).into(),
+            region: region_name(place.region).into(),
+            role: Role::Relay,
+        },
+        listen: setup.listen,
+        servers: servers(&setup.servers),
+        fleet_key: setup.run.fleet_key.clone().into_bytes(),
+        seed: setup.run.seed ^ setup.relay as u64,
+    };
+    let node = RelayNode::start(settings, file_logger(&setup.log)?)
+        .with_context(|| format!("starting {}", relay_name(setup.relay)))?;
+    let usage = UsageMeter::start();
+    emit(&Event::Listening(vec![node.address()]));
+    emit(&Event::Ready { head: node.head().into(), base_digest: DigestLine::default() });
+    for command in commands {
+        match command? {
+            Command::Status => emit(&Event::Status { least: node.head().into(), subscribers: 0 }),
+            Command::Usage => emit(&Event::Usage(usage.read())),
+            other => bail!("not a command for a relay: {other:?}"),
+        }
+    }
+    Ok(())
+}
