--- a/crates/scale/src/main.rs
+++ b/crates/scale/src/main.rs
@@ -5,6 +5,7 @@
 mod slopes;
 
 use clap::{Parser, Subcommand};
+use dunlinspread_scale::propagation;
 use std::process::ExitCode;
 
 /// Scale tests of the parts of dunlinspread.
@@ -19,11 +20,18 @@
 enum Command {
     /// Measure slopes: the cost of each part against its size.
     Slopes(slopes::Options),
+    /// Distribute configuration to a fleet of hollow subscribers while faults happen.
+    Propagation(Box<propagation::Options>),
+    /// A process of `propagation`.
+    #[command(hide = true, name = propagation::NODE_COMMAND)]
+    PropagationNode,
 }
 
 fn main() -> ExitCode {
     let result = match Cli::parse().command {
         Command::Slopes(options) => slopes::run(&options),
+        Command::Propagation(options) => propagation::run(&options),
+        Command::PropagationNode => propagation::run_node(),
     };
     match result {
         Ok(()) => ExitCode::SUCCESS,
--- a/crates/scale/src/propagation/cluster.rs
+++ b/crates/scale/src/propagation/cluster.rs
@@ -35,8 +35,6 @@
     pub started_unix_ms: u64,
     /// When it said that it was ready and with which head; none while it has not.
     pub ready: Option<(u64, PositionLine)>,
-    /// The digest of the first table as it built it.
-    pub base_digest: DigestLine,
     /// The last answer to [`Command::Status`] of this life.
     pub status: Option<PositionLine>,
     /// The answer to [`Command::Usage`].
@@ -259,11 +257,8 @@
         };
         match event {
             Event::Listening(addresses) => state.listening = addresses,
-            Event::Ready { head, base_digest } => {
-                state.ready = Some((unix_ms(), head));
-                state.base_digest = base_digest;
-            }
-            Event::Status { least, .. } => state.status = Some(least),
+            Event::Ready { head } => state.ready = Some((unix_ms(), head)),
+            Event::Status { least } => state.status = Some(least),
             Event::Usage(usage) => state.usage = Some(usage),
             Event::Verified { tables } => state.verified = Some(tables),
             Event::Failed(reason) => bail!("{node:?} failed: {reason}"),
--- a/crates/scale/src/propagation/control.rs
+++ b/crates/scale/src/propagation/control.rs
@@ -198,7 +198,7 @@
         /// Of which links.
         scope: LinkScope,
     },
-    /// To subscribers: say how far they are.
+    /// To relays and subscribers: say how far they are.
     Status,
     /// To all but proxies: say what was used.
     Usage,
@@ -223,7 +223,7 @@
     pub bytes_in: u64,
     /// Bytes sent.
     pub bytes_out: u64,
-    /// Frames received and sent, each of which may cost a packet of its own.
+    /// Connections made.
     pub connections: u64,
     /// Snapshots applied.
     pub snapshots: u64,
@@ -241,8 +241,6 @@
     Ready {
         /// The newest position.
         head: PositionLine,
-        /// The digest of the first table as this process built it; zero where it built none.
-        base_digest: DigestLine,
     },
     /// The publisher accepted it and made it durable.
     Accepted {
@@ -260,12 +258,10 @@
         /// Why.
         reason: String,
     },
-    /// How far the subscribers are.
+    /// How far a relay or the subscribers of a zone are.
     Status {
-        /// The least position in force.
+        /// The least position in force; of a relay, the one that it serves.
         least: PositionLine,
-        /// How many there are.
-        subscribers: usize,
     },
     /// Refusals that reached the publisher.
     Refusals {
--- a/crates/scale/src/propagation/node/publisher.rs
+++ b/crates/scale/src/propagation/node/publisher.rs
@@ -3,7 +3,7 @@
 use super::file_log::file_logger;
 use super::{Commands, emit};
 use crate::propagation::changes::{PlannedTransaction, planned_transactions};
-use crate::propagation::control::{Command, DigestLine, Event, PublisherSetup};
+use crate::propagation::control::{Command, Event, PublisherSetup};
 use crate::propagation::dataset::base_transactions;
 use crate::propagation::process::{UsageMeter, allow_connections, unix_ms};
 use anyhow::{Context, Result, bail};
@@ -44,7 +44,7 @@
     let refusing = node.clone();
     thread::spawn(move || tell_refusals(&refusing));
     let usage = UsageMeter::start();
-    emit(&Event::Ready { head: node.head().into(), base_digest: DigestLine::default() });
+    emit(&Event::Ready { head: node.head().into() });
     for command in commands {
         match command? {
             Command::Propose { sequence } => submitted.send(submit(&node, &planned, sequence)?)?,
--- a/crates/scale/src/propagation/node/relay.rs
+++ b/crates/scale/src/propagation/node/relay.rs
@@ -2,7 +2,7 @@
 
 use super::file_log::file_logger;
 use super::{Commands, emit};
-use crate::propagation::control::{Command, DigestLine, Event, RelaySetup};
+use crate::propagation::control::{Command, Event, RelaySetup};
 use crate::propagation::process::{UsageMeter, allow_connections};
 use crate::propagation::servers::servers;
 use crate::propagation::topology::{region_name, relay_name, zone_name};
@@ -33,10 +33,10 @@
         .with_context(|| format!("starting {}", relay_name(setup.relay)))?;
     let usage = UsageMeter::start();
     emit(&Event::Listening(vec![node.address()]));
-    emit(&Event::Ready { head: node.head().into(), base_digest: DigestLine::default() });
+    emit(&Event::Ready { head: node.head().into() });
     for command in commands {
         match command? {
-            Command::Status => emit(&Event::Status { least: node.head().into(), subscribers: 0 }),
+            Command::Status => emit(&Event::Status { least: node.head().into() }),
             Command::Usage => emit(&Event::Usage(usage.read())),
             other => bail!("not a command for a relay: {other:?}"),
         }
--- /dev/null
+++ b/crates/scale/src/propagation/node/subscribers.rs
@@ -0,0 +1,179 @@
+//! The process of a zone's hollow subscribers: the real client code of each, one table for all, no round server.
+
+use super::file_log::file_logger;
+use super::zone_observer::ZoneObserver;
+use super::{Commands, emit};
+use crate::propagation::changes::refusing_zone;
+use crate::propagation::control::{Command, Event, SubscribersSetup, Usage};
+use crate::propagation::dataset::{REFUSED_FROM, base_transactions};
+use crate::propagation::process::{UsageMeter, allow_connections};
+use crate::propagation::record::ObservationWriter;
+use crate::propagation::servers::servers;
+use crate::propagation::topology::{region_name, subscriber_name, zone_name};
+use anyhow::{Context, Result, bail};
+use async_executor::Executor;
+use dunlinspread_config_sync::client::{ClientSettings, Judge, Server};
+use dunlinspread_config_sync::message::{Member, Role};
+use dunlinspread_config_sync::net::{SharedTables, SubscriberHandle, SubscriberTask};
+use dunlinspread_config_sync::resource::{Change, Position, Resource};
+use dunlinspread_config_sync::subscriber::PersistedState;
+use dunlinspread_config_sync::table::Table;
+use futures_lite::future;
+use slog::Logger;
+use std::sync::Arc;
+use std::thread;
+
+/// Subscribers that reach their region through the proxy, where frames are damaged.
+const EXPOSED: std::ops::Range<usize> = 0..2;
+/// The subscriber that keeps its state on disk, and begins with nothing the first time.
+const KEEPER: usize = 2;
+/// Another that begins with nothing the first time.
+const EMPTY: usize = 3;
+
+pub fn run(setup: &SubscribersSetup, commands: Commands) -> Result<()> {
+    let zone = Zone::new(setup)?;
+    let kept = zone.kept_state()?;
+    let executor = Executor::new();
+    let handles = (0..zone.subscribers())
+        .map(|index| zone.start_subscriber(index, kept.as_ref(), &executor))
+        .collect::<Result<Vec<_>>>()?;
+    drop(kept);
+    thread::spawn(move || async_io::block_on(executor.run(future::pending::<()>())));
+    let usage = UsageMeter::start();
+    emit(&Event::Ready { head: least_in_force(&handles).into() });
+    for command in commands {
+        match command? {
+            Command::Status => emit(&Event::Status { least: least_in_force(&handles).into() }),
+            Command::Usage => emit(&Event::Usage(used(&usage, &handles))),
+            Command::Verify => emit(&Event::Verified { tables: zone.observer.verified_tables() }),
+            other => bail!("not a command for subscribers: {other:?}"),
+        }
+    }
+    Ok(())
+}
+
+/// The subscribers of a zone while they are started.
+struct Zone<'run> {
+    setup: &'run SubscribersSetup,
+    servers: Vec<Server>,
+    exposed_servers: Vec<Server>,
+    observer: ZoneObserver,
+    tables: SharedTables,
+    log: Logger,
+}
+
+impl<'run> Zone<'run> {
+    fn new(setup: &'run SubscribersSetup) -> Result<Zone<'run>> {
+        let topology = &setup.run.topology;
+        let subscribers = topology.zone_subscribers[setup.zone];
+        allow_connections(subscribers)?;
+        let writer = ObservationWriter::create(&setup.observations)?;
+        Ok(Zone {
+            setup,
+            servers: servers(&setup.servers),
+            exposed_servers: servers(&setup.exposed_servers),
+            observer: ZoneObserver::new(writer, topology.first_subscriber(setup.zone), subscribers),
+            tables: SharedTables::default(),
+            log: file_logger(&setup.log)?,
+        })
+    }
+
+    fn subscribers(&self) -> usize {
+        self.setup.run.topology.zone_subscribers[self.setup.zone]
+    }
+
+    /// The last good state of those that have one: the first table at first, then what the keeper has on disk. None if
+    /// the keeper had come to nothing.
+    fn kept_state(&self) -> Result<Option<PersistedState>> {
+        if self.setup.life > 0 {
+            return SubscriberTask::read_state(&self.setup.state, &self.log).context("the state on disk");
+        }
+        let mut mirror = Table::new();
+        for changes in base_transactions(self.setup.run.shape(), self.setup.run.seed) {
+            mirror.apply(&changes);
+        }
+        let position: Position = self.setup.base.into();
+        Ok(Some(PersistedState { position, mirror, ..PersistedState::default() }))
+    }
+
+    fn start_subscriber(
+        &self,
+        index: usize,
+        kept: Option<&PersistedState>,
+        executor: &Executor<'static>,
+    ) -> Result<SubscriberHandle> {
+        let number = self.setup.run.topology.first_subscriber(self.setup.zone) + index;
+        let settings = self.client_settings(index, number);
+        let begins_empty = self.setup.life == 0 && [KEEPER, EMPTY].contains(&index);
+        let kept = kept.filter(|_| index != KEEPER && !begins_empty);
+        let (judge, observer) = (self.judge(), self.observer.observer(index));
+        let tables = Some(self.tables.clone());
+        let (task, handle) = match kept {
+            None => SubscriberTask::new(settings, judge, observer, tables, self.log.clone()),
+            Some(kept) => {
+                let mut in_force = kept.mirror.clone();
+                in_force.apply(&kept.held_back);
+                self.observer.begin(index, kept.position, in_force);
+                SubscriberTask::resume(settings, judge, observer, tables, kept.clone(), self.log.clone())
+            }
+        }
+        .with_context(|| subscriber_name(number))?;
+        executor.spawn(task.run()).detach();
+        Ok(handle)
+    }
+
+    fn client_settings(&self, index: usize, number: usize) -> ClientSettings {
+        let setup = self.setup;
+        let servers = if EXPOSED.contains(&index) { &self.exposed_servers } else { &self.servers };
+        ClientSettings {
+            member: Member {
+                name: subscriber_name(number).into(),
+                zone: zone_name(setup.zone).into(),
+                region: region_name(setup.run.topology.region_of(setup.zone)).into(),
+                role: Role::Subscriber,
+            },
+            servers: servers.clone(),
+            fleet_key: setup.run.fleet_key.clone().into_bytes(),
+            state_directory: (index == KEEPER).then(|| setup.state.clone()),
+            seed: setup.run.seed ^ (number as u64) << 16 ^ u64::from(setup.life) << 48,
+        }
+    }
+
+    fn judge(&self) -> Box<dyn Judge> {
+        let refuses = self.setup.zone == refusing_zone(self.setup.run.shape(), self.setup.run.seed);
+        Box::new(LimitJudge { refuses })
+    }
+}
+
+/// Refuses, in one zone, limits that are more than its servers can run.
+struct LimitJudge {
+    refuses: bool,
+}
+
+impl Judge for LimitJudge {
+    fn judge(&self, changes: &[Change]) -> Result<(), String> {
+        let too_high = |change: &&Change| {
+            matches!(change, Change::Put(Resource::ClassLimit { max_running, .. }) if *max_running >= REFUSED_FROM)
+        };
+        match changes.iter().filter(|_| self.refuses).find(too_high) {
+            Some(change) => Err(format!("{}: more than this server can run", change.key().name())),
+            None => Ok(()),
+        }
+    }
+}
+
+fn least_in_force(handles: &[SubscriberHandle]) -> Position {
+    handles.iter().map(|handle| handle.status().in_force).min().unwrap_or_default()
+}
+
+fn used(meter: &UsageMeter, handles: &[SubscriberHandle]) -> Usage {
+    let mut usage = meter.read();
+    for status in handles.iter().map(SubscriberHandle::status) {
+        usage.bytes_in += status.bytes_in;
+        usage.bytes_out += status.bytes_out;
+        usage.connections += status.connections;
+        usage.snapshots += status.snapshots;
+        usage.bad_frames += status.bad_frames;
+    }
+    usage
+}
