--- a/crates/config-sync/src/lib.rs
+++ b/crates/config-sync/src/lib.rs
@@ -9,16 +9,21 @@
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
+mod progress;
+
 pub mod backoff;
 pub mod client;
 pub mod codec;
 pub mod delta_log;
 pub mod fanout;
+pub mod follower;
 pub mod frame;
 pub mod message;
 pub mod net;
 pub mod publisher;
+pub mod relay;
 pub mod resource;
 pub mod selection;
 pub mod size;
+pub mod subscriber;
 pub mod table;
