--- a/crates/config-sync/src/subscriber.rs
+++ b/crates/config-sync/src/subscriber.rs
@@ -68,9 +68,38 @@
         out: &mut Vec<SubscriberAction>,
     ) -> Subscriber {
         let kept = kept.unwrap_or_default();
+        let mut subscriber = Subscriber::watching_from(settings, judge, &kept, now);
+        if kept.position != Position::default() {
+            subscriber.restore(kept, out);
+        }
+        subscriber
+    }
+
+    /// Goes on from a state that the owner has in force already, for owners that keep the state of many subscribers in
+    /// one place: nothing is judged or handed out until something changes.
+    pub fn resume(
+        settings: SubscriberSettings,
+        judge: Box<dyn Judge>,
+        kept: &PersistedState,
+        now: Millis,
+    ) -> Subscriber {
+        let mut subscriber = Subscriber::watching_from(settings, judge, kept, now);
+        subscriber.take_kept(kept);
+        subscriber.applied = kept.position;
+        subscriber.report_pending = true;
+        subscriber
+    }
+
+    /// A subscriber whose link goes on from `kept`, with nothing in force.
+    fn watching_from(
+        settings: SubscriberSettings,
+        judge: Box<dyn Judge>,
+        kept: &PersistedState,
+        now: Millis,
+    ) -> Subscriber {
         let member = settings.follower.member.name.clone();
         let zone = settings.follower.member.zone.clone();
-        let mut subscriber = Subscriber {
+        Subscriber {
             follower: Follower::new(settings.follower, now, kept.position, kept.mirror.clone()),
             judge,
             member,
@@ -89,11 +118,7 @@
             report_pending: false,
             counters: SubscriberCounters::default(),
             follower_actions: Vec::new(),
-        };
-        if kept.position != Position::default() {
-            subscriber.restore(kept, out);
         }
-        subscriber
     }
 
     /// Takes an event and appends what is to be done, in order.
@@ -296,17 +321,21 @@
 
     /// Takes the kept state: its mirror is the follower's already.
     fn restore(&mut self, kept: PersistedState, out: &mut Vec<SubscriberAction>) {
-        let mut table = kept.mirror;
+        let mut table = kept.mirror.clone();
         table.apply(&kept.held_back);
         let changes: Vec<Change> = table.iter().cloned().map(Change::Put).collect();
         if let Err(reason) = self.judge.judge(&changes) {
             self.refuse_difference(Table::new(), &reason);
             return;
         }
+        self.take_kept(&kept);
+        self.put_in_force(changes, out);
+    }
+
+    fn take_kept(&mut self, kept: &PersistedState) {
         self.in_force.held_back = HeldBack::from_changes(&kept.held_back);
         self.in_force.position = kept.position;
         self.in_force.published_unix_ms = kept.published_unix_ms;
-        self.put_in_force(changes, out);
     }
 
     fn put_in_force(&mut self, changes: Vec<Change>, out: &mut Vec<SubscriberAction>) {
--- a/crates/scale/src/propagation/changes.rs
+++ b/crates/scale/src/propagation/changes.rs
@@ -57,16 +57,17 @@
 ) -> PlannedTransaction {
     let turn = sequence % REFUSED_EVERY;
     if turn == FIRST_REFUSED && sequence + REPAIRED_AFTER <= count {
-        return PlannedTransaction { sequence, changes: reserved(random, sequence, REFUSED_FROM), refused: true };
+        return PlannedTransaction {
+            sequence,
+            changes: reserved(random, sequence, REFUSED_FROM),
+            refused: true,
+        };
     }
     if turn == FIRST_REFUSED + REPAIRED_AFTER {
         return PlannedTransaction { sequence, changes: reserved(random, sequence, 0), refused: false };
     }
-    let count = if random.random_range(0..100) < SEVERAL_PERCENT {
-        random.random_range(2..=MOST_CHANGES)
-    } else {
-        1
-    };
+    let count =
+        if random.random_range(0..100) < SEVERAL_PERCENT { random.random_range(2..=MOST_CHANGES) } else { 1 };
     let mut keys: HashSet<Key> = HashSet::with_capacity(count);
     let mut changes: Vec<Change> = (0..count)
         .map(|_| any_change(shape, random, sequence))
--- a/crates/scale/src/propagation/cluster.rs
+++ b/crates/scale/src/propagation/cluster.rs
@@ -1,8 +1,8 @@
 //! The processes of a run: how each is set up, where it is reached, and what it said last.
 
 use super::control::{
-    Command, DigestLine, Event, PositionLine, ProxySetup, PublisherSetup, RelaySetup, RunSettings, ServerLine,
-    SubscribersSetup, Usage,
+    Command, DigestLine, Event, PositionLine, ProxySetup, PublisherSetup, RelaySetup, RunSettings,
+    ServerLine, SubscribersSetup, Usage,
 };
 use super::process::unix_ms;
 use super::supervisor::{NodeId, NodeProcess, Report};
--- a/crates/scale/src/propagation/coordinator.rs
+++ b/crates/scale/src/propagation/coordinator.rs
@@ -104,9 +104,8 @@
         let history = record.replay.history();
         let expected = history.accepted.iter().filter(|accepted| accepted.refused);
         let refused_expected = expected.clone().count();
-        let refused = expected
-            .filter(|accepted| record.refused_positions.contains(&accepted.position.into()))
-            .count();
+        let refused =
+            expected.filter(|accepted| record.refused_positions.contains(&accepted.position.into())).count();
         let measured = Measured {
             seed,
             shape: topology.shape,
--- a/crates/scale/src/propagation/dataset.rs
+++ b/crates/scale/src/propagation/dataset.rs
@@ -29,8 +29,9 @@
 /// The resources of the first table: class limits, then the routes that lead to them, then allowances.
 pub fn base_resources(shape: Shape, seed: u64) -> impl Iterator<Item = Resource> {
     let classes: Vec<Arc<str>> = (0..shape.classes).map(class_name).collect();
-    let limits = classes.clone().into_iter().enumerate().map(move |(index, class)| {
-        Resource::ClassLimit { class, max_running: 1 + mixed(seed, index) as u32 % (LIMIT_STEP - 1) }
+    let limits = classes.clone().into_iter().enumerate().map(move |(index, class)| Resource::ClassLimit {
+        class,
+        max_running: 1 + mixed(seed, index) as u32 % (LIMIT_STEP - 1),
     });
     let routes = (0..shape.routes).map(move |index| {
         let class = classes[mixed(seed, index) as usize % classes.len()].clone();
--- a/crates/scale/src/propagation/faults.rs
+++ b/crates/scale/src/propagation/faults.rs
@@ -111,10 +111,10 @@
     let region = |turn: usize| regions[turn % regions.len()];
     let zone = random.random_range(0..topology.shape.zones);
 
-    let kills = killed
-        .map(|relay| Fault::lasting(Step::KillRelay(relay), Step::StartRelay(relay), LONGEST_MS));
-    let pauses = paused
-        .map(|relay| Fault::lasting(Step::PauseRelay(relay), Step::ResumeRelay(relay), LONGEST_MS));
+    let kills =
+        killed.map(|relay| Fault::lasting(Step::KillRelay(relay), Step::StartRelay(relay), LONGEST_MS));
+    let pauses =
+        paused.map(|relay| Fault::lasting(Step::PauseRelay(relay), Step::ResumeRelay(relay), LONGEST_MS));
     let cuts = [(region(0), CutKind::Silent), (region(1), CutKind::Refuse)].map(|(region, kind)| {
         Fault::lasting(Step::CutRegion(region, kind), Step::HealRegion(region), LONGEST_MS)
     });
--- a/crates/scale/src/propagation/judge.rs
+++ b/crates/scale/src/propagation/judge.rs
@@ -122,9 +122,8 @@
         let wanted = self.history.expected(zone, self.history.accepted.len());
         if position != head || digest != wanted {
             self.verdict.diverged += 1;
-            self.verdict.explain(|| {
-                format!("diverged: subscriber {subscriber} ends at {position:?}, head {head:?}")
-            });
+            self.verdict
+                .explain(|| format!("diverged: subscriber {subscriber} ends at {position:?}, head {head:?}"));
         }
     }
 
@@ -178,7 +177,8 @@
     fn measure_latencies(&mut self, zone: usize, applied: &Applied) {
         for (accepted, applied_unix_ms) in self.history.accepted.iter().zip(&applied.times) {
             let Some(applied_unix_ms) = *applied_unix_ms else { continue };
-            if self.history.is_refused(zone, accepted) || self.met_outage(zone, accepted.at_unix_ms, applied_unix_ms)
+            if self.history.is_refused(zone, accepted)
+                || self.met_outage(zone, accepted.at_unix_ms, applied_unix_ms)
             {
                 continue;
             }
@@ -196,7 +196,8 @@
     fn measure_heals(&mut self, zone: usize, applied: &Applied) {
         for outage in self.outages.iter().filter(|outage| outage.zones.contains(&zone)) {
             let Some(until_unix_ms) = outage.until_unix_ms else { continue };
-            let published = self.history.accepted.partition_point(|change| change.at_unix_ms <= until_unix_ms);
+            let published =
+                self.history.accepted.partition_point(|change| change.at_unix_ms <= until_unix_ms);
             let at_head = match published.checked_sub(1) {
                 Some(last) => applied.times[last].unwrap_or(self.ended_unix_ms),
                 None => until_unix_ms,
@@ -211,12 +212,12 @@
 
     fn count_lost(&mut self, subscriber: usize, zone: usize, applied: &Applied) {
         let missing = self.history.accepted.iter().zip(&applied.times);
-        let lost = missing
-            .filter(|(accepted, at)| at.is_none() && !self.history.is_refused(zone, accepted))
-            .count();
+        let lost =
+            missing.filter(|(accepted, at)| at.is_none() && !self.history.is_refused(zone, accepted)).count();
         if lost > 0 {
             self.verdict.lost += lost as u64;
-            self.verdict.explain(|| format!("lost: {lost} changes at subscriber {subscriber} of zone {zone}"));
+            self.verdict
+                .explain(|| format!("lost: {lost} changes at subscriber {subscriber} of zone {zone}"));
         }
     }
 }
--- a/crates/scale/src/propagation/mod.rs
+++ b/crates/scale/src/propagation/mod.rs
@@ -10,7 +10,7 @@
 pub mod control;
 mod coordinator;
 pub mod dataset;
-mod fault_proxy;
+pub mod fault_proxy;
 pub mod faults;
 mod flow;
 mod garbage;
--- a/crates/scale/src/propagation/node/mod.rs
+++ b/crates/scale/src/propagation/node/mod.rs
@@ -44,9 +44,11 @@
 
     fn next(&mut self) -> Option<Result<Command>> {
         let line = self.lines.next()?;
-        Some(line.context("reading commands").and_then(|line| {
-            serde_json::from_str(&line).with_context(|| format!("not a command: {line}"))
-        }))
+        Some(
+            line.context("reading commands").and_then(|line| {
+                serde_json::from_str(&line).with_context(|| format!("not a command: {line}"))
+            }),
+        )
     }
 }
 
--- a/crates/scale/src/propagation/node/publisher.rs
+++ b/crates/scale/src/propagation/node/publisher.rs
@@ -93,8 +93,10 @@
         thread::sleep(REFUSALS_PERIOD);
         let refusals = node.take_refusals();
         if !refusals.is_empty() {
-            let refusals =
-                refusals.iter().map(|refusal| (refusal.member.to_string(), refusal.position.into())).collect();
+            let refusals = refusals
+                .iter()
+                .map(|refusal| (refusal.member.to_string(), refusal.position.into()))
+                .collect();
             emit(&Event::Refusals { refusals });
         }
     }
--- a/crates/scale/src/propagation/node/subscribers.rs
+++ b/crates/scale/src/propagation/node/subscribers.rs
@@ -152,9 +152,7 @@
 
 impl Judge for LimitJudge {
     fn judge(&self, changes: &[Change]) -> Result<(), String> {
-        let too_high = |change: &&Change| {
-            matches!(change, Change::Put(Resource::ClassLimit { max_running, .. }) if *max_running >= REFUSED_FROM)
-        };
+        let too_high = |change: &&Change| matches!(change, Change::Put(Resource::ClassLimit { max_running, .. }) if *max_running >= REFUSED_FROM);
         match changes.iter().filter(|_| self.refuses).find(too_high) {
             Some(change) => Err(format!("{}: more than this server can run", change.key().name())),
             None => Ok(()),
--- a/crates/scale/src/propagation/report.rs
+++ b/crates/scale/src/propagation/report.rs
@@ -162,7 +162,8 @@
         let mut failures = measured.failures.clone();
         failures.extend(verdict.faults.iter().cloned());
         if in_force_ms_max >= measured.in_force_limit_ms {
-            failures.push(format!("in force after {in_force_ms_max} ms, allowed {}", measured.in_force_limit_ms));
+            failures
+                .push(format!("in force after {in_force_ms_max} ms, allowed {}", measured.in_force_limit_ms));
         }
         if measured.refused == 0 && measured.refused_expected > 0 {
             failures.push("the publisher heard of no refusal".into());
--- a/crates/scale/src/propagation/topology.rs
+++ b/crates/scale/src/propagation/topology.rs
@@ -66,8 +66,7 @@
         );
         let region_relays =
             relays.saturating_sub(WANTED_ZONE_RELAYS * zones).clamp(regions, MOST_REGION_RELAYS * regions);
-        let of_regions =
-            (0..region_relays).map(|index| RelayPlace { region: index % regions, zone: None });
+        let of_regions = (0..region_relays).map(|index| RelayPlace { region: index % regions, zone: None });
         let of_zones = (0..relays - region_relays).map(|index| {
             let zone = index % zones;
             RelayPlace { region: zone % regions, zone: Some(zone) }
