--- a/crates/config-sync/src/net/subscriber.rs
+++ b/crates/config-sync/src/net/subscriber.rs
@@ -49,6 +49,14 @@
     log: Logger,
 }
 
+/// What a subscriber begins with.
+enum Beginning {
+    /// A state, if there is one, that has yet to be put in force.
+    Kept(Option<PersistedState>),
+    /// One that is in force.
+    InForce(PersistedState),
+}
+
 enum Step {
     Link(LinkEvent),
     Woken,
@@ -73,7 +81,7 @@
             Some(directory) => StateKeeper::open(directory, &settings.member.name, &log),
             None => (None, None),
         };
-        SubscriberTask::begin(settings, judge, observer, tables, log, kept, keeper)
+        SubscriberTask::begin(settings, judge, observer, tables, log, Beginning::Kept(kept), keeper)
     }
 
     /// The same, beginning with a state that the caller has, and with none on disk.
@@ -88,7 +96,22 @@
         log: Logger,
         state: PersistedState,
     ) -> io::Result<(SubscriberTask, SubscriberHandle)> {
-        SubscriberTask::begin(settings, judge, observer, tables, log, Some(state), None)
+        SubscriberTask::begin(settings, judge, observer, tables, log, Beginning::Kept(Some(state)), None)
+    }
+
+    /// The same with a state that the caller has in force already: the observer hears of what comes after it alone.
+    ///
+    /// # Errors
+    /// If the settings are not right.
+    pub fn resume(
+        settings: ClientSettings,
+        judge: Box<dyn Judge>,
+        observer: Box<dyn Observer>,
+        tables: Option<SharedTables>,
+        log: Logger,
+        state: PersistedState,
+    ) -> io::Result<(SubscriberTask, SubscriberHandle)> {
+        SubscriberTask::begin(settings, judge, observer, tables, log, Beginning::InForce(state), None)
     }
 
     fn begin(
@@ -97,7 +120,7 @@
         observer: Box<dyn Observer>,
         tables: Option<SharedTables>,
         log: Logger,
-        kept: Option<PersistedState>,
+        beginning: Beginning,
         keeper: Option<StateKeeper>,
     ) -> io::Result<(SubscriberTask, SubscriberHandle)> {
         let key = FrameKey::new(&settings.fleet_key)
@@ -105,8 +128,11 @@
         let clock = Clock::start();
         let follower = FollowerSettings::new(settings.member, settings.servers, settings.seed);
         let mut actions = Vec::new();
-        let subscriber =
-            Subscriber::new(SubscriberSettings::new(follower), judge, kept, clock.now(), &mut actions);
+        let settings = SubscriberSettings::new(follower);
+        let subscriber = match beginning {
+            Beginning::Kept(kept) => Subscriber::new(settings, judge, kept, clock.now(), &mut actions),
+            Beginning::InForce(state) => Subscriber::resume(settings, judge, &state, clock.now()),
+        };
         let (shared, wakes) = Shared::new(clock);
         let mut task = SubscriberTask {
             subscriber,
--- a/crates/scale/src/propagation/node/subscribers.rs
+++ b/crates/scale/src/propagation/node/subscribers.rs
@@ -16,8 +16,10 @@
 use dunlinspread_config_sync::message::{Member, Role};
 use dunlinspread_config_sync::net::{SharedTables, SubscriberHandle, SubscriberTask};
 use dunlinspread_config_sync::resource::{Change, Position, Resource};
+use dunlinspread_config_sync::state_store::StateStore;
 use dunlinspread_config_sync::subscriber::PersistedState;
 use dunlinspread_config_sync::table::Table;
+use dunlinspread_store::RealDisk;
 use futures_lite::future;
 use slog::Logger;
 use std::sync::Arc;
@@ -86,7 +88,7 @@
     /// the keeper had come to nothing.
     fn kept_state(&self) -> Result<Option<PersistedState>> {
         if self.setup.life > 0 {
-            return SubscriberTask::read_state(&self.setup.state, &self.log).context("the state on disk");
+            return self.state_on_disk().context("the state on disk");
         }
         let mut mirror = Table::new();
         for changes in base_transactions(self.setup.run.shape(), self.setup.run.seed) {
@@ -96,13 +98,26 @@
         Ok(Some(PersistedState { position, mirror, ..PersistedState::default() }))
     }
 
+    /// Reads what the keeper keeps; the store is closed again before the keeper opens it.
+    fn state_on_disk(&self) -> Result<Option<PersistedState>> {
+        let disk = Arc::new(RealDisk::new(&self.setup.state)?);
+        let (store, state) = StateStore::open(disk, &subscriber_name(self.number(KEEPER)))?;
+        store.close()?;
+        Ok(state)
+    }
+
+    /// A subscriber's number over all zones.
+    fn number(&self, index: usize) -> usize {
+        self.setup.run.topology.first_subscriber(self.setup.zone) + index
+    }
+
     fn start_subscriber(
         &self,
         index: usize,
         kept: Option<&PersistedState>,
         executor: &Executor<'static>,
     ) -> Result<SubscriberHandle> {
-        let number = self.setup.run.topology.first_subscriber(self.setup.zone) + index;
+        let number = self.number(index);
         let settings = self.client_settings(index, number);
         let begins_empty = self.setup.life == 0 && [KEEPER, EMPTY].contains(&index);
         let kept = kept.filter(|_| index != KEEPER && !begins_empty);
@@ -114,7 +129,7 @@
                 let mut in_force = kept.mirror.clone();
                 in_force.apply(&kept.held_back);
                 self.observer.begin(index, kept.position, in_force);
-                SubscriberTask::resume(settings, judge, observer, tables, kept.clone(), self.log.clone())
+                SubscriberTask::resume(settings, judge, observer, tables, self.log.clone(), kept.clone())
             }
         }
         .with_context(|| subscriber_name(number))?;
--- a/crates/scale/src/propagation/node/zone_observer.rs
+++ b/crates/scale/src/propagation/node/zone_observer.rs
@@ -144,8 +144,8 @@
 }
 
 impl Observer for ServerObserver {
-    fn in_force(&mut self, update: &Update) -> Confirmation {
-        self.zone.put_in_force(self.index, update);
+    fn in_force(&mut self, update: Update) -> Confirmation {
+        self.zone.put_in_force(self.index, &update);
         Confirmation::Now
     }
 }
--- a/crates/scale/tests/propagation_judge.rs
+++ b/crates/scale/tests/propagation_judge.rs
@@ -158,9 +158,8 @@
     let index = observations.iter().position(|observation| observation.at_unix_ms > until).unwrap_or(0);
     let caught_up = Observation { at_unix_ms: until + heal_ms, ..observations[index] };
     observations[index] = Observation { least_sequence: Some(11), ..caught_up };
-    let cut = |cause| {
-        [Outage { zones: vec![PLAIN_ZONE], cause, from_unix_ms: from, until_unix_ms: Some(until) }]
-    };
+    let cut =
+        |cause| [Outage { zones: vec![PLAIN_ZONE], cause, from_unix_ms: from, until_unix_ms: Some(until) }];
 
     let verdict = judged(&history, &cut(Cause::RegionCut), PLAIN_ZONE, &[observations.clone()]);
     assert!(verdict.is_clean(), "{:?}", verdict.faults);
--- a/crates/scale/tests/propagation_plan.rs
+++ b/crates/scale/tests/propagation_plan.rs
@@ -98,10 +98,22 @@
         assert!(steps.iter().all(|step| step.at_ms < 30_000), "seed {seed}");
         let count = |wanted: fn(&Step) -> bool| steps.iter().filter(|step| wanted(&step.step)).count();
         let pairs = [
-            (count(|step| matches!(step, Step::KillRelay(_))), count(|step| matches!(step, Step::StartRelay(_)))),
-            (count(|step| matches!(step, Step::PauseRelay(_))), count(|step| matches!(step, Step::ResumeRelay(_)))),
-            (count(|step| matches!(step, Step::CutRegion(..))), count(|step| matches!(step, Step::HealRegion(_)))),
-            (count(|step| matches!(step, Step::KillZone(_))), count(|step| matches!(step, Step::StartZone(_)))),
+            (
+                count(|step| matches!(step, Step::KillRelay(_))),
+                count(|step| matches!(step, Step::StartRelay(_))),
+            ),
+            (
+                count(|step| matches!(step, Step::PauseRelay(_))),
+                count(|step| matches!(step, Step::ResumeRelay(_))),
+            ),
+            (
+                count(|step| matches!(step, Step::CutRegion(..))),
+                count(|step| matches!(step, Step::HealRegion(_))),
+            ),
+            (
+                count(|step| matches!(step, Step::KillZone(_))),
+                count(|step| matches!(step, Step::StartZone(_))),
+            ),
             (count(|step| *step == Step::KillPublisher), count(|step| *step == Step::StartPublisher)),
         ];
         assert_eq!(pairs, [(2, 2), (2, 2), (2, 2), (1, 1), (1, 1)], "seed {seed}");
