A relay to which nothing happens no longer spins

A relay's deadline was the time from which progress might be reported, also when there was nothing to report and that time had passed. The timer of a node took any deadline before the armed one as news, so that its loop never waited again: one core a relay, no heartbeats, sessions dropped for silence. Progress is now looked at once in its interval, and no node ticks more often than every 5 ms whatever its deadline. The new test fails on the old relay at its first idle tick.

--- a/crates/config-sync/src/net/node.rs
+++ b/crates/config-sync/src/net/node.rs
@@ -97,17 +97,20 @@
 pub(super) struct Ticker {
     pub(super) clock: Clock,
     armed_at: Cell<Millis>,
+    /// No tick before, however early the deadline: one that lies in the past must not keep the thread from its sockets.
+    not_before: Cell<Millis>,
     earlier: LocalNotify,
 }
 
 impl Ticker {
     pub(super) fn new(clock: Clock) -> Ticker {
-        Ticker { clock, armed_at: Cell::new(0), earlier: LocalNotify::default() }
+        let (armed_at, not_before) = (Cell::new(0), Cell::new(0));
+        Ticker { clock, armed_at, not_before, earlier: LocalNotify::default() }
     }
 
     /// After each event: the next tick is needed at `deadline`.
     pub(super) fn set(&self, deadline: Millis) {
-        if deadline < self.armed_at.get() {
+        if deadline.max(self.not_before.get()) < self.armed_at.get() {
             self.earlier.notify();
         }
     }
@@ -119,11 +122,12 @@
     let mut alarm = Alarm::new(ticker.clock);
     loop {
         let now = ticker.clock.now();
-        if now >= node.deadline() {
+        if now >= node.deadline().max(ticker.not_before.get()) {
+            ticker.not_before.set(now + LEAST_TICK_MS);
             node.on_tick();
             node.sessions().borrow_mut().tidy(now);
         }
-        let due = node.deadline().max(now + LEAST_TICK_MS);
+        let due = node.deadline().max(ticker.not_before.get());
         ticker.armed_at.set(due);
         alarm.set(due);
         or(alarm.rings(), ticker.earlier.wait()).await;
--- a/crates/config-sync/src/relay.rs
+++ b/crates/config-sync/src/relay.rs
@@ -56,6 +56,9 @@
     follower: Follower,
     fanout: Fanout,
     reporter: ProgressReporter,
+    progress_ms: Millis,
+    /// When progress from below is looked at next.
+    next_look: Millis,
     /// Kept to spare an allocation for each event.
     follower_actions: Vec<FollowerAction>,
     fanout_actions: Vec<FanoutAction>,
@@ -68,6 +71,8 @@
             follower: Follower::new(settings.follower, now, Position::default(), Table::new()),
             fanout: Fanout::new(settings.fanout),
             reporter: ProgressReporter::new(settings.progress_ms),
+            progress_ms: settings.progress_ms,
+            next_look: now,
             follower_actions: Vec::new(),
             fanout_actions: Vec::new(),
         }
@@ -90,7 +95,7 @@
     /// looked at once in its interval.
     pub fn deadline(&self) -> Millis {
         let deadline = self.follower.deadline().min(self.fanout.deadline());
-        if self.follower.is_open() { deadline.min(self.reporter.next_at()) } else { deadline }
+        if self.follower.is_open() { deadline.min(self.next_look) } else { deadline }
     }
 
     /// The side towards the publisher.
@@ -126,6 +131,7 @@
                 FollowerAction::Link(action) => {
                     if matches!(action, LinkAction::Send(ToServer::Watch { .. })) {
                         self.reporter.session_opened(now);
+                        self.next_look = now;
                     }
                     out.push(RelayAction::Upstream(action));
                 }
@@ -170,9 +176,10 @@
 
     /// Tells the server above how far the subscribers below have come, by zone.
     fn report(&mut self, now: Millis, out: &mut Vec<RelayAction>) {
-        if !self.follower.is_open() {
+        if !self.follower.is_open() || now < self.next_look {
             return;
         }
+        self.next_look = now.saturating_add(self.progress_ms);
         if let Some(progress) = self.reporter.report(now, || self.fanout.zones()) {
             out.push(RelayAction::Upstream(LinkAction::Send(progress)));
         }
--- /dev/null
+++ b/crates/config-sync/tests/relay_idle.rs
@@ -0,0 +1,56 @@
+//! A relay to which nothing happens.
+
+mod client_support;
+
+use client_support::{History, allowance, member, server};
+use dunlinspread_config_sync::fanout::FanoutSettings;
+use dunlinspread_config_sync::follower::{FollowerEvent, FollowerSettings, LinkAction};
+use dunlinspread_config_sync::message::{Member, Role, ToClient, ToServer};
+use dunlinspread_config_sync::relay::{Relay, RelayAction, RelayEvent, RelaySettings};
+
+const TICKS: u64 = 1_000;
+/// The fastest that anything is looked at again.
+const LEAST_INTERVAL_MS: u64 = 5;
+
+fn relay() -> (Relay, u64) {
+    let member = Member { role: Role::Relay, ..member("relay-1", "a1", "a") };
+    let follower = FollowerSettings::new(member, vec![server("relay-0", None, "a")], 7);
+    let settings = RelaySettings::new(follower, FanoutSettings::default());
+    let progress_ms = settings.progress_ms;
+    (Relay::new(settings, 0), progress_ms)
+}
+
+fn progress_reports(actions: &[RelayAction]) -> usize {
+    let is_report = |action: &&RelayAction| {
+        matches!(action, RelayAction::Upstream(LinkAction::Send(ToServer::Progress { .. })))
+    };
+    actions.iter().filter(is_report).count()
+}
+
+#[test]
+fn its_deadline_is_never_one_that_has_passed() {
+    let mut history = History::new(1);
+    history.push(vec![allowance("a", 1)]);
+    let (mut relay, progress_ms) = relay();
+    let mut out = Vec::new();
+    relay.on_event(0, RelayEvent::Tick, &mut out);
+    relay.on_event(0, RelayEvent::Upstream(FollowerEvent::Connected), &mut out);
+    let resync = ToClient::Resync { head: history.position };
+    for message in std::iter::once(resync).chain(history.snapshot(&[])) {
+        relay.on_event(0, RelayEvent::Upstream(FollowerEvent::Received(message)), &mut out);
+    }
+    let mut now = 0;
+    let mut reports = progress_reports(&out);
+    for tick in 0..TICKS {
+        out.clear();
+        let heartbeat = FollowerEvent::Received(history.heartbeat());
+        relay.on_event(now, RelayEvent::Upstream(heartbeat), &mut out);
+        relay.on_event(now, RelayEvent::Tick, &mut out);
+        reports += progress_reports(&out);
+        let deadline = relay.deadline();
+        assert!(deadline >= now + LEAST_INTERVAL_MS, "tick {tick} at {now}: next at {deadline}");
+        assert!(deadline <= now + progress_ms, "progress from below is looked at in time");
+        now = deadline;
+    }
+    assert_eq!(reports, 1, "nothing changed after the first report");
+}
