--- a/crates/scale/src/propagation/node/relay.rs
+++ b/crates/scale/src/propagation/node/relay.rs
@@ -2,7 +2,7 @@
 
 use super::file_log::file_logger;
 use super::{Commands, emit};
-use crate::propagation::control::{Command, Event, RelaySetup};
+use crate::propagation::control::{Command, Event, RelaySetup, Usage};
 use crate::propagation::process::{UsageMeter, allow_connections};
 use crate::propagation::servers::servers;
 use crate::propagation::topology::{region_name, relay_name, zone_name};
@@ -37,9 +37,20 @@
     for command in commands {
         match command? {
             Command::Status => emit(&Event::Status { least: node.head().into() }),
-            Command::Usage => emit(&Event::Usage(usage.read())),
+            Command::Usage => emit(&Event::Usage(used(&usage, &node))),
             other => bail!("not a command for a relay: {other:?}"),
         }
     }
     Ok(())
 }
+
+fn used(meter: &UsageMeter, node: &RelayNode) -> Usage {
+    let status = node.status();
+    Usage {
+        bytes_in: status.bytes_in + status.upstream_bytes_in,
+        bytes_out: status.bytes_out + status.upstream_bytes_out,
+        connections: status.upstream_connections,
+        bad_frames: status.bad_frames,
+        ..meter.read()
+    }
+}
