Steps of shared tables are computed once for all subscribers of a process

A subscriber applied each change three times, copying the bucket of about 110 resources each time: in the mirror, in the replay of transactions that only a refusal or a full queue of records needs, and (in scale tests) in the observer. With 444 subscribers in one process these copies were 45% of its samples. The replay is now done only where it is looked at, and subscribers that share tables share the steps between them as well; each checks the digest as before.

--- a/crates/config-sync/src/follower.rs
+++ b/crates/config-sync/src/follower.rs
@@ -17,6 +17,7 @@
 
 use crate::message::ToServer;
 use crate::resource::{Millis, Position};
+use crate::shared_steps::SharedSteps;
 use crate::table::Table;
 use candidates::Candidates;
 use staging::Staging;
@@ -62,6 +63,8 @@
     at_head_at: Option<Millis>,
     /// The next snapshot is fetched whole, since one that was put together from differences did not fit.
     fetch_whole: bool,
+    /// Where steps of the table are computed together with others.
+    steps: Option<SharedSteps>,
     counters: FollowerCounters,
 }
 
@@ -77,6 +80,7 @@
             table,
             at_head_at: None,
             fetch_whole: false,
+            steps: None,
             counters: FollowerCounters::default(),
         }
     }
@@ -118,6 +122,11 @@
         self.counters
     }
 
+    /// From now on steps of the table are computed together with others in this process.
+    pub fn share_steps(&mut self, steps: SharedSteps) {
+        self.steps = Some(steps);
+    }
+
     /// Takes over a table of equal digest, so that many followers in one process share its memory. Returns whether
     /// the digests were equal.
     pub fn share_table(&mut self, other: &Table) -> bool {
--- a/crates/config-sync/src/follower/messages.rs
+++ b/crates/config-sync/src/follower/messages.rs
@@ -118,7 +118,10 @@
             return Err(SessionFault::Gap { position: self.position, found: transaction.position });
         }
         let mut table = self.table.clone();
-        table.apply(&transaction.changes);
+        match &self.steps {
+            Some(steps) => steps.apply(&mut table, &transaction.changes),
+            None => table.apply(&transaction.changes),
+        }
         if table.digest() != transaction.digest {
             self.counters.digest_mismatches += 1;
             return Err(SessionFault::TransactionDigest(transaction.position));
--- a/crates/config-sync/src/lib.rs
+++ b/crates/config-sync/src/lib.rs
@@ -24,6 +24,7 @@
 pub mod relay;
 pub mod resource;
 pub mod selection;
+pub mod shared_steps;
 pub mod size;
 pub mod state_store;
 pub mod subscriber;
--- a/crates/config-sync/src/net/shared_tables.rs
+++ b/crates/config-sync/src/net/shared_tables.rs
@@ -1,6 +1,7 @@
 //! Equal tables of many subscribers in one process, kept once.
 
 use crate::resource::Digest;
+use crate::shared_steps::SharedSteps;
 use crate::subscriber::Subscriber;
 use crate::table::Table;
 use std::collections::{HashMap, VecDeque};
@@ -14,6 +15,7 @@
 #[derive(Clone, Default)]
 pub struct SharedTables {
     kept: Arc<Mutex<Kept>>,
+    steps: SharedSteps,
 }
 
 #[derive(Default)]
@@ -23,6 +25,11 @@
 }
 
 impl SharedTables {
+    /// Lets a subscriber take part in computing steps together.
+    pub(super) fn share_steps(&self, subscriber: &mut Subscriber) {
+        subscriber.share_steps(self.steps.clone());
+    }
+
     /// Lets a subscriber use the table that another one already has, or others use this one's.
     pub(super) fn share(&self, subscriber: &mut Subscriber) {
         let table = subscriber.follower().table().clone();
--- a/crates/config-sync/src/net/subscriber.rs
+++ b/crates/config-sync/src/net/subscriber.rs
@@ -129,10 +129,13 @@
         let follower = FollowerSettings::new(settings.member, settings.servers, settings.seed);
         let mut actions = Vec::new();
         let settings = SubscriberSettings::new(follower);
-        let subscriber = match beginning {
+        let mut subscriber = match beginning {
             Beginning::Kept(kept) => Subscriber::new(settings, judge, kept, clock.now(), &mut actions),
             Beginning::InForce(state) => Subscriber::resume(settings, judge, &state, clock.now()),
         };
+        if let Some(tables) = &tables {
+            tables.share_steps(&mut subscriber);
+        }
         let (shared, wakes) = Shared::new(clock);
         let mut task = SubscriberTask {
             subscriber,
--- a/crates/config-sync/src/subscriber.rs
+++ b/crates/config-sync/src/subscriber.rs
@@ -11,6 +11,7 @@
 mod confirmed;
 mod held_back;
 mod persistence;
+mod transactions;
 
 pub use api::{SubscriberAction, SubscriberCounters, SubscriberEvent, SubscriberSettings};
 pub use persistence::{Persist, PersistedState};
@@ -19,11 +20,11 @@
 use crate::follower::{Advance, Follower, FollowerAction, FollowerEvent, LinkAction};
 use crate::message::{Refusal, ToServer, ZoneProgress};
 use crate::progress::ProgressReporter;
-use crate::resource::{Change, Key, Millis, Position, Resource, Transaction};
+use crate::resource::{Change, Key, Millis, Position, Resource};
+use crate::shared_steps::SharedSteps;
 use crate::table::Table;
 use held_back::HeldBack;
 use persistence::WaitingRecords;
-use std::collections::BTreeMap;
 use std::sync::Arc;
 
 /// The longest reason that is reported, in bytes.
@@ -171,6 +172,11 @@
         self.counters
     }
 
+    /// Steps of the mirror are computed together with others in this process; see [`SharedSteps`].
+    pub fn share_steps(&mut self, steps: SharedSteps) {
+        self.follower.share_steps(steps);
+    }
+
     /// Takes over a table of equal digest for the mirror; see [`Follower::share_table`].
     pub fn share_table(&mut self, other: &Table) -> bool {
         self.follower.share_table(other)
@@ -219,70 +225,6 @@
         }
     }
 
-    /// Judges transactions one by one; what comes in force of them goes out as one update.
-    fn take_transactions(
-        &mut self,
-        before: Table,
-        transactions: &[Arc<Transaction>],
-        out: &mut Vec<SubscriberAction>,
-    ) {
-        let mut mirror = before;
-        let mut changes = BTreeMap::new();
-        let mut taken = 0;
-        for transaction in transactions {
-            let refused = match self.judge.judge(&transaction.changes) {
-                Ok(()) => false,
-                Err(reason) => {
-                    self.counters.refused_transactions += 1;
-                    self.refuse(transaction.position, &reason);
-                    true
-                }
-            };
-            if refused && !self.can_hold(&transaction.changes) {
-                self.stop(mirror, transaction.position);
-                break;
-            }
-            self.take_transaction(transaction, refused, &mut mirror, &mut changes);
-            taken += 1;
-        }
-        if taken > 0 {
-            self.put_in_force(changes.into_values().collect(), out);
-        }
-    }
-
-    fn can_hold(&self, changes: &[Change]) -> bool {
-        self.in_force.held_back.len_with(changes) <= self.max_held_back
-    }
-
-    fn take_transaction(
-        &mut self,
-        transaction: &Arc<Transaction>,
-        refused: bool,
-        mirror: &mut Table,
-        changes: &mut BTreeMap<Key, Change>,
-    ) {
-        let held_back = &mut self.in_force.held_back;
-        if refused {
-            held_back.hold(&transaction.changes, mirror);
-        } else {
-            held_back.release(&transaction.changes);
-            changes.extend(transaction.changes.iter().map(|change| (change.key(), change.clone())));
-        }
-        mirror.apply(&transaction.changes);
-        self.in_force.position = transaction.position;
-        self.in_force.published_unix_ms = transaction.published_unix_ms;
-        let record = Persist::Append { transaction: transaction.clone(), refused };
-        let in_force = &self.in_force;
-        self.waiting_records.push(transaction.position, record, || in_force.to_persisted(mirror));
-    }
-
-    /// No more changes are taken until the whole difference to the mirror is accepted.
-    fn stop(&mut self, mirror: Table, position: Position) {
-        self.in_force.stopped_at = Some(mirror);
-        let reason = format!("more than {} keys held back: no change is taken any more", self.max_held_back);
-        self.refuse(position, &reason);
-    }
-
     /// Judges all that differs between `base` and the mirror as one change.
     fn take_difference(&mut self, base: Table, published_unix_ms: u64, out: &mut Vec<SubscriberAction>) {
         let changes = match self.acceptable_difference(&base) {
--- a/crates/scale/src/propagation/node/zone_observer.rs
+++ b/crates/scale/src/propagation/node/zone_observer.rs
@@ -8,6 +8,7 @@
 use dunlinspread_config_sync::client::Update;
 use dunlinspread_config_sync::net::{Confirmation, Observer};
 use dunlinspread_config_sync::resource::{Change, Digest, Position};
+use dunlinspread_config_sync::shared_steps::SharedSteps;
 use dunlinspread_config_sync::table::Table;
 use std::collections::VecDeque;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -27,6 +28,8 @@
     servers: Vec<ServerState>,
     /// The newest distinct tables.
     shared: VecDeque<Table>,
+    /// Steps that several take; apart from those of the mirrors.
+    steps: SharedSteps,
 }
 
 #[derive(Clone, Default)]
@@ -40,7 +43,7 @@
     /// For so many subscribers, of which the first has that number over all zones.
     pub fn new(writer: ObservationWriter, first_subscriber: usize, subscribers: usize) -> ZoneObserver {
         let servers = vec![ServerState::default(); subscribers];
-        let state = State { writer, servers, shared: VecDeque::new() };
+        let state = State { writer, servers, shared: VecDeque::new(), steps: SharedSteps::default() };
         ZoneObserver { state: Arc::new(Mutex::new(state)), first_subscriber }
     }
 
@@ -86,10 +89,11 @@
 
     fn put_in_force(&self, index: usize, update: &Update) {
         let mut state = self.state();
-        let server = &mut state.servers[index];
+        let State { servers, steps, .. } = &mut *state;
+        let server = &mut servers[index];
         let initial = !std::mem::replace(&mut server.started, true);
         server.position = update.position;
-        server.table.apply(&update.changes);
+        steps.apply(&mut server.table, &update.changes);
         let digest = server.table.digest();
         state.share(index, digest);
         let sequences = || update.changes.iter().filter_map(sequence_of);
