--- a/crates/scale/src/propagation/control.rs
+++ b/crates/scale/src/propagation/control.rs
@@ -200,37 +200,54 @@
     },
     /// To relays and subscribers: say how far they are.
     Status,
-    /// To all but proxies: say what was used.
+    /// To relays and subscribers: what is used is measured from now on.
+    BeginMeasuring,
+    /// To relays and subscribers: say what was used.
     Usage,
     /// To subscribers: compare the whole tables.
     Verify,
 }
 
-/// What a process has used since it was ready.
+/// What a process has used since it was told to begin measuring, or since it was ready.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Usage {
-    /// Since when, Unix ms.
-    pub since_unix_ms: u64,
-    /// When this was taken, Unix ms.
-    pub until_unix_ms: u64,
+    /// How long that is, ms.
+    pub wall_ms: u64,
     /// Processor time, ms.
     pub cpu_ms: f64,
-    /// Resident memory when it was ready, KB.
-    pub ready_kb: u64,
     /// Resident memory now, KB.
-    pub now_kb: u64,
+    pub resident_kb: u64,
+    /// Resident memory that its subscribers took, KB: by their start, and since the measuring began.
+    pub subscribers_kb: u64,
+    /// What its connections did.
+    pub traffic: Traffic,
+}
+
+/// What the connections of a process did.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Traffic {
     /// Bytes received, as the application sees them.
     pub bytes_in: u64,
     /// Bytes sent.
     pub bytes_out: u64,
-    /// Connections made.
-    pub connections: u64,
     /// Snapshots applied.
     pub snapshots: u64,
     /// Connections closed for a bad frame.
     pub bad_frames: u64,
 }
 
+impl Traffic {
+    /// What was added since.
+    pub fn since(self, earlier: Traffic) -> Traffic {
+        Traffic {
+            bytes_in: self.bytes_in.saturating_sub(earlier.bytes_in),
+            bytes_out: self.bytes_out.saturating_sub(earlier.bytes_out),
+            snapshots: self.snapshots.saturating_sub(earlier.snapshots),
+            bad_frames: self.bad_frames.saturating_sub(earlier.bad_frames),
+        }
+    }
+}
+
 /// From a process to the coordinator.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
--- a/crates/scale/src/propagation/coordinator.rs
+++ b/crates/scale/src/propagation/coordinator.rs
@@ -87,6 +87,7 @@
         let times_ms = proposal_times_ms(self.settings.changes, self.options.rate, shortest_ms);
         let duration_ms = times_ms.last().copied().unwrap_or_default();
         let steps = schedule(&topology, seed, duration_ms);
+        self.begin_measuring()?;
         let mut flow = Flow::new(&topology, &planned, base, self.replay(base));
         let flow_began = Instant::now();
         flow.run(&mut self.cluster, &times_ms, &steps, START_LIMIT)?;
@@ -174,6 +175,13 @@
         flow.settle(&mut self.cluster, SETTLE_LIMIT, |cluster| is_at(cluster, &nodes, head, &mut asked))
     }
 
+    fn begin_measuring(&mut self) -> Result<()> {
+        let shape = self.settings.shape();
+        let zones = (0..shape.zones).map(NodeId::Subscribers);
+        let mut nodes = zones.chain((0..shape.relays).map(NodeId::Relay));
+        nodes.try_for_each(|node| self.cluster.send(node, &Command::BeginMeasuring))
+    }
+
     fn usage(&mut self) -> Result<(UsageSummary, UsageSummary)> {
         let topology = &self.settings.topology;
         let zones: Vec<NodeId> = (0..topology.shape.zones).map(NodeId::Subscribers).collect();
@@ -187,12 +195,14 @@
         })?;
         let mut of_subscribers = UsageSummary::default();
         for (zone, &node) in zones.iter().enumerate() {
-            let usage = self.cluster.node(node)?.usage.unwrap_or_default();
-            of_subscribers.add(&usage, topology.zone_subscribers[zone]);
+            let state = self.cluster.node(node)?;
+            let usage = state.usage.unwrap_or_default();
+            of_subscribers.add(&usage, topology.zone_subscribers[zone], state.life > 0);
         }
         let mut of_relays = UsageSummary::default();
         for &node in &relays {
-            of_relays.add(&self.cluster.node(node)?.usage.unwrap_or_default(), 1);
+            let state = self.cluster.node(node)?;
+            of_relays.add(&state.usage.unwrap_or_default(), 1, state.life > 0);
         }
         Ok((of_subscribers, of_relays))
     }
--- a/crates/scale/src/propagation/node/publisher.rs
+++ b/crates/scale/src/propagation/node/publisher.rs
@@ -5,7 +5,7 @@
 use crate::propagation::changes::{PlannedTransaction, planned_transactions};
 use crate::propagation::control::{Command, Event, PublisherSetup};
 use crate::propagation::dataset::base_transactions;
-use crate::propagation::process::{UsageMeter, allow_connections, unix_ms};
+use crate::propagation::process::{allow_connections, unix_ms};
 use anyhow::{Context, Result, bail};
 use dunlinspread_config_sync::net::{Pending, PublisherNode, PublisherNodeSettings};
 use dunlinspread_config_sync::resource::Position;
@@ -43,12 +43,10 @@
     thread::spawn(move || tell_answers(&answers));
     let refusing = node.clone();
     thread::spawn(move || tell_refusals(&refusing));
-    let usage = UsageMeter::start();
     emit(&Event::Ready { head: node.head().into() });
     for command in commands {
         match command? {
             Command::Propose { sequence } => submitted.send(submit(&node, &planned, sequence)?)?,
-            Command::Usage => emit(&Event::Usage(usage.read())),
             other => bail!("not a command for a publisher: {other:?}"),
         }
     }
--- a/crates/scale/src/propagation/node/relay.rs
+++ b/crates/scale/src/propagation/node/relay.rs
@@ -2,7 +2,7 @@
 
 use super::file_log::file_logger;
 use super::{Commands, emit};
-use crate::propagation::control::{Command, Event, RelaySetup, Usage};
+use crate::propagation::control::{Command, Event, RelaySetup, Traffic};
 use crate::propagation::process::{UsageMeter, allow_connections};
 use crate::propagation::servers::servers;
 use crate::propagation::topology::{region_name, relay_name, zone_name};
@@ -31,26 +31,26 @@
     };
     let node = RelayNode::start(settings, file_logger(&setup.log)?)
         .with_context(|| format!("starting {}", relay_name(setup.relay)))?;
-    let usage = UsageMeter::start();
+    let mut usage = UsageMeter::start(0);
     emit(&Event::Listening(vec![node.address()]));
     emit(&Event::Ready { head: node.head().into() });
     for command in commands {
         match command? {
             Command::Status => emit(&Event::Status { least: node.head().into() }),
-            Command::Usage => emit(&Event::Usage(used(&usage, &node))),
+            Command::BeginMeasuring => usage.begin(traffic(&node)),
+            Command::Usage => emit(&Event::Usage(usage.read(traffic(&node)))),
             other => bail!("not a command for a relay: {other:?}"),
         }
     }
     Ok(())
 }
 
-fn used(meter: &UsageMeter, node: &RelayNode) -> Usage {
+fn traffic(node: &RelayNode) -> Traffic {
     let status = node.status();
-    Usage {
+    Traffic {
         bytes_in: status.bytes_in + status.upstream_bytes_in,
         bytes_out: status.bytes_out + status.upstream_bytes_out,
-        connections: status.upstream_connections,
+        snapshots: 0,
         bad_frames: status.bad_frames,
-        ..meter.read()
     }
 }
--- a/crates/scale/src/propagation/node/subscribers.rs
+++ b/crates/scale/src/propagation/node/subscribers.rs
@@ -4,13 +4,13 @@
 use super::zone_observer::ZoneObserver;
 use super::{Commands, emit};
 use crate::propagation::changes::refusing_zone;
-use crate::propagation::control::{Command, Event, SubscribersSetup, Usage};
+use crate::propagation::control::{Command, Event, SubscribersSetup, Traffic};
 use crate::propagation::dataset::{REFUSED_FROM, base_transactions};
-use crate::propagation::process::{UsageMeter, allow_connections};
+use crate::propagation::process::{UsageMeter, allow_connections, resident_kb};
 use crate::propagation::record::ObservationWriter;
 use crate::propagation::servers::servers;
 use crate::propagation::topology::{region_name, subscriber_name, zone_name};
-use anyhow::{Context, Result, bail};
+use anyhow::{Context, Result, bail, ensure};
 use async_executor::Executor;
 use dunlinspread_config_sync::client::{ClientSettings, Judge, Server};
 use dunlinspread_config_sync::message::{Member, Role};
@@ -24,6 +24,7 @@
 use slog::Logger;
 use std::sync::Arc;
 use std::thread;
+use std::time::{Duration, Instant};
 
 /// Subscribers that reach their region through the proxy, where frames are damaged.
 const EXPOSED: std::ops::Range<usize> = 0..2;
@@ -31,22 +32,36 @@
 const KEEPER: usize = 2;
 /// Another that begins with nothing the first time.
 const EMPTY: usize = 3;
+/// How long subscribers may take to be connected at the start.
+const CONNECT_LIMIT: Duration = Duration::from_secs(120);
+/// How often that is looked at.
+const CONNECT_POLL: Duration = Duration::from_millis(20);
 
 pub fn run(setup: &SubscribersSetup, commands: Commands) -> Result<()> {
     let zone = Zone::new(setup)?;
     let kept = zone.kept_state()?;
-    let executor = Executor::new();
-    let handles = (0..zone.subscribers())
-        .map(|index| zone.start_subscriber(index, kept.as_ref(), &executor))
-        .collect::<Result<Vec<_>>>()?;
+    let executor = Arc::new(Executor::new());
+    let runner = executor.clone();
+    thread::spawn(move || async_io::block_on(runner.run(future::pending::<()>())));
+
+    let (resumed, others): (Vec<usize>, Vec<usize>) =
+        (0..zone.subscribers()).partition(|&index| kept.is_some() && zone.resumes(index));
+    let before_kb = resident_kb();
+    let mut handles = zone.start(&resumed, kept.as_ref(), &executor)?;
+    if setup.life == 0 {
+        wait_connected(&handles)?;
+    }
+    let started_kb = resident_kb().saturating_sub(before_kb);
+    handles.extend(zone.start(&others, None, &executor)?);
     drop(kept);
-    thread::spawn(move || async_io::block_on(executor.run(future::pending::<()>())));
-    let usage = UsageMeter::start();
+
+    let mut usage = UsageMeter::start(started_kb);
     emit(&Event::Ready { head: least_in_force(&handles).into() });
     for command in commands {
         match command? {
             Command::Status => emit(&Event::Status { least: least_in_force(&handles).into() }),
-            Command::Usage => emit(&Event::Usage(used(&usage, &handles))),
+            Command::BeginMeasuring => usage.begin(traffic(&handles)),
+            Command::Usage => emit(&Event::Usage(usage.read(traffic(&handles)))),
             Command::Verify => emit(&Event::Verified { tables: zone.observer.verified_tables() }),
             other => bail!("not a command for subscribers: {other:?}"),
         }
@@ -111,6 +126,21 @@
         self.setup.run.topology.first_subscriber(self.setup.zone) + index
     }
 
+    /// Whether a subscriber goes on from the kept state that all share. The keeper reads its own from disk.
+    fn resumes(&self, index: usize) -> bool {
+        let begins_empty = self.setup.life == 0 && index == EMPTY;
+        index != KEEPER && !begins_empty
+    }
+
+    fn start(
+        &self,
+        indices: &[usize],
+        kept: Option<&PersistedState>,
+        executor: &Executor<'static>,
+    ) -> Result<Vec<SubscriberHandle>> {
+        indices.iter().map(|&index| self.start_subscriber(index, kept, executor)).collect()
+    }
+
     fn start_subscriber(
         &self,
         index: usize,
@@ -119,8 +149,6 @@
     ) -> Result<SubscriberHandle> {
         let number = self.number(index);
         let settings = self.client_settings(index, number);
-        let begins_empty = self.setup.life == 0 && [KEEPER, EMPTY].contains(&index);
-        let kept = kept.filter(|_| index != KEEPER && !begins_empty);
         let (judge, observer) = (self.judge(), self.observer.observer(index));
         let tables = Some(self.tables.clone());
         let (task, handle) = match kept {
@@ -179,14 +207,23 @@
     handles.iter().map(|handle| handle.status().in_force).min().unwrap_or_default()
 }
 
-fn used(meter: &UsageMeter, handles: &[SubscriberHandle]) -> Usage {
-    let mut usage = meter.read();
+/// Waits until all have a connection, so that its memory is counted.
+fn wait_connected(handles: &[SubscriberHandle]) -> Result<()> {
+    let deadline = Instant::now() + CONNECT_LIMIT;
+    while handles.iter().any(|handle| handle.status().connections == 0) {
+        ensure!(Instant::now() < deadline, "not connected within {} s", CONNECT_LIMIT.as_secs());
+        thread::sleep(CONNECT_POLL);
+    }
+    Ok(())
+}
+
+fn traffic(handles: &[SubscriberHandle]) -> Traffic {
+    let mut traffic = Traffic::default();
     for status in handles.iter().map(SubscriberHandle::status) {
-        usage.bytes_in += status.bytes_in;
-        usage.bytes_out += status.bytes_out;
-        usage.connections += status.connections;
-        usage.snapshots += status.snapshots;
-        usage.bad_frames += status.bad_frames;
+        traffic.bytes_in += status.bytes_in;
+        traffic.bytes_out += status.bytes_out;
+        traffic.snapshots += status.snapshots;
+        traffic.bad_frames += status.bad_frames;
     }
-    usage
+    traffic
 }
--- a/crates/scale/src/propagation/process.rs
+++ b/crates/scale/src/propagation/process.rs
@@ -1,6 +1,6 @@
 //! What this process uses and may use.
 
-use super::control::Usage;
+use super::control::{Traffic, Usage};
 use anyhow::{Context, Result, ensure};
 use rustix::process::{Resource, Rlimit, getrlimit, setrlimit};
 use rustix::time::{ClockId, clock_gettime};
@@ -35,28 +35,47 @@
         .with_context(|| format!("raising the limit on descriptors to {wanted}"))
 }
 
-/// Measures what this process uses from now on.
+/// Measures what this process uses from a moment on.
 pub struct UsageMeter {
     since_unix_ms: u64,
     cpu_ms: f64,
-    ready_kb: u64,
+    resident_kb: u64,
+    traffic: Traffic,
+    /// What the subscribers of this process took at their start, KB.
+    started_kb: u64,
 }
 
 impl UsageMeter {
-    /// Begins.
-    pub fn start() -> UsageMeter {
-        UsageMeter { since_unix_ms: unix_ms(), cpu_ms: cpu_ms(), ready_kb: resident_kb() }
+    /// Begins, at a process whose subscribers took so much memory at their start.
+    pub fn start(started_kb: u64) -> UsageMeter {
+        let mut meter = UsageMeter {
+            since_unix_ms: 0,
+            cpu_ms: 0.0,
+            resident_kb: 0,
+            traffic: Traffic::default(),
+            started_kb,
+        };
+        meter.begin(Traffic::default());
+        meter
     }
 
-    /// What was used so far; the fields that are not the process's own are 0.
-    pub fn read(&self) -> Usage {
+    /// Begins anew, with connections that did so much already.
+    pub fn begin(&mut self, traffic: Traffic) {
+        self.since_unix_ms = unix_ms();
+        self.cpu_ms = cpu_ms();
+        self.resident_kb = resident_kb();
+        self.traffic = traffic;
+    }
+
+    /// What was used since, with connections that did so much in all.
+    pub fn read(&self, traffic: Traffic) -> Usage {
+        let resident_kb = resident_kb();
         Usage {
-            since_unix_ms: self.since_unix_ms,
-            until_unix_ms: unix_ms(),
+            wall_ms: unix_ms().saturating_sub(self.since_unix_ms),
             cpu_ms: cpu_ms() - self.cpu_ms,
-            ready_kb: self.ready_kb,
-            now_kb: resident_kb(),
-            ..Usage::default()
+            resident_kb,
+            subscribers_kb: self.started_kb + resident_kb.saturating_sub(self.resident_kb),
+            traffic: traffic.since(self.traffic),
         }
     }
 }
--- a/crates/scale/src/propagation/report.rs
+++ b/crates/scale/src/propagation/report.rs
@@ -42,7 +42,8 @@
     pub cpu_share_relay: f64,
     /// The part of a core of the busiest relay.
     pub cpu_share_relay_max: f64,
-    /// Memory of a subscriber beyond the table, which the subscribers of a process share, KB.
+    /// Memory of a subscriber beyond the table, which the subscribers of a process share, KB: what it takes when it is
+    /// connected, and what the process grew by while changes flowed.
     pub kb_per_subscriber: f64,
     /// Memory of a relay, KB, the largest.
     pub kb_relay_max: u64,
@@ -91,15 +92,15 @@
     }
 }
 
-/// What the processes of one kind used.
+/// What the processes of one kind used. Those that were started again during the run count for what they met alone:
+/// their shares and rates would be those of a start.
 #[derive(Clone, Debug, Default)]
 pub struct UsageSummary {
-    processes: f64,
     members: f64,
     shares: f64,
     largest_share: f64,
     bytes_per_second: f64,
-    grown_kb: f64,
+    kb: f64,
     largest_kb: u64,
     bad_frames: u64,
     snapshots: u64,
@@ -107,18 +108,21 @@
 
 impl UsageSummary {
     /// Adds a process that stands for so many members.
-    pub fn add(&mut self, usage: &Usage, members: usize) {
-        let wall_ms = usage.until_unix_ms.saturating_sub(usage.since_unix_ms).max(1) as f64;
+    pub fn add(&mut self, usage: &Usage, members: usize, was_restarted: bool) {
+        let traffic = usage.traffic;
+        self.bad_frames += traffic.bad_frames;
+        self.snapshots += traffic.snapshots;
+        self.largest_kb = self.largest_kb.max(usage.resident_kb);
+        if was_restarted {
+            return;
+        }
+        let wall_ms = usage.wall_ms.max(1) as f64;
         let share = usage.cpu_ms / wall_ms;
-        self.processes += 1.0;
         self.members += members as f64;
         self.shares += share;
         self.largest_share = self.largest_share.max(share);
-        self.bytes_per_second += (usage.bytes_in + usage.bytes_out) as f64 * 1e3 / wall_ms;
-        self.grown_kb += usage.now_kb.saturating_sub(usage.ready_kb) as f64;
-        self.largest_kb = self.largest_kb.max(usage.now_kb);
-        self.bad_frames += usage.bad_frames;
-        self.snapshots += usage.snapshots;
+        self.bytes_per_second += (traffic.bytes_in + traffic.bytes_out) as f64 * 1e3 / wall_ms;
+        self.kb += usage.subscribers_kb as f64;
     }
 
     fn each(&self, total: f64) -> f64 {
@@ -184,7 +188,7 @@
             cpu_share_subscriber: rounded(subscribers.each(subscribers.shares)),
             cpu_share_relay: rounded(relays.each(relays.shares)),
             cpu_share_relay_max: rounded(relays.largest_share),
-            kb_per_subscriber: rounded(subscribers.each(subscribers.grown_kb)),
+            kb_per_subscriber: rounded(subscribers.each(subscribers.kb)),
             kb_relay_max: relays.largest_kb,
             lost: verdict.lost,
             reordered: verdict.reordered,
