--- a/crates/scale/src/lib.rs
+++ b/crates/scale/src/lib.rs
@@ -1,5 +1,12 @@
-//! Scale tests that need more than one process; the command `dunlinspread-scale` is their way in.
+//! Scale tests: what each part costs against its size, the fit of that cost and its value at the size of the target, and
+//! the propagation of configuration at that size.
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
+pub mod child;
+pub mod fit;
+pub mod machine;
+pub mod probes;
 pub mod propagation;
+pub mod slope;
+pub mod slopes;
--- a/crates/scale/src/main.rs
+++ b/crates/scale/src/main.rs
@@ -1,11 +1,8 @@
 //! Scale tests: what each part costs against its size, the capacity page made from it, and the propagation of
 //! configuration at the size of the target fleet.
 
-mod slope;
-mod slopes;
-
 use clap::{Parser, Subcommand};
-use dunlinspread_scale::propagation;
+use dunlinspread_scale::{child, propagation, slopes};
 use std::process::ExitCode;
 
 /// Scale tests of the parts of dunlinspread.
@@ -20,6 +17,9 @@
 enum Command {
     /// Measure slopes: the cost of each part against its size.
     Slopes(slopes::Options),
+    /// Measure one load in this process and print what it came to; `slopes` starts it.
+    #[command(hide = true)]
+    Child(child::Options),
     /// Distribute configuration to a fleet of hollow subscribers while faults happen.
     Propagation(Box<propagation::Options>),
     /// A process of `propagation`.
@@ -30,6 +30,7 @@
 fn main() -> ExitCode {
     let result = match Cli::parse().command {
         Command::Slopes(options) => slopes::run(&options),
+        Command::Child(options) => child::run(&options),
         Command::Propagation(options) => propagation::run(&options),
         Command::PropagationNode => propagation::run_node(),
     };
