--- a/src/fading.rs
+++ b/src/fading.rs
@@ -47,6 +47,14 @@
     scalings: u64,
 }
 
+impl Count {
+    /// The value at the scale after so many scalings.
+    fn at(self, scalings: u64) -> f64 {
+        let behind = (scalings - self.scalings).min(SCALINGS_MAX);
+        (0..behind).fold(self.value, |value, _| value / WEIGHT_MAX)
+    }
+}
+
 /// What an addition finds.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Added {
@@ -95,11 +103,23 @@
         }
     }
 
+    /// Further members, with a count of zero, up to so many in all.
+    pub fn grow(&mut self, members: usize) {
+        self.counts.resize(members.max(self.counts.len()), Count::default());
+    }
+
+    /// A member's count is zero from now on.
+    pub fn forget(&mut self, member: usize) {
+        let Some(count) = self.counts.get_mut(member) else { return };
+        let before = count.at(self.scalings);
+        *count = Count::default();
+        self.total.add(-before);
+    }
+
     /// Counts one arrival of a member; none if there is no such member.
     pub fn add(&mut self, member: usize) -> Option<Added> {
         let count = self.counts.get_mut(member)?;
-        let behind = (self.scalings - count.scalings).min(SCALINGS_MAX);
-        let before = (0..behind).fold(count.value, |value, _| value / WEIGHT_MAX);
+        let before = count.at(self.scalings);
         let (value, error) = two_sum(before, self.weight);
         *count = Count { value, scalings: self.scalings };
         // What the member's own rounding left out is left out of the sum as well.
