--- a/crates/scale/src/main.rs
+++ b/crates/scale/src/main.rs
@@ -25,6 +25,9 @@
     /// A process of `propagation`.
     #[command(hide = true, name = propagation::NODE_COMMAND)]
     PropagationNode,
+    /// A real daemon of `propagation`.
+    #[command(hide = true, name = propagation::DAEMON_COMMAND)]
+    PropagationDaemon,
 }
 
 fn main() -> ExitCode {
@@ -33,6 +36,7 @@
         Command::Child(options) => child::run(&options),
         Command::Propagation(options) => propagation::run(&options),
         Command::PropagationNode => propagation::run_node(),
+        Command::PropagationDaemon => return dunlinspread::daemon::run(std::env::args_os().take(1)),
     };
     match result {
         Ok(()) => ExitCode::SUCCESS,
--- a/crates/scale/src/propagation/cluster.rs
+++ b/crates/scale/src/propagation/cluster.rs
@@ -4,6 +4,7 @@
     Command, DigestLine, Event, PositionLine, ProxySetup, PublisherSetup, RelaySetup, RunSettings,
     ServerLine, SubscribersSetup, Usage,
 };
+use super::daemons::{DAEMON_REGION, Daemons};
 use super::process::unix_ms;
 use super::supervisor::{NodeId, NodeProcess, Report};
 use super::topology::{region_name, relay_name, zone_name};
@@ -37,6 +38,8 @@
     pub ready: Option<(u64, PositionLine)>,
     /// The last answer to [`Command::Status`] of this life.
     pub status: Option<PositionLine>,
+    /// The last answer to [`Command::ZoneStatus`]: subscribers and their least position.
+    pub zone_status: Option<(u32, PositionLine)>,
     /// The answer to [`Command::Usage`].
     pub usage: Option<Usage>,
     /// The answer to [`Command::Verify`].
@@ -218,6 +221,19 @@
         self.directory.join(format!("{}-{life}.observations", zone_name(zone)))
     }
 
+    /// Starts real daemons, which watch the relays of their region.
+    ///
+    /// # Errors
+    /// If there can be no such processes, or the relays were not started.
+    pub fn start_daemons(&self, count: usize) -> Result<Daemons> {
+        let topology = &self.settings.topology;
+        let is_near = |relay: &usize| topology.relays[*relay].region == DAEMON_REGION;
+        let near = (0..self.settings.shape().relays).filter(is_near);
+        let servers: Vec<ServerLine> =
+            near.map(|relay| self.relay_line(relay, DAEMON_REGION, false)).collect::<Result<_>>()?;
+        Daemons::start(count, &self.settings, &servers, &self.directory)
+    }
+
     /// Takes what processes said until the condition holds.
     ///
     /// # Errors
@@ -259,6 +275,7 @@
             Event::Listening(addresses) => state.listening = addresses,
             Event::Ready { head } => state.ready = Some((unix_ms(), head)),
             Event::Status { least } => state.status = Some(least),
+            Event::ZoneStatus { subscribers, least } => state.zone_status = Some((subscribers, least)),
             Event::Usage(usage) => state.usage = Some(usage),
             Event::Verified { tables } => state.verified = Some(tables),
             Event::Failed(reason) => bail!("{node:?} failed: {reason}"),
--- a/crates/scale/src/propagation/control.rs
+++ b/crates/scale/src/propagation/control.rs
@@ -200,6 +200,11 @@
     },
     /// To relays and subscribers: say how far they are.
     Status,
+    /// To the publisher: say how far the subscribers of a zone are by their acknowledgements.
+    ZoneStatus {
+        /// The zone's name.
+        zone: String,
+    },
     /// To relays and subscribers: what is used is measured from now on.
     BeginMeasuring,
     /// To relays and subscribers: say what was used.
@@ -280,6 +285,13 @@
         /// The least position in force; of a relay, the one that it serves.
         least: PositionLine,
     },
+    /// How far the subscribers of the zone are that the publisher was asked for.
+    ZoneStatus {
+        /// Subscribers connected.
+        subscribers: u32,
+        /// The least position that they acknowledged.
+        least: PositionLine,
+    },
     /// Refusals that reached the publisher.
     Refusals {
         /// The member and position of each.
--- a/crates/scale/src/propagation/coordinator.rs
+++ b/crates/scale/src/propagation/coordinator.rs
@@ -4,6 +4,7 @@
 use super::changes::{planned_transactions, refusing_zone};
 use super::cluster::Cluster;
 use super::control::{Command, PositionLine, RunSettings};
+use super::daemons::{DAEMON_ZONE, Daemons};
 use super::dataset::base_transactions;
 use super::faults::{fault_count, schedule};
 use super::flow::{Flow, FlowRecord};
@@ -81,6 +82,7 @@
     fn run(mut self) -> Result<PropagationReport> {
         let base = self.start_servers()?;
         self.start_subscribers(base)?;
+        let mut daemons = self.start_daemons(base)?;
         let (topology, seed) = (self.settings.topology.clone(), self.settings.seed);
         let planned = planned_transactions(topology.shape, seed, self.settings.changes);
         let shortest_ms = fault_count(&topology) as u64 * SHORTEST_TURN_MS;
@@ -97,6 +99,13 @@
         if !self.settle(&mut flow, head)? {
             failures.push(format!("not all are at {head:?} after {} s", SETTLE_LIMIT.as_secs()));
         }
+        if !self.settle_daemons(&mut flow, daemons.len(), head)? {
+            failures.push(format!("not all daemons acknowledged {head:?}"));
+        }
+        let daemons_ended = daemons.ended()?;
+        if daemons_ended > 0 {
+            failures.push(format!("{daemons_ended} daemons ended by themselves"));
+        }
         let ended_unix_ms = unix_ms();
         let record = flow.into_record();
         failures.extend(record.rejected.iter().map(|reason| format!("the publisher refused {reason}")));
@@ -110,7 +119,8 @@
         let measured = Measured {
             seed,
             shape: topology.shape,
-            daemons: 0,
+            daemons: daemons.len(),
+            daemon_kb_max: daemons.largest_kb(),
             changes: history.accepted.len(),
             refused,
             refused_expected,
@@ -159,6 +169,23 @@
         wait_at(cluster, "subscribers with the first table", &nodes, base)
     }
 
+    fn start_daemons(&mut self, base: PositionLine) -> Result<Daemons> {
+        let daemons = self.cluster.start_daemons(self.options.daemons)?;
+        let (count, mut asked) = (daemons.len(), None);
+        self.cluster.wait_until("daemons with the first table", START_LIMIT, |cluster| {
+            daemons_are_at(cluster, count, base, &mut asked)
+        })?;
+        Ok(daemons)
+    }
+
+    /// Waits until all daemons acknowledged the head.
+    fn settle_daemons(&mut self, flow: &mut Flow<'_>, count: usize, head: PositionLine) -> Result<bool> {
+        let mut asked = None;
+        flow.settle(&mut self.cluster, SETTLE_LIMIT, |cluster| {
+            daemons_are_at(cluster, count, head, &mut asked)
+        })
+    }
+
     fn replay(&self, base: PositionLine) -> Replay {
         let (shape, seed) = (self.settings.shape(), self.settings.seed);
         let mut table = Table::new();
@@ -285,6 +312,24 @@
     all_nodes(nodes, |node| Ok(cluster.node(node)?.status.is_some_and(|least| least >= position)))
 }
 
+/// Whether so many daemons acknowledged a position, as the publisher has it.
+fn daemons_are_at(
+    cluster: &mut Cluster,
+    count: usize,
+    position: PositionLine,
+    asked: &mut Option<Instant>,
+) -> Result<bool> {
+    if count == 0 {
+        return Ok(true);
+    }
+    if asked.is_none_or(|asked| asked.elapsed() >= STATUS_PERIOD) {
+        *asked = Some(Instant::now());
+        cluster.send(NodeId::Publisher, &Command::ZoneStatus { zone: DAEMON_ZONE.into() })?;
+    }
+    let status = cluster.node(NodeId::Publisher)?.zone_status;
+    Ok(status.is_some_and(|(subscribers, least)| subscribers as usize == count && least >= position))
+}
+
 fn all_nodes(nodes: &[NodeId], mut holds: impl FnMut(NodeId) -> Result<bool>) -> Result<bool> {
     for &node in nodes {
         if !holds(node)? {
--- a/crates/scale/src/propagation/mod.rs
+++ b/crates/scale/src/propagation/mod.rs
@@ -9,6 +9,7 @@
 mod cluster;
 pub mod control;
 mod coordinator;
+mod daemons;
 pub mod dataset;
 pub mod fault_proxy;
 pub mod faults;
@@ -27,6 +28,7 @@
 pub mod topology;
 
 pub use coordinator::run;
+pub use daemons::DAEMON_COMMAND;
 pub use node::run as run_node;
 pub use supervisor::NODE_COMMAND;
 
@@ -39,6 +41,9 @@
     /// Relays of both levels.
     #[arg(long, default_value_t = 43)]
     pub relays: usize,
+    /// Real daemons among them, in a zone of their own.
+    #[arg(long, default_value_t = 0)]
+    pub daemons: usize,
     /// Tenants in the table.
     #[arg(long, default_value_t = 390_000)]
     pub tenants: usize,
--- a/crates/scale/src/propagation/node/publisher.rs
+++ b/crates/scale/src/propagation/node/publisher.rs
@@ -47,12 +47,20 @@
     for command in commands {
         match command? {
             Command::Propose { sequence } => submitted.send(submit(&node, &planned, sequence)?)?,
+            Command::ZoneStatus { zone } => emit(&zone_status(&node, &zone)),
             other => bail!("not a command for a publisher: {other:?}"),
         }
     }
     Ok(())
 }
 
+fn zone_status(node: &PublisherNode, zone: &str) -> Event {
+    let progress = node.progress().into_iter().find(|progress| &*progress.zone == zone);
+    let (subscribers, least) =
+        progress.map_or((0, Position::default()), |progress| (progress.subscribers, progress.least));
+    Event::ZoneStatus { subscribers, least: least.into() }
+}
+
 fn publish_base(node: &PublisherNode, setup: &PublisherSetup) -> Result<()> {
     let mut under_way: VecDeque<Pending> = VecDeque::new();
     for changes in base_transactions(setup.run.shape(), setup.run.seed) {
--- a/crates/scale/src/propagation/report.rs
+++ b/crates/scale/src/propagation/report.rs
@@ -20,6 +20,8 @@
     pub relays: usize,
     /// Real daemons among the subscribers.
     pub daemons: usize,
+    /// Memory of the largest daemon, KB.
+    pub daemon_kb_max: u64,
     /// Changes that the publisher accepted, as transactions, besides those of the first table.
     pub changes: usize,
     /// From the proposal of a change to its being in force at a subscriber that can be reached: half of all are below.
@@ -138,6 +140,8 @@
     pub shape: Shape,
     /// Real daemons.
     pub daemons: usize,
+    /// Memory of the largest of them, KB.
+    pub daemon_kb_max: u64,
     /// Accepted transactions.
     pub changes: usize,
     /// Refused ones of which the publisher heard.
@@ -177,6 +181,7 @@
             subscribers: shape.subscribers,
             relays: shape.relays,
             daemons: measured.daemons,
+            daemon_kb_max: measured.daemon_kb_max,
             changes: measured.changes,
             in_force_ms_p50: verdict.latency_ms.value_at_quantile(0.50),
             in_force_ms_p99: verdict.latency_ms.value_at_quantile(0.99),
