--- a/crates/scale/tests/propagation.rs
+++ b/crates/scale/tests/propagation.rs
@@ -17,6 +17,7 @@
             assert_eq!(number(field), 0, "seed {seed}: {field}: {report}");
         }
         assert_eq!((number("subscribers"), number("relays"), number("changes")), (50, 10, 90));
+        assert_eq!(number("daemons"), 2);
         assert!(number("refused") >= 1, "seed {seed}: {report}");
         assert!(number("bad_frames") >= 1, "seed {seed}: no damaged frame was met: {report}");
         assert!(number("cold_zone_ms") > 0, "seed {seed}: {report}");
@@ -29,6 +30,7 @@
     let output = Command::new(env!("CARGO_BIN_EXE_dunlinspread-scale"))
         .args(["propagation", "--subscribers", "50", "--relays", "10", "--regions", "2", "--zones", "4"])
         .args(["--tenants", "2000", "--routes", "300", "--classes", "16", "--changes", "90", "--json"])
+        .args(["--daemons", "2"])
         .args(["--in-force-limit-ms", IN_FORCE_LIMIT_MS, "--seed", seed])
         .stderr(Stdio::piped())
         .output()
