--- a/crates/config-sync/src/net/link.rs
+++ b/crates/config-sync/src/net/link.rs
@@ -50,6 +50,8 @@
 pub(super) struct Traffic {
     pub(super) bytes_in: u64,
     pub(super) bytes_out: u64,
+    /// Frames received and sent.
+    pub(super) frames: u64,
 }
 
 impl Link {
@@ -148,6 +150,7 @@
             }
             let flushed = self.flush(traffic);
             if let Some(payload) = self.decoder.next_payload()? {
+                traffic.frames += 1;
                 return Ok(decode_to_client(payload)?);
             }
             // What the server said before it closed counts, also if it no longer reads.
@@ -171,6 +174,7 @@
             self.sent += count;
             self.unsent_bytes -= count;
             if self.sent == frame.len() {
+                traffic.frames += 1;
                 self.unsent.pop_front();
                 self.sent = 0;
             }
--- a/crates/config-sync/src/net/node.rs
+++ b/crates/config-sync/src/net/node.rs
@@ -49,6 +49,8 @@
     pub bytes_in: u64,
     /// Bytes sent to clients.
     pub bytes_out: u64,
+    /// Frames received from and sent to clients.
+    pub frames: u64,
     /// Sessions closed for a bad frame.
     pub bad_frames: u64,
     /// Sessions closed because their clients did not keep up.
@@ -59,6 +61,8 @@
     pub upstream_bytes_in: u64,
     /// Bytes that a relay sent upwards.
     pub upstream_bytes_out: u64,
+    /// Frames that a relay received from above and sent upwards.
+    pub upstream_frames: u64,
     /// The server that a relay watches.
     pub upstream: Option<Arc<str>>,
     /// How long ago a relay last knew that it had all there is, ms.
@@ -78,6 +82,7 @@
             zones: fanout.zones(),
             bytes_in: counters.bytes_in,
             bytes_out: counters.bytes_out,
+            frames: counters.frames,
             bad_frames: counters.bad_frames,
             closed_slow: counters.closed_slow,
             ..NodeStatus::default()
@@ -221,6 +226,7 @@
         node.sessions().borrow_mut().counters.bytes_in += count as u64;
         while let Some(payload) = decoder.next_payload()? {
             let message = decode_to_server(payload)?;
+            node.sessions().borrow_mut().counters.frames += 1;
             node.on_session_event(FanoutEvent::Received(id, message));
         }
         // One that sends without end gets a turn as often as the others.
@@ -255,6 +261,7 @@
             turn.step().await;
         }
         outbox.sent();
+        node.sessions().borrow_mut().counters.frames += 1;
     }
     if outbox.ends_after_sending() {
         // A socket that is closed with bytes unread takes back what the client has not read yet: it closes first.
--- a/crates/config-sync/src/net/relay.rs
+++ b/crates/config-sync/src/net/relay.rs
@@ -251,6 +251,7 @@
             upstream_connections: self.upstream.connections.get(),
             upstream_bytes_in: traffic.bytes_in,
             upstream_bytes_out: traffic.bytes_out,
+            upstream_frames: traffic.frames,
             upstream: self.upstream.server.borrow().clone(),
             age_ms: relay.follower().age_ms(self.ticker.clock.now()),
             ..NodeStatus::of_fanout(relay.fanout(), &self.sessions.borrow())
--- a/crates/config-sync/src/net/sessions.rs
+++ b/crates/config-sync/src/net/sessions.rs
@@ -102,6 +102,7 @@
 pub(super) struct SessionCounters {
     pub(super) bytes_in: u64,
     pub(super) bytes_out: u64,
+    pub(super) frames: u64,
     pub(super) bad_frames: u64,
     pub(super) closed_slow: u64,
 }
--- a/crates/config-sync/src/net/subscriber_handle.rs
+++ b/crates/config-sync/src/net/subscriber_handle.rs
@@ -40,6 +40,8 @@
     pub bytes_in: u64,
     /// Bytes sent.
     pub bytes_out: u64,
+    /// Frames received and sent.
+    pub frames: u64,
 }
 
 /// What the task and its handles share.
@@ -94,6 +96,7 @@
         status.stopped = subscriber.is_stopped();
         (status.snapshots, status.resyncs) = (counters.snapshots, counters.resyncs);
         (status.bytes_in, status.bytes_out) = (traffic.bytes_in, traffic.bytes_out);
+        status.frames = traffic.frames;
     }
 }
 
--- a/crates/scale/src/propagation/cluster.rs
+++ b/crates/scale/src/propagation/cluster.rs
@@ -93,6 +93,11 @@
         self.nodes.get(&node).with_context(|| format!("{node:?} was not started"))
     }
 
+    /// Processes that are up.
+    pub fn processes(&self) -> usize {
+        self.nodes.values().filter(|state| state.process.is_some()).count()
+    }
+
     /// Sends a command to a process that is up.
     ///
     /// # Errors
--- a/crates/scale/src/propagation/control.rs
+++ b/crates/scale/src/propagation/control.rs
@@ -235,18 +235,32 @@
     pub bytes_in: u64,
     /// Bytes sent.
     pub bytes_out: u64,
+    /// Frames received and sent.
+    pub frames: u64,
     /// Snapshots applied.
     pub snapshots: u64,
     /// Connections closed for a bad frame.
     pub bad_frames: u64,
 }
 
+/// The headers of Ethernet, IP and TCP (with its time stamps) of one segment, in bytes.
+const SEGMENT_HEADERS: u64 = 14 + 20 + 32;
+/// Segments that a frame costs at the most: its own and one that acknowledges it.
+const SEGMENTS_PER_FRAME: u64 = 2;
+
 impl Traffic {
+    /// Bytes received and sent on the wire with headers, where each frame has a segment of its own and is acknowledged by
+    /// itself: frames that share a segment, or an acknowledgement on the back of another frame, cost less.
+    pub fn wire_bytes(self) -> u64 {
+        self.bytes_in + self.bytes_out + self.frames * SEGMENTS_PER_FRAME * SEGMENT_HEADERS
+    }
+
     /// What was added since.
     pub fn since(self, earlier: Traffic) -> Traffic {
         Traffic {
             bytes_in: self.bytes_in.saturating_sub(earlier.bytes_in),
             bytes_out: self.bytes_out.saturating_sub(earlier.bytes_out),
+            frames: self.frames.saturating_sub(earlier.frames),
             snapshots: self.snapshots.saturating_sub(earlier.snapshots),
             bad_frames: self.bad_frames.saturating_sub(earlier.bad_frames),
         }
--- a/crates/scale/src/propagation/coordinator.rs
+++ b/crates/scale/src/propagation/coordinator.rs
@@ -80,6 +80,7 @@
     }
 
     fn run(mut self) -> Result<PropagationReport> {
+        let began = Instant::now();
         let base = self.start_servers()?;
         self.start_subscribers(base)?;
         let mut daemons = self.start_daemons(base)?;
@@ -90,6 +91,7 @@
         let duration_ms = times_ms.last().copied().unwrap_or_default();
         let steps = schedule(&topology, seed, duration_ms);
         self.begin_measuring()?;
+        let start_seconds = began.elapsed().as_secs_f64();
         let mut flow = Flow::new(&topology, &planned, base, self.replay(base));
         let flow_began = Instant::now();
         flow.run(&mut self.cluster, &times_ms, &steps, START_LIMIT)?;
@@ -124,10 +126,13 @@
             changes: history.accepted.len(),
             refused,
             refused_expected,
+            faults: fault_count(&topology) + refused_expected,
             steps,
             subscribers,
             relays,
             flow_seconds,
+            start_seconds,
+            processes: self.cluster.processes() + daemons.len() + 1,
             in_force_limit_ms: self.options.in_force_limit_ms,
             failures,
         };
--- a/crates/scale/src/propagation/node/relay.rs
+++ b/crates/scale/src/propagation/node/relay.rs
@@ -50,6 +50,7 @@
     Traffic {
         bytes_in: status.bytes_in + status.upstream_bytes_in,
         bytes_out: status.bytes_out + status.upstream_bytes_out,
+        frames: status.frames + status.upstream_frames,
         snapshots: 0,
         bad_frames: status.bad_frames,
     }
--- a/crates/scale/src/propagation/node/subscribers.rs
+++ b/crates/scale/src/propagation/node/subscribers.rs
@@ -222,6 +222,7 @@
     for status in handles.iter().map(SubscriberHandle::status) {
         traffic.bytes_in += status.bytes_in;
         traffic.bytes_out += status.bytes_out;
+        traffic.frames += status.frames;
         traffic.snapshots += status.snapshots;
         traffic.bad_frames += status.bad_frames;
     }
--- a/crates/scale/src/propagation/report.rs
+++ b/crates/scale/src/propagation/report.rs
@@ -34,7 +34,7 @@
     pub heal_ms_max: u64,
     /// The longest such time of the zone whose subscribers were restarted, from the start of their process.
     pub cold_zone_ms: u64,
-    /// Bytes received and sent by a subscriber in a second, on average, as the application sees them.
+    /// Bytes received and sent by a subscriber in a second, on average, on the wire with headers.
     pub bytes_per_second_subscriber: f64,
     /// The same of a relay, on average over the relays.
     pub bytes_per_second_relay: f64,
@@ -67,8 +67,10 @@
     pub bad_frames: u64,
     /// Snapshots that subscribers applied.
     pub snapshots: u64,
-    /// The faults in their order.
-    pub faults: Vec<FaultLine>,
+    /// Faults that happened.
+    pub faults: usize,
+    /// Their steps in their order.
+    pub fault_steps: Vec<FaultLine>,
     /// Whether all that must hold held.
     pub ok: bool,
     /// What did not.
@@ -77,6 +79,12 @@
     pub updates: u64,
     /// How long the changes flowed, s.
     pub flow_seconds: f64,
+    /// How long it took until all processes had the first table, s.
+    pub start_seconds: f64,
+    /// Processes that were there at the same time.
+    pub processes: usize,
+    /// Resident memory of relays and subscribers together, MB.
+    pub memory_mb: u64,
 }
 
 /// A step of the faults.
@@ -104,6 +112,7 @@
     bytes_per_second: f64,
     kb: f64,
     largest_kb: u64,
+    resident_kb: u64,
     bad_frames: u64,
     snapshots: u64,
 }
@@ -114,6 +123,7 @@
         let traffic = usage.traffic;
         self.bad_frames += traffic.bad_frames;
         self.snapshots += traffic.snapshots;
+        self.resident_kb += usage.resident_kb;
         self.largest_kb = self.largest_kb.max(usage.resident_kb);
         if was_restarted {
             return;
@@ -123,7 +133,7 @@
         self.members += members as f64;
         self.shares += share;
         self.largest_share = self.largest_share.max(share);
-        self.bytes_per_second += (traffic.bytes_in + traffic.bytes_out) as f64 * 1e3 / wall_ms;
+        self.bytes_per_second += traffic.wire_bytes() as f64 * 1e3 / wall_ms;
         self.kb += usage.subscribers_kb as f64;
     }
 
@@ -148,7 +158,9 @@
     pub refused: usize,
     /// Refused ones that there had to be.
     pub refused_expected: usize,
-    /// The faults.
+    /// Faults that happened.
+    pub faults: usize,
+    /// Their steps.
     pub steps: Vec<TimedStep>,
     /// What subscribers used.
     pub subscribers: UsageSummary,
@@ -156,6 +168,10 @@
     pub relays: UsageSummary,
     /// How long changes flowed, s.
     pub flow_seconds: f64,
+    /// How long the start took, s.
+    pub start_seconds: f64,
+    /// Processes, with the coordinator.
+    pub processes: usize,
     /// The longest time that is allowed from acceptance to being in force, ms.
     pub in_force_limit_ms: u64,
     /// What went wrong besides the verdict.
@@ -204,11 +220,15 @@
             refused_expected: measured.refused_expected,
             bad_frames: subscribers.bad_frames + relays.bad_frames,
             snapshots: subscribers.snapshots,
-            faults: measured.steps.iter().map(FaultLine::from).collect(),
+            faults: measured.faults,
+            fault_steps: measured.steps.iter().map(FaultLine::from).collect(),
             ok: failures.is_empty() && verdict.is_clean(),
             failures,
             updates: verdict.updates,
             flow_seconds: rounded(measured.flow_seconds),
+            start_seconds: rounded(measured.start_seconds),
+            processes: measured.processes,
+            memory_mb: (subscribers.resident_kb + relays.resident_kb) / 1024,
         }
     }
 }
--- a/crates/scale/tests/propagation_plan.rs
+++ b/crates/scale/tests/propagation_plan.rs
@@ -2,6 +2,7 @@
 
 use dunlinspread_config_sync::resource::check;
 use dunlinspread_scale::propagation::changes::planned_transactions;
+use dunlinspread_scale::propagation::control::Traffic;
 use dunlinspread_scale::propagation::dataset::{base_resources, base_transactions, sequence_of};
 use dunlinspread_scale::propagation::faults::{Step, fault_count, schedule};
 use dunlinspread_scale::propagation::pace::proposal_times_ms;
@@ -134,3 +135,10 @@
     let stretched = proposal_times_ms(60, 20.0, 30_000);
     assert!(stretched.last().is_some_and(|&last| (28_000..30_000).contains(&last)));
 }
+
+#[test]
+fn bytes_on_the_wire_count_a_segment_and_an_acknowledgement_for_each_frame() {
+    let earlier = Traffic { bytes_in: 1_000, bytes_out: 100, frames: 10, snapshots: 1, bad_frames: 0 };
+    let later = Traffic { bytes_in: 1_500, bytes_out: 200, frames: 13, snapshots: 1, bad_frames: 2 };
+    assert_eq!(later.since(earlier).wire_bytes(), 500 + 100 + 3 * 2 * 66);
+}
