Relays try the servers above them again within a second

A publisher or region's relay has few relays to bear, so the cap is 1 s there; subscribers keep theirs. Fails without: attempts further apart than a second.

--- a/crates/config-sync/src/relay.rs
+++ b/crates/config-sync/src/relay.rs
@@ -13,6 +13,10 @@
 use crate::resource::{Millis, Position};
 use crate::table::Table;
 
+/// The longest delay between a relay's attempts to reach a server above it, ms: less than a subscriber's, since all below
+/// wait for it and a server has few relays below it to bear.
+const MAX_RELAY_BACKOFF_MS: u64 = 1_000;
+
 /// How a relay is set up.
 #[derive(Clone, Debug)]
 pub struct RelaySettings {
@@ -26,7 +30,8 @@
 
 impl RelaySettings {
     /// The defaults around these two sides.
-    pub fn new(follower: FollowerSettings, fanout: FanoutSettings) -> RelaySettings {
+    pub fn new(mut follower: FollowerSettings, fanout: FanoutSettings) -> RelaySettings {
+        follower.backoff.cap_ms = follower.backoff.cap_ms.min(MAX_RELAY_BACKOFF_MS);
         RelaySettings { follower, fanout, progress_ms: 250 }
     }
 }
--- a/crates/config-sync/tests/relay_idle.rs
+++ b/crates/config-sync/tests/relay_idle.rs
@@ -1,4 +1,4 @@
-//! A relay to which nothing happens.
+//! A relay to which nothing happens, and one that finds nobody above it.
 
 mod client_support;
 
@@ -52,3 +52,27 @@
     }
     assert_eq!(reports, 1, "nothing changed after the first report");
 }
+
+#[test]
+fn it_tries_servers_above_it_again_within_a_second() {
+    const ATTEMPTS: usize = 200;
+    const LONGEST_WAIT_MS: u64 = 1_000;
+    let mut relay = relay();
+    let (mut now, mut attempts) = (0, 0);
+    let mut attempted_at = 0;
+    let mut out = Vec::new();
+    while attempts < ATTEMPTS {
+        out.clear();
+        relay.on_event(now, RelayEvent::Tick, &mut out);
+        if out.iter().any(|action| matches!(action, RelayAction::Upstream(LinkAction::Connect(_)))) {
+            assert!(
+                now - attempted_at <= LONGEST_WAIT_MS,
+                "attempt {attempts} after {} ms",
+                now - attempted_at
+            );
+            (attempts, attempted_at) = (attempts + 1, now);
+            relay.on_event(now, RelayEvent::Upstream(FollowerEvent::ConnectFailed), &mut out);
+        }
+        now = relay.deadline().max(now + 1);
+    }
+}
