--- a/crates/scale/src/propagation/coordinator.rs
+++ b/crates/scale/src/propagation/coordinator.rs
@@ -93,7 +93,7 @@
         self.begin_measuring()?;
         let start_seconds = began.elapsed().as_secs_f64();
         let mut flow = Flow::new(&topology, &planned, base, self.replay(base));
-        let flow_began = Instant::now();
+        let (flow_began, began_unix_ms) = (Instant::now(), unix_ms());
         flow.run(&mut self.cluster, &times_ms, &steps, START_LIMIT)?;
         let flow_seconds = flow_began.elapsed().as_secs_f64();
         let mut failures = Vec::new();
@@ -130,7 +130,9 @@
             steps,
             subscribers,
             relays,
+            began_unix_ms,
             flow_seconds,
+            publisher_restart_ms: record.publisher_restart_ms,
             start_seconds,
             processes: self.cluster.processes() + daemons.len() + 1,
             in_force_limit_ms: self.options.in_force_limit_ms,
--- a/crates/scale/src/propagation/flow.rs
+++ b/crates/scale/src/propagation/flow.rs
@@ -41,6 +41,7 @@
     starting_zones: BTreeSet<usize>,
     refused_positions: BTreeSet<PositionLine>,
     rejected: Vec<String>,
+    publisher_restart_ms: u64,
 }
 
 /// What a flow leaves behind.
@@ -53,6 +54,8 @@
     pub refused_positions: BTreeSet<PositionLine>,
     /// What the publisher itself refused, and why.
     pub rejected: Vec<String>,
+    /// From the start of the publisher's process until it went on from its store, ms.
+    pub publisher_restart_ms: u64,
 }
 
 impl<'run> Flow<'run> {
@@ -75,6 +78,7 @@
             starting_zones: BTreeSet::new(),
             refused_positions: BTreeSet::new(),
             rejected: Vec::new(),
+            publisher_restart_ms: 0,
         }
     }
 
@@ -140,6 +144,7 @@
             outages: self.outages,
             refused_positions: self.refused_positions,
             rejected: self.rejected,
+            publisher_restart_ms: self.publisher_restart_ms,
         }
     }
 
@@ -288,8 +293,10 @@
             self.end_zone_outage(zone, started_unix_ms, ready_unix_ms);
         }
         if self.publisher_down {
-            if let Some((_, head)) = cluster.node(NodeId::Publisher)?.ready {
+            let node = cluster.node(NodeId::Publisher)?;
+            if let Some((ready_unix_ms, head)) = node.ready {
                 self.publisher_down = false;
+                self.publisher_restart_ms = ready_unix_ms.saturating_sub(node.started_unix_ms);
                 self.take_publisher_head(cluster, head)?;
             }
         }
--- a/crates/scale/src/propagation/judge.rs
+++ b/crates/scale/src/propagation/judge.rs
@@ -15,6 +15,7 @@
 use super::record::Observation;
 use dunlinspread_config_sync::resource::{Digest, Position};
 use hdrhistogram::Histogram;
+use serde::Serialize;
 
 /// The longest time that the histogram of latencies tells apart, ms.
 const LONGEST_LATENCY_MS: u64 = 600_000;
@@ -23,11 +24,28 @@
 /// Faults that are explained; further ones are only counted.
 const EXPLAINED: usize = 12;
 
+/// A change that came in force at a subscriber.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize)]
+pub struct Delivery {
+    /// How long it took, ms.
+    pub latency_ms: u64,
+    /// Which change.
+    pub sequence: u64,
+    /// When it was proposed, Unix ms.
+    pub published_unix_ms: u64,
+    /// The subscriber, by its number over all zones.
+    pub subscriber: usize,
+    /// Its zone.
+    pub zone: usize,
+}
+
 /// What was found.
 #[derive(Clone, Debug)]
 pub struct Verdict {
     /// From acceptance to being in force, ms, for each change at each subscriber that could be reached.
     pub latency_ms: Histogram<u64>,
+    /// The one that took longest.
+    pub slowest: Option<Delivery>,
     /// The longest time from the end of an outage to having all that was accepted before that end, ms.
     pub heal_ms: u64,
     /// The longest time from the start of a zone's process to the same, ms.
@@ -54,6 +72,7 @@
             .expect("these bounds are those of a histogram");
         Verdict {
             latency_ms,
+            slowest: None,
             heal_ms: 0,
             cold_zone_ms: 0,
             lost: 0,
@@ -111,7 +130,7 @@
                 previous = Some(*observation);
             }
         }
-        self.measure_latencies(zone, &applied);
+        self.measure_latencies(subscriber, zone, &applied);
         self.measure_heals(zone, &applied);
         self.count_lost(subscriber, zone, &applied);
     }
@@ -174,7 +193,7 @@
         }
     }
 
-    fn measure_latencies(&mut self, zone: usize, applied: &Applied) {
+    fn measure_latencies(&mut self, subscriber: usize, zone: usize, applied: &Applied) {
         for (accepted, applied_unix_ms) in self.history.accepted.iter().zip(&applied.times) {
             let Some(applied_unix_ms) = *applied_unix_ms else { continue };
             if self.history.is_refused(zone, accepted)
@@ -184,6 +203,9 @@
             }
             let latency_ms = applied_unix_ms.saturating_sub(accepted.at_unix_ms);
             self.verdict.latency_ms.saturating_record(latency_ms);
+            let (sequence, published_unix_ms) = (accepted.sequence, accepted.at_unix_ms);
+            let delivery = Delivery { latency_ms, sequence, published_unix_ms, subscriber, zone };
+            self.verdict.slowest = self.verdict.slowest.max(Some(delivery));
         }
     }
 
--- a/crates/scale/src/propagation/report.rs
+++ b/crates/scale/src/propagation/report.rs
@@ -2,7 +2,7 @@
 
 use super::control::Usage;
 use super::faults::TimedStep;
-use super::judge::Verdict;
+use super::judge::{Delivery, Verdict};
 use super::topology::Shape;
 use serde::Serialize;
 
@@ -71,6 +71,8 @@
     pub faults: usize,
     /// Their steps in their order.
     pub fault_steps: Vec<FaultLine>,
+    /// The change that took longest, and its time in ms after the first.
+    pub slowest: Option<(u64, Delivery)>,
     /// Whether all that must hold held.
     pub ok: bool,
     /// What did not.
@@ -79,6 +81,8 @@
     pub updates: u64,
     /// How long the changes flowed, s.
     pub flow_seconds: f64,
+    /// From the start of the publisher's second process until it went on from its store, ms.
+    pub publisher_restart_ms: u64,
     /// How long it took until all processes had the first table, s.
     pub start_seconds: f64,
     /// Processes that were there at the same time.
@@ -166,8 +170,12 @@
     pub subscribers: UsageSummary,
     /// What relays used.
     pub relays: UsageSummary,
+    /// When changes began to flow, Unix ms.
+    pub began_unix_ms: u64,
     /// How long changes flowed, s.
     pub flow_seconds: f64,
+    /// How long the publisher's second process took to go on from its store, ms.
+    pub publisher_restart_ms: u64,
     /// How long the start took, s.
     pub start_seconds: f64,
     /// Processes, with the coordinator.
@@ -222,10 +230,14 @@
             snapshots: subscribers.snapshots,
             faults: measured.faults,
             fault_steps: measured.steps.iter().map(FaultLine::from).collect(),
+            slowest: verdict
+                .slowest
+                .map(|slowest| (slowest.published_unix_ms.saturating_sub(measured.began_unix_ms), slowest)),
             ok: failures.is_empty() && verdict.is_clean(),
             failures,
             updates: verdict.updates,
             flow_seconds: rounded(measured.flow_seconds),
+            publisher_restart_ms: measured.publisher_restart_ms,
             start_seconds: rounded(measured.start_seconds),
             processes: measured.processes,
             memory_mb: (subscribers.resident_kb + relays.resident_kb) / 1024,
