--- a/crates/config-sync/src/follower.rs
+++ b/crates/config-sync/src/follower.rs
@@ -18,6 +18,7 @@
 
 use crate::message::ToServer;
 use crate::resource::{Millis, Position};
+use crate::shared_steps::SharedSteps;
 use crate::state_age::StateAge;
 use crate::table::Table;
 use candidates::Candidates;
@@ -72,6 +73,8 @@
     age: Option<StateAge>,
     /// The next snapshot is fetched whole, since one that was put together from differences did not fit.
     fetch_whole: bool,
+    /// Where steps of the table are computed together with others.
+    steps: Option<SharedSteps>,
     counters: FollowerCounters,
 }
 
@@ -87,6 +90,7 @@
             table,
             age: None,
             fetch_whole: false,
+            steps: None,
             counters: FollowerCounters::default(),
         }
     }
@@ -133,6 +137,11 @@
         self.counters
     }
 
+    /// From now on steps of the table are computed together with others in this process.
+    pub fn share_steps(&mut self, steps: SharedSteps) {
+        self.steps = Some(steps);
+    }
+
     /// Takes over a table of equal digest, so that many followers in one process share its memory. Returns whether
     /// the digests were equal.
     pub fn share_table(&mut self, other: &Table) -> bool {
--- a/crates/scale/src/capacity/roles/round_server.rs
+++ b/crates/scale/src/capacity/roles/round_server.rs
@@ -196,7 +196,7 @@
 fn control_memory(book: &Book) -> Result<Vec<Row>> {
     let tables = book.at_target("daemon.memory_kb.tenants")?.times(KIB);
     let view = book.at_target("fleet.view_bytes.members")?;
-    let configuration = book.propagated("kb_per_daemon")?.times(KIB);
+    let configuration = book.propagated("daemon_kb_max")?.times(KIB);
     let sum = configuration.clone().plus(view.clone());
     Ok(vec![
         Row::new(
@@ -213,7 +213,7 @@
             When::Steady,
             Unit::Bytes,
             configuration,
-            "`kb_per_daemon` of the propagation runs: resident memory of a real daemon",
+            "`daemon_kb_max` of the propagation runs: resident memory of a real daemon",
         )
         .carried_by("`crates/config-sync`"),
         Row::new(
--- a/crates/scale/src/lib.rs
+++ b/crates/scale/src/lib.rs
@@ -1,4 +1,7 @@
-//! Scale tests: what each part costs against its size, the fit of that cost and its value at the size of the target.
+//! Scale tests: what each part costs against its size, the fit of that cost and its value at the size of the target, and
+//! the propagation of configuration at that size.
+#![forbid(unsafe_code)]
+#![warn(missing_docs)]
 
 pub mod capacity;
 pub mod child;
@@ -6,5 +9,6 @@
 pub mod fit;
 pub mod machine;
 pub mod probes;
+pub mod propagation;
 pub mod slope;
 pub mod slopes;
--- a/crates/scale/src/main.rs
+++ b/crates/scale/src/main.rs
@@ -2,7 +2,7 @@
 //! configuration at the size of the target fleet.
 
 use clap::{Parser, Subcommand};
-use dunlinspread_scale::{capacity, child, slopes};
+use dunlinspread_scale::{capacity, child, propagation, slopes};
 use std::ffi::OsString;
 use std::process::ExitCode;
 
@@ -26,6 +26,14 @@
     /// Be the daemon, with its own arguments; quick probes start it.
     #[command(hide = true, disable_help_flag = true)]
     Daemon(DaemonArguments),
+    /// Distribute configuration to a fleet of hollow subscribers while faults happen.
+    Propagation(Box<propagation::Options>),
+    /// A process of `propagation`.
+    #[command(hide = true, name = propagation::NODE_COMMAND)]
+    PropagationNode,
+    /// A real daemon of `propagation`.
+    #[command(hide = true, name = propagation::DAEMON_COMMAND)]
+    PropagationDaemon,
 }
 
 /// The daemon's own arguments.
@@ -44,6 +52,9 @@
             let program = OsString::from("dunlinspread");
             return dunlinspread::daemon::run([program].into_iter().chain(daemon.arguments));
         }
+        Command::Propagation(options) => propagation::run(&options),
+        Command::PropagationNode => propagation::run_node(),
+        Command::PropagationDaemon => return dunlinspread::daemon::run(std::env::args_os().take(1)),
     };
     match result {
         Ok(()) => ExitCode::SUCCESS,
