--- a/crates/scale/src/capacity/roles/round_server.rs
+++ b/crates/scale/src/capacity/roles/round_server.rs
@@ -45,7 +45,7 @@
         .carried_by("daemon, one thread"),
         Row::new(
             "added to a request, 99 in 100, at four times the rate",
-            When::ZoneCold,
+            When::Steady,
             Unit::Milliseconds,
             book.at("daemon.added_ms_p99.rate", 4.0 * rate)?,
             "the same at 1,128/s",
@@ -142,7 +142,7 @@
         .carried_by("`crates/quota` (not in the daemon yet)"),
         Row::new("**sum of bytes**", When::Steady, unit, sum, "the four above")
             .limit(target::CONTROL_BYTES_PER_SECOND)
-            .carried_by("all of the above"),
+            .carried_by("all of the above; two of the four are not in the daemon yet"),
     ])
 }
 
@@ -152,6 +152,8 @@
     let configuration = book.propagated("cpu_share_subscriber")?;
     let reports = Estimate::assumed(0.0005);
     let limits = Estimate::assumed(0.0002);
+    let connections = target::CALLERS * SUBSET / target::SERVERS;
+    let rest = book.at("daemon.rest_processor_ns_per_s.connections", connections)?.times(share);
     let sum = membership.clone().plus(configuration.clone()).plus(reports.clone()).plus(limits.clone());
     let unit = Unit::CoreShare;
     Ok(vec![
@@ -179,6 +181,14 @@
             "two reports a second at 250 us each",
         )
         .carried_by("daemon"),
+        Row::new(
+            "core: the daemon at rest with a subset's connections",
+            When::Steady,
+            unit,
+            rest,
+            "`daemon.rest_processor_ns_per_s.connections` at 423; its timers each 5 ms, no control and not in the sum",
+        )
+        .carried_by("daemon"),
         Row::new(
             "core: fleet limits",
             When::Steady,
@@ -233,6 +243,15 @@
         )
         .limit(target::CONTROL_MEMORY_BYTES)
         .carried_by("all of the above"),
+        Row::new(
+            "memory: the peak of a reload with 390,000 tenants from its file",
+            When::Steady,
+            Unit::Bytes,
+            book.at_target("daemon.memory_peak_kb.tenants")?.times(KIB),
+            "`daemon.memory_peak_kb.tenants`",
+        )
+        .limit(target::CONTROL_MEMORY_BYTES)
+        .carried_by("daemon; with distributed settings nothing is reloaded"),
         Row::new(
             "time to start with 390,000 tenants",
             When::Steady,
