Scale: slopes, capacity page, propagation at 7,100 subscribers, model and simulation

Need: docs/CAPACITY.md from measured slopes, and configuration in force in 7,100 servers within 6 s.

--- a/crates/config-sync/src/codec/wire.rs
+++ b/crates/config-sync/src/codec/wire.rs
@@ -4,7 +4,7 @@
 
 #[derive(Clone, PartialEq, prost::Message)]
 pub(super) struct ToServer {
-    #[prost(oneof = "to_server::Kind", tags = "1, 2, 3, 4")]
+    #[prost(oneof = "to_server::Kind", tags = "1, 2, 3, 4, 5")]
     pub kind: Option<to_server::Kind>,
 }
 
@@ -19,6 +19,8 @@
         PieceTaken(u32),
         #[prost(message, tag = "4")]
         Progress(super::Progress),
+        #[prost(message, tag = "5")]
+        Alive(super::Alive),
     }
 }
 
@@ -42,7 +44,7 @@
         #[prost(message, tag = "21")]
         SnapshotEnd(super::SnapshotEnd),
         #[prost(message, tag = "22")]
-        Heartbeat(super::Position),
+        Heartbeat(super::Heartbeat),
     }
 }
 
@@ -54,6 +56,17 @@
     pub revision: u64,
 }
 
+/// A position, with the age beside its fields.
+#[derive(Clone, Copy, PartialEq, prost::Message)]
+pub(super) struct Heartbeat {
+    #[prost(uint64, tag = "1")]
+    pub epoch: u64,
+    #[prost(uint64, tag = "2")]
+    pub revision: u64,
+    #[prost(uint64, tag = "3")]
+    pub age_ms: u64,
+}
+
 #[derive(Clone, Copy, PartialEq, prost::Message)]
 pub(super) struct Digest {
     #[prost(fixed64, tag = "1")]
@@ -99,6 +112,10 @@
     pub refusals: Vec<Refusal>,
 }
 
+/// Without fields.
+#[derive(Clone, Copy, PartialEq, prost::Message)]
+pub(super) struct Alive {}
+
 #[derive(Clone, PartialEq, prost::Message)]
 pub(super) struct ZoneProgress {
     #[prost(string, tag = "1")]
--- a/crates/config-sync/src/relay.rs
+++ b/crates/config-sync/src/relay.rs
@@ -2,7 +2,7 @@
 //!
 //! Deltas are passed on as soon as they are applied. A snapshot from above moves the head of the fan-out in one step;
 //! sessions below it resync by bucket digests. Cut off from above, a relay goes on serving what it has, and its
-//! heartbeats say its head.
+//! heartbeats say its head and how old that is.
 
 use crate::fanout::{Fanout, FanoutAction, FanoutEvent, FanoutSettings};
 use crate::follower::{
@@ -13,6 +13,10 @@
 use crate::resource::{Millis, Position};
 use crate::table::Table;
 
+/// The longest delay between a relay's attempts to reach a server above it, ms: less than a subscriber's, since all below
+/// wait for it and a server has few relays below it to bear.
+const MAX_RELAY_BACKOFF_MS: u64 = 1_000;
+
 /// How a relay is set up.
 #[derive(Clone, Debug)]
 pub struct RelaySettings {
@@ -26,7 +30,8 @@
 
 impl RelaySettings {
     /// The defaults around these two sides.
-    pub fn new(follower: FollowerSettings, fanout: FanoutSettings) -> RelaySettings {
+    pub fn new(mut follower: FollowerSettings, fanout: FanoutSettings) -> RelaySettings {
+        follower.backoff.cap_ms = follower.backoff.cap_ms.min(MAX_RELAY_BACKOFF_MS);
         RelaySettings { follower, fanout, progress_ms: 250 }
     }
 }
@@ -88,8 +93,8 @@
 
     /// When the next tick is needed at the latest.
     pub fn deadline(&self) -> Millis {
-        let report = self.reporter.deadline().filter(|_| self.follower.is_open());
-        self.follower.deadline().min(self.fanout.deadline()).min(report.unwrap_or(Millis::MAX))
+        let report = if self.follower.is_open() { self.reporter.deadline() } else { Millis::MAX };
+        self.follower.deadline().min(self.fanout.deadline()).min(report)
     }
 
     /// The side towards the publisher.
@@ -118,6 +123,9 @@
     }
 
     fn on_upstream(&mut self, now: Millis, event: FollowerEvent, out: &mut Vec<RelayAction>) {
+        if matches!(event, FollowerEvent::Received(_)) {
+            self.reporter.server_heard(now);
+        }
         let mut actions = std::mem::take(&mut self.follower_actions);
         self.follower.on_event(now, event, &mut actions);
         for action in actions.drain(..) {
@@ -134,7 +142,13 @@
         self.follower_actions = actions;
     }
 
+    /// The fan-out says how old the state is that it serves.
+    fn tell_age(&mut self) {
+        self.fanout.set_age(self.follower.state_age().into());
+    }
+
     fn pass_on(&mut self, now: Millis, advance: Advance, out: &mut Vec<RelayAction>) {
+        self.tell_age();
         let mut actions = std::mem::take(&mut self.fanout_actions);
         let table = self.follower.table();
         match advance {
@@ -150,6 +164,7 @@
     }
 
     fn on_downstream(&mut self, now: Millis, event: FanoutEvent, out: &mut Vec<RelayAction>) {
+        self.tell_age();
         let mut actions = std::mem::take(&mut self.fanout_actions);
         self.fanout.on_event(now, event, &mut actions);
         out.extend(actions.drain(..).map(RelayAction::Downstream));
--- /dev/null
+++ b/crates/scale/src/capacity/roles/callers.rs
@@ -0,0 +1,81 @@
+//! A caller: its connections and the lists it gets.
+
+use crate::capacity::assumptions::SUBSET;
+use crate::capacity::book::Book;
+use crate::capacity::estimate::Estimate;
+use crate::capacity::row::{Role, Row, Unit, When};
+use crate::capacity::target;
+use anyhow::Result;
+
+/// Standard deviations past the mean of the most loaded of 7,100 servers, where callers choose independently.
+const MOST_LOADED_DEVIATIONS: f64 = 3.8;
+/// Connections that a caller's process can hold beside its other descriptors.
+const CALLER_CONNECTIONS: f64 = 1_000.0;
+/// What the lists may take of a caller's network: as much as a round server may spend on control.
+const LIST_BYTES_PER_SECOND: f64 = target::CONTROL_BYTES_PER_SECOND;
+
+/// The rows of a caller.
+///
+/// # Errors
+/// If a measurement is missing.
+pub fn role(book: &Book) -> Result<Role> {
+    let mean = target::CALLERS * SUBSET / target::SERVERS;
+    let most = mean + MOST_LOADED_DEVIATIONS * mean.sqrt();
+    let a_caller = 1.0 / target::CALLERS;
+    let whole = book.at_target("registry.list_bytes_per_s_whole.callers")?.times(a_caller);
+    let subset = book.at_target("registry.list_bytes_per_s_subset.callers")?.times(a_caller);
+    let rate = target::REQUESTS_PER_SECOND / target::CALLERS / SUBSET;
+    let rows = vec![
+        Row::new(
+            "connections, to every server",
+            When::Steady,
+            Unit::Count,
+            Estimate::exact(target::SERVERS),
+            "7,100",
+        )
+        .limit(CALLER_CONNECTIONS)
+        .carried_by("no subsets"),
+        Row::new("connections, to a subset", When::Steady, Unit::Count, Estimate::assumed(SUBSET), "20")
+            .limit(CALLER_CONNECTIONS)
+            .carried_by("subsets by the registry")
+            .not_built(),
+        Row::new(
+            "connections of the most loaded server",
+            When::Steady,
+            Unit::Count,
+            Estimate::assumed(most),
+            "mean 150,000 x 20 / 7,100 and 3.8 deviations",
+        )
+        .carried_by("rendezvous hashing in the zone")
+        .not_built(),
+        Row::new(
+            "requests a second on each connection",
+            When::Steady,
+            Unit::PerSecond,
+            Estimate::assumed(rate),
+            "2,000,000 / 150,000 / 20",
+        )
+        .carried_by("subsets by the registry")
+        .not_built(),
+        Row::new(
+            "bytes of lists, whole lists",
+            When::Steady,
+            Unit::BytesPerSecond,
+            whole,
+            "`registry.list_bytes_per_s_whole.callers` / 150,000",
+        )
+        .limit(LIST_BYTES_PER_SECOND)
+        .carried_by("the platform's registry today"),
+        Row::new(
+            "bytes of lists, a subset's",
+            When::Steady,
+            Unit::BytesPerSecond,
+            subset,
+            "`registry.list_bytes_per_s_subset.callers` / 150,000",
+        )
+        .limit(LIST_BYTES_PER_SECOND)
+        .carried_by("subsets by the registry")
+        .not_built(),
+    ];
+    Ok(Role { id: "caller", rows })
+}
--- /dev/null
+++ b/crates/scale/src/capacity/roles/mod.rs
@@ -0,0 +1,34 @@
+//! The roles of the fleet, each with its rows.
+
+mod callers;
+mod configuration;
+mod control_machines;
+mod missing;
+mod neighbours;
+mod registry;
+mod round_server;
+
+use super::book::Book;
+use super::row::Role;
+use anyhow::Result;
+
+/// All roles in the order of the page.
+///
+/// # Errors
+/// If a measurement that a row rests on is missing; the error names it.
+pub fn all(book: &Book) -> Result<Vec<Role>> {
+    Ok(vec![
+        round_server::role(book)?,
+        callers::role(book)?,
+        registry::role(book)?,
+        configuration::publisher(book)?,
+        configuration::relay(book)?,
+        neighbours::quota_allocator(book)?,
+        neighbours::worker_pool(book)?,
+        neighbours::next_tier()?,
+        neighbours::ledger_collector(book)?,
+        control_machines::role(book)?,
+    ])
+}
+
+pub use missing::table as first_missing;
--- a/crates/scale/src/probes/mod.rs
+++ b/crates/scale/src/probes/mod.rs
@@ -1,6 +1,26 @@
 //! The probes: each measures the slopes of one part. A new one is added to [`all`], its child loads to [`child_loads`].
 
-use crate::child::Load;
+mod config_sync;
+mod daemon_client;
+mod daemon_connections;
+mod daemon_process;
+mod daemon_site;
+mod daemon_tables;
+mod fleet;
+mod keyed;
+mod latency;
+mod ledger;
+pub mod open_loop;
+mod policy;
+mod policy_load;
+mod quota;
+mod registry;
+mod registry_lists;
+mod registry_server;
+mod sample;
+mod store;
+
+use crate::child::{Load, ReportingLoad};
 use crate::slope::Slope;
 use anyhow::Result;
 
@@ -47,10 +67,36 @@
 
 /// All probes.
 pub fn all() -> Vec<Box<dyn Probe>> {
-    Vec::new()
+    vec![
+        Box::new(policy::PolicyProbe),
+        Box::new(daemon_tables::TablesProbe),
+        Box::new(daemon_connections::ConnectionsProbe),
+        Box::new(latency::LatencyProbe),
+        Box::new(registry::RegistryProbe),
+        Box::new(config_sync::ConfigSyncProbe),
+        Box::new(fleet::FleetProbe),
+        Box::new(keyed::KeyedProbe),
+        Box::new(ledger::LedgerProbe),
+        Box::new(quota::QuotaProbe),
+        Box::new(store::StoreProbe),
+    ]
 }
 
 /// The loads that are measured in a process of their own, by name.
 pub fn child_loads() -> Vec<(&'static str, Load)> {
-    Vec::new()
+    vec![
+        (config_sync::LOAD, config_sync::table_load),
+        (fleet::VIEW_LOAD, fleet::view_load),
+        (keyed::LOAD, keyed::table_load),
+        (quota::MEMBERS_LOAD, quota::members_load),
+        (quota::BUDGETS_LOAD, quota::budgets_load),
+    ]
+}
+
+/// The same for loads with several figures.
+pub fn reporting_loads() -> Vec<(&'static str, ReportingLoad)> {
+    let mut loads: Vec<(&'static str, ReportingLoad)> =
+        vec![(fleet::SCENARIOS_LOAD, fleet::scenarios_load), (fleet::SINGLE_LOAD, fleet::single_load)];
+    loads.extend(policy::reporting_loads());
+    loads
 }
