Say what ends a connection over bytes that come, and what took the time of a stall

Callers lost requests on connections that ended 0.2 to 1.4 s after they were opened, and the log could not tell by which rule a connection had ended, nor which task held the event loop.

Each task of the event loop is now timed by name (server/task_times.rs); the line 'event loop stalled' says who took the time. A connection keeps the reason of its end, and bytes that come on an ended connection are logged with that reason and its age. Nothing else changes.

--- a/src/daemon/wiring.rs
+++ b/src/daemon/wiring.rs
@@ -19,6 +19,7 @@
 use crate::server::request_ids::RequestIdSequence;
 use crate::server::serving_status::ServingStatus;
 use crate::server::supervisor::{self, TaskFailure};
+use crate::server::task_times::TaskTimes;
 use crate::server::timer_wheel::{Clock, TimerWheel};
 use crate::server::upstream::{UpstreamClient, UpstreamClientSettings};
 use crate::server::worker_pool::WorkerPoolLink;
@@ -89,6 +90,7 @@
     failures: Sender<TaskFailure>,
     status: Arc<ServingStatus>,
     request_ids: Rc<RequestIdSequence>,
+    task_times: Rc<TaskTimes>,
     log: &'a Logger,
 }
 
@@ -119,6 +121,7 @@
         failures,
         status,
         request_ids: Rc::default(),
+        task_times: Rc::default(),
         log,
     };
     let control = wiring.start_control()?;
@@ -173,7 +176,9 @@
 impl Wiring<'_> {
     /// Starts a task that should last as long as the process.
     fn supervise(&self, name: &'static str, task: BoxedLocal<()>) {
-        let supervised = supervisor::supervise(name, task, self.failures.clone());
+        let task_times = self.task_times.clone();
+        let measured = async move { task_times.measure(name, task).await };
+        let supervised = supervisor::supervise(name, measured, self.failures.clone());
         self.executor.spawn(supervised).detach();
     }
 
@@ -294,6 +299,7 @@
             clock: self.clock,
             wheel: self.wheel.clone(),
             dispatcher: self.dispatcher.clone(),
+            task_times: self.task_times.clone(),
             log: self.log.clone(),
             bills_accounts: loaded.operator.ledger.is_some(),
             request_ids: self.request_ids.clone(),
@@ -343,8 +349,10 @@
         let may_end = Rc::new(Cell::new(false));
         let (end_sender, ended) = async_channel::bounded(1);
         let (end_expected, failures) = (may_end.clone(), self.failures.clone());
+        let task_times = self.task_times.clone();
         let task = async move {
-            match supervisor::catch_panic(listener.run(messages)).await {
+            let listening = task_times.measure("listener", listener.run(messages));
+            match supervisor::catch_panic(listening).await {
                 Ok(()) if end_expected.get() => drop(end_sender.send(()).await),
                 end => drop(failures.send(TaskFailure::new("listener", end)).await),
             }
--- a/src/server/frontend/connection.rs
+++ b/src/server/frontend/connection.rs
@@ -1,6 +1,6 @@
 //! The state of one connection that its task and the connection table share.
 
-use super::connection_state::{ConnectionPolicy, ConnectionState, EvictionRank, Transition};
+use super::connection_state::{ConnectionPolicy, ConnectionState, EvictionRank, FinishReason, Transition};
 use super::response_encoder::encode_shutdown;
 use crate::admission::RequestId;
 use crate::server::messages::{ConnectionMessage, ReplyHandle, Response};
@@ -72,6 +72,12 @@
         matches!(socket.get_ref().peek(&mut [0]), Ok(length) if length > 0)
     }
 
+    /// Returns the client's address as text, for the log.
+    pub(super) fn client_address(&self) -> String {
+        let address = self.socket.upgrade().and_then(|socket| socket.get_ref().peer_addr().ok());
+        address.map_or_else(|| "gone".to_owned(), |address| address.to_string())
+    }
+
     /// Returns whether the connection stays open for bytes that are still unread.
     fn is_held_open(&self, now: f64) -> bool {
         self.has_unread_bytes() && self.state.borrow_mut().hold_open_for_unread_bytes(now)
@@ -100,7 +106,7 @@
         }
         let mut notification = Vec::new();
         encode_shutdown(&mut notification);
-        self.state.borrow_mut().finish(now);
+        self.state.borrow_mut().finish(now, FinishReason::Evicted);
         self.close_sending_side(Some(&notification));
         true
     }
@@ -124,7 +130,7 @@
 
     /// Accepts no request and no response from `now` on.
     pub(super) fn finish(&self, now: f64) {
-        self.state.borrow_mut().finish(now);
+        self.state.borrow_mut().finish(now, FinishReason::ClosedByTask);
         self.close_response_queue();
     }
 
--- a/src/server/frontend/connection_state.rs
+++ b/src/server/frontend/connection_state.rs
@@ -10,6 +10,7 @@
 //! - A connection that finishes accepts no request.
 
 use std::cmp::Ordering;
+use std::fmt;
 
 /// Time limit for the first whole request of a connection, and for a message from its first byte to its last, ms. The
 /// platform allows three seconds in all; a well-behaved client sends within a round trip.
@@ -29,6 +30,36 @@
 /// Age below which a connection without a request is not evicted, ms: its first request may be on its way.
 const NEW_CONNECTION_GRACE_MS: f64 = 50.0;
 
+/// Why a connection finishes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum FinishReason {
+    /// No whole request came in time.
+    NoRequestInTime,
+    /// A message was not complete in time.
+    MessageNotCompleted,
+    /// Its client was notified, and did not close it in time.
+    CloseGraceOver,
+    /// It made room for others.
+    Evicted,
+    /// The process ends.
+    ProcessEnds,
+    /// Its client closed it or broke the protocol.
+    ClosedByTask,
+}
+
+impl fmt::Display for FinishReason {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            FinishReason::NoRequestInTime => "no request in time",
+            FinishReason::MessageNotCompleted => "a message not completed in time",
+            FinishReason::CloseGraceOver => "close grace over",
+            FinishReason::Evicted => "evicted",
+            FinishReason::ProcessEnds => "the process ends",
+            FinishReason::ClosedByTask => "closed by its client or on an error",
+        })
+    }
+}
+
 /// What has to be done with a connection.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Transition {
@@ -83,7 +114,7 @@
     /// The client was notified at that time.
     Notified(f64),
     /// Nothing is accepted since that time.
-    Finishing(f64),
+    Finishing(f64, FinishReason),
 }
 
 /// The state of one connection. Times are in ms of the caller's clock.
@@ -120,7 +151,7 @@
         self.held_open_since = self.held_open_since.map(|since| since + stalled_ms);
         match &mut self.phase {
             Phase::Serving => {}
-            Phase::Notified(at) | Phase::Finishing(at) => *at += stalled_ms,
+            Phase::Notified(at) | Phase::Finishing(at, _) => *at += stalled_ms,
         }
     }
 
@@ -155,27 +186,27 @@
 
     /// Returns whether requests are accepted.
     pub fn accepts_requests(&self) -> bool {
-        !matches!(self.phase, Phase::Finishing(_))
+        !matches!(self.phase, Phase::Finishing(..))
     }
 
-    /// Returns since when no request is accepted.
-    pub fn finishing_since(&self) -> Option<f64> {
+    /// Returns since when and why no request is accepted.
+    pub fn finishing_since(&self) -> Option<(f64, FinishReason)> {
         match self.phase {
-            Phase::Finishing(at) => Some(at),
+            Phase::Finishing(at, reason) => Some((at, reason)),
             _ => None,
         }
     }
 
     /// Accepts no request from `now` on.
-    pub fn finish(&mut self, now: f64) {
+    pub fn finish(&mut self, now: f64, reason: FinishReason) {
         if self.accepts_requests() {
-            self.phase = Phase::Finishing(now);
+            self.phase = Phase::Finishing(now, reason);
         }
     }
 
     /// Returns whether [`ConnectionState::advance`] would let it finish.
     pub fn would_finish(&self, now: f64, response_owed: bool, policy: ConnectionPolicy) -> bool {
-        self.accepts_requests() && self.is_over(now, response_owed, policy)
+        self.accepts_requests() && self.finish_reason(now, response_owed, policy).is_some()
     }
 
     /// Advances to `now` and returns what has to be done; `response_owed` says whether a response is still owed.
@@ -183,8 +214,8 @@
         if !self.accepts_requests() {
             return Transition::Stay;
         }
-        if self.is_over(now, response_owed, policy) {
-            self.finish(now);
+        if let Some(reason) = self.finish_reason(now, response_owed, policy) {
+            self.finish(now, reason);
             return Transition::Finish;
         }
         match &mut self.phase {
@@ -203,24 +234,26 @@
         }
     }
 
-    /// Returns whether a connection that is not finishing has to finish.
-    fn is_over(&self, now: f64, response_owed: bool, policy: ConnectionPolicy) -> bool {
+    /// Returns why a connection that is not finishing has to finish; `None` if it does not.
+    fn finish_reason(&self, now: f64, response_owed: bool, policy: ConnectionPolicy) -> Option<FinishReason> {
         if policy.finish_all {
-            return true;
+            return Some(FinishReason::ProcessEnds);
         }
         if response_owed {
-            return false;
+            return None;
         }
         // Silence and partial messages cost a descriptor and a buffer that other clients need.
         if !self.sent_request && now - self.accepted_at >= MESSAGE_TIMEOUT_MS {
-            return true;
+            return Some(FinishReason::NoRequestInTime);
         }
         if self.partial_message_since.is_some_and(|since| now - since >= MESSAGE_TIMEOUT_MS) {
-            return true;
+            return Some(FinishReason::MessageNotCompleted);
         }
         match self.phase {
-            Phase::Notified(at) => now - at.max(self.last_activity) >= CLOSE_GRACE_MS,
-            Phase::Serving | Phase::Finishing(_) => false,
+            Phase::Notified(at) if now - at.max(self.last_activity) >= CLOSE_GRACE_MS => {
+                Some(FinishReason::CloseGraceOver)
+            }
+            Phase::Notified(_) | Phase::Serving | Phase::Finishing(..) => None,
         }
     }
 
--- a/src/server/frontend/connection_table.rs
+++ b/src/server/frontend/connection_table.rs
@@ -88,7 +88,8 @@
             let (connection, context) = (connection.clone(), self.context.clone());
             let (closed, number) = (self.closed.clone(), self.last_number);
             self.executor.spawn(async move {
-                connection_task::serve(&connection, &context, stream, responses).await;
+                let serving = connection_task::serve(&connection, &context, stream, responses);
+                context.task_times.measure("connection", serving).await;
                 // The listener's queue closes only at the end of the process.
                 let _ = closed.send(ListenerMessage::ConnectionClosed(number)).await;
             })
@@ -152,7 +153,7 @@
     fn drop_lingering(&mut self, now: f64) {
         self.entries.retain(|_, entry| {
             let finishing_since = entry.connection.state.borrow().finishing_since();
-            let is_due = finishing_since.is_some_and(|since| now - since >= MIN_LINGER_MS);
+            let is_due = finishing_since.is_some_and(|(since, _)| now - since >= MIN_LINGER_MS);
             !(entry.connection.is_lingering.get() && is_due)
         });
     }
--- a/src/server/frontend/connection_task.rs
+++ b/src/server/frontend/connection_task.rs
@@ -114,7 +114,10 @@
         while remaining > 0 {
             match stream.read(&mut buffer).await {
                 Ok(0) | Err(_) => return,
-                Ok(length) => remaining = remaining.saturating_sub(length),
+                Ok(length) => {
+                    context.log_discarded_bytes(connection, length);
+                    remaining = remaining.saturating_sub(length);
+                }
             }
         }
         // A client that never stops sending gets no more than the time to read its responses.
--- a/src/server/frontend/context.rs
+++ b/src/server/frontend/context.rs
@@ -1,10 +1,13 @@
 //! State and settings shared by all client connections.
 
+use super::connection::Connection;
+use super::connection_state::FinishReason;
 use crate::admission::Class;
 use crate::server::distributed_config::DistributedSettings;
 use crate::server::messages::DispatcherMessage;
 use crate::server::name_table::NameTable;
 use crate::server::request_ids::RequestIdSequence;
+use crate::server::task_times::TaskTimes;
 use crate::server::timer_wheel::{Clock, TimerWheel};
 use async_channel::Sender;
 use slog::{Logger, warn};
@@ -35,6 +38,8 @@
     pub wheel: Rc<TimerWheel>,
     /// Sender to the dispatcher.
     pub dispatcher: Sender<DispatcherMessage>,
+    /// How long the tasks of the event loop run.
+    pub task_times: Rc<TaskTimes>,
     /// The log.
     pub log: Logger,
     /// Whether requests name the account that they are billed to.
@@ -95,7 +100,26 @@
 
     /// Logs why a connection was closed, at most [`MAX_LOG_LINES`] lines a window.
     pub(super) fn log_connection_error(&self, error: &dyn std::error::Error) {
+        if self.may_log(self.clock.now()) {
+            warn!(self.log, "client connection closed on error";
+                "component" => "frontend", "reason" => error.to_string());
+        }
+    }
+
+    /// Logs that bytes came on a connection that this server had ended; a request among them is not accepted.
+    pub(super) fn log_discarded_bytes(&self, connection: &Connection, length: usize) {
+        let Some((since, reason)) = connection.state.borrow().finishing_since() else { return };
         let now = self.clock.now();
+        if reason == FinishReason::ClosedByTask || !self.may_log(now) {
+            return;
+        }
+        warn!(self.log, "bytes on an ended connection discarded"; "component" => "frontend",
+            "reason" => %reason, "ended_ms_ago" => (now - since).round(), "bytes" => length,
+            "client" => connection.client_address());
+    }
+
+    /// Counts a log line about a connection, and returns whether it may be written.
+    fn may_log(&self, now: f64) -> bool {
         let mut window = self.fault_log.get();
         if now - window.started_at > LOG_WINDOW_MS {
             window = LogWindow { started_at: now, lines: 0 };
@@ -103,9 +127,6 @@
         let may_log = window.lines < MAX_LOG_LINES;
         window.lines += 1;
         self.fault_log.set(window);
-        if may_log {
-            warn!(self.log, "client connection closed on error";
-                "component" => "frontend", "reason" => error.to_string());
-        }
+        may_log
     }
 }
--- a/src/server/frontend/listener.rs
+++ b/src/server/frontend/listener.rs
@@ -133,8 +133,9 @@
         if stalled_ms <= STALL_THRESHOLD_MS {
             return;
         }
-        warn!(self.context.log, "event loop stalled";
-            "component" => "frontend", "ms" => stalled_ms.round());
+        let times = self.context.task_times.take_report();
+        warn!(self.context.log, "event loop stalled"; "component" => "frontend",
+            "ms" => stalled_ms.round(), "tasks" => %times);
         self.connections.exclude_stall(stalled_ms);
         self.last_sweep_at = now;
         self.accept_paused_until = now + ACCEPT_PAUSE_MS;
@@ -183,6 +184,7 @@
 
     fn sweep(&mut self, now: f64) {
         self.last_sweep_at = now;
+        self.context.task_times.reset();
         let policy = ConnectionPolicy {
             idle_timeout_ms: self.idle_timeout_ms,
             notify_all: self.handed_over || self.finish_at.is_some(),
--- a/src/server/frontend/reader.rs
+++ b/src/server/frontend/reader.rs
@@ -35,7 +35,10 @@
         match stream.read(&mut buffer).await {
             // A close and a reset are the client's own affair.
             Ok(0) | Err(_) => return Ok(()),
-            Ok(_) if !connection.accepts_requests() => continue,
+            Ok(length) if !connection.accepts_requests() => {
+                context.log_discarded_bytes(connection, length);
+                continue;
+            }
             Ok(length) => reader.decoder.feed(&buffer[..length]),
         }
         fault_injection::pass(PanicPoint::ConnectionRead);
--- a/src/server/mod.rs
+++ b/src/server/mod.rs
@@ -15,6 +15,7 @@
 pub mod request_ids;
 pub mod serving_status;
 pub mod supervisor;
+pub mod task_times;
 pub mod telemetry;
 pub mod timer_wheel;
 pub mod upstream;
--- a/tests/connection_state.rs
+++ b/tests/connection_state.rs
@@ -2,8 +2,8 @@
 //! shutdown and the end of the process. A plain model beside it records what is owed and what was notified.
 
 use dunlinspread::server::frontend::connection_state::{
-    CLOSE_GRACE_MS, ConnectionPolicy, ConnectionState, MESSAGE_TIMEOUT_MS, ReadProgress, Transition,
-    UNREAD_GRACE_MS,
+    CLOSE_GRACE_MS, ConnectionPolicy, ConnectionState, FinishReason, MESSAGE_TIMEOUT_MS, ReadProgress,
+    Transition, UNREAD_GRACE_MS,
 };
 use proptest::prelude::*;
 
@@ -76,7 +76,7 @@
                     let may = connection.eviction_rank(now, responses_owed > 0).is_some();
                     prop_assert!(!may || responses_owed == 0 && connection.accepts_requests(), "evicted while a response is owed");
                     if may {
-                        connection.finish(now);
+                        connection.finish(now, FinishReason::Evicted);
                     }
                 }
                 ConnectionEvent::ServerDrains => policy.notify_all = true,
