--- a/tests/pauses.rs
+++ b/tests/pauses.rs
@@ -17,7 +17,7 @@
 use upgrade_support::records::Outcome;
 use upgrade_support::settings::{CLASSES, CLIENT_TIMEOUT_MS};
 use upgrade_support::site::Site;
-use upgrade_support::{TEST_TIMEOUT, from_environment, run_for};
+use upgrade_support::{TEST_TIMEOUT, from_environment, run_for, wait_for};
 
 /// The seed where the environment sets none.
 const DEFAULT_SEED: u64 = 1;
@@ -43,7 +43,17 @@
 impl Connection {
     /// Opens a connection and writes a request.
     fn open(address: SocketAddr) -> Connection {
-        let stream = TcpStream::connect(address).expect("it listens");
+        Connection::new(TcpStream::connect(address).expect("it listens"))
+    }
+
+    /// As [`Connection::open`]; `None` if the system has no room and the first packet has to be sent again.
+    fn open_at_once(address: SocketAddr) -> Option<Connection> {
+        /// The first packet is sent again after one second.
+        const CONNECT_TIMEOUT: Duration = Duration::from_millis(900);
+        TcpStream::connect_timeout(&address, CONNECT_TIMEOUT).ok().map(Connection::new)
+    }
+
+    fn new(stream: TcpStream) -> Connection {
         stream.set_read_timeout(Some(TEST_TIMEOUT)).expect("a time limit");
         let mut connection = Connection { stream, bytes: Vec::new(), last_id: 0, shutdown_seen: false };
         connection.send();
@@ -116,6 +126,26 @@
     assert_eq!(of_further, FURTHER_CONNECTIONS, "seed {seed}: requests on further connections lost");
 }
 
+/// Guards against a queue of connections that overflows while the server stands still: the system drops what clients write
+/// on those that find no room, and they are closed for their silence before it is sent again.
+#[test]
+fn as_many_connections_as_clients_may_open_find_room_at_a_stopped_server() {
+    const WAITING_CONNECTIONS: usize = 512;
+    let seed = from_environment("DAILY_SEED", DEFAULT_SEED);
+    let mut site = Site::start(seed);
+    let mut process = site.start_first();
+    process.signal("STOP");
+    wait_for(seed, "the server stands still", || process.is_stopped());
+    let waiting: Vec<Connection> =
+        (0..WAITING_CONNECTIONS).map_while(|_| Connection::open_at_once(site.listen)).collect();
+    process.signal("CONT");
+    let found_room = waiting.len();
+    let answered = waiting.into_iter().filter_map(|mut connection| connection.response()).count();
+    println!("seed {seed}: {found_room} found room, {answered} of {WAITING_CONNECTIONS} answered");
+    assert_eq!(found_room, WAITING_CONNECTIONS, "seed {seed}: the queue has no room for more");
+    assert_eq!(answered, WAITING_CONNECTIONS, "seed {seed}: requests on waiting connections lost");
+}
+
 /// A load under which the event loop lags loses nothing: what is not served is refused.
 #[test]
 fn a_load_past_what_the_event_loop_bears_loses_nothing() {
