Tests keep the port of a peer that is down, and say who made a silent connection

What was seen: idle_clients_may_take_all_their_descriptors_while_the_registry_is_down failed 2 of 120 with 'Address already in use' where it bound ports again that it had let go.

Cause: a port that is let go is anybody's. An outgoing connection of any test may get it as its own port, and whoever listens on it gets the attempts of the server that still tries to reach its peer.

ReservedAddress (crates/fakes) holds the port on a socket that does not listen, so that connections are refused and nobody else gets it; listeners come and go beside it. The test asserts what it did before. Used also by the registry of the upgrade tests, which was stopped while a server went on reporting, and by the test of refused clients. A played peer that gets no line in time now names both ports and the process at the other end.

--- a/crates/fakes/src/fake_server.rs
+++ b/crates/fakes/src/fake_server.rs
@@ -58,7 +58,22 @@
         F: Fn(Async<TcpStream>) -> Fut + 'static,
         Fut: Future<Output = ()> + 'static,
     {
-        let listener = TcpListener::bind("127.0.0.1:0")?;
+        FakeServer::listen_on(name, TcpListener::bind("127.0.0.1:0")?, begin)
+    }
+
+    /// As [`FakeServer::listen`], on this socket.
+    ///
+    /// # Errors
+    /// If there is no thread.
+    pub fn listen_on<F, Fut>(
+        name: &str,
+        listener: TcpListener,
+        begin: impl FnOnce(&Tasks) -> F + Send + 'static,
+    ) -> io::Result<(FakeServer, SocketAddr)>
+    where
+        F: Fn(Async<TcpStream>) -> Fut + 'static,
+        Fut: Future<Output = ()> + 'static,
+    {
         let address = listener.local_addr()?;
         let server = FakeServer::start(name, move |tasks| {
             let serve = begin(tasks);
--- a/crates/fakes/src/registry.rs
+++ b/crates/fakes/src/registry.rs
@@ -7,7 +7,7 @@
 use futures_lite::AsyncWriteExt;
 use std::collections::{BTreeMap, VecDeque};
 use std::io;
-use std::net::{SocketAddr, TcpStream};
+use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::{Arc, Mutex, PoisonError};
 
 /// An entry expires this long after its last report, ms.
@@ -52,10 +52,19 @@
     /// # Errors
     /// If there is no port or thread.
     pub fn start() -> io::Result<FakeRegistry> {
+        FakeRegistry::start_on(TcpListener::bind("127.0.0.1:0")?)
+    }
+
+    /// Starts one that listens on this socket.
+    ///
+    /// # Errors
+    /// If there is no thread.
+    pub fn start_on(listener: TcpListener) -> io::Result<FakeRegistry> {
         let entries = Entries::default();
         let shared = entries.clone();
-        let (server, address) =
-            FakeServer::listen("registry", move |_| move |stream| serve(stream, shared.clone()))?;
+        let (server, address) = FakeServer::listen_on("registry", listener, move |_| {
+            move |stream| serve(stream, shared.clone())
+        })?;
         Ok(FakeRegistry { _server: server, address, entries })
     }
 
--- a/tests/endings.rs
+++ b/tests/endings.rs
@@ -6,6 +6,7 @@
 
 use dunlinspread::server::supervisor;
 use dunlinspread::server::timer_wheel::{Clock, TimerWheel};
+use dunlinspread_fakes::ReservedAddress;
 use play::alone::Alone;
 use play::{Client, config};
 use std::collections::BTreeSet;
@@ -175,17 +176,17 @@
 /// come up afterwards, the server reports, and a good client is served.
 #[test]
 fn idle_clients_may_take_all_their_descriptors_while_the_registry_is_down() {
-    let ((pool, pool_at), (registry, registry_at)) = (bind(), bind());
-    let (pool_later, registry_later) = (pool_at.clone(), registry_at.clone());
-    drop((pool, registry));
+    let pool = ReservedAddress::new().expect("a free port");
+    let registry = ReservedAddress::new().expect("a free port");
+    let (pool_at, registry_at) = (pool.address().to_string(), registry.address().to_string());
     let changes = [(r#""sockets":1024"#.to_owned(), r#""sockets":128"#.to_owned())];
     let server = Alone::limited(&config(&pool_at, &registry_at, "127.0.0.1:1", &changes), "128");
     // Each asks once and then rests.
     let resting: Vec<Client> = (0..200).filter_map(|_| Client::resting(&server.address)).collect();
     println!("{} clients asked and rest", resting.len());
     assert!(resting.len() >= 64, "only {} were taken", resting.len());
-    let pool = TcpListener::bind(&pool_later).expect("its port is free again");
-    let registry = TcpListener::bind(&registry_later).expect("its port is free again");
+    let pool = pool.listen().expect("the port was kept");
+    let registry = registry.listen().expect("the port was kept");
     let since = Instant::now();
     let _report = report(&registry);
     let mut link = BufReader::new(pool.accept().expect("the link comes").0);
--- a/tests/play/peers.rs
+++ b/tests/play/peers.rs
@@ -2,6 +2,7 @@
 
 use super::HANG;
 use super::process::config;
+use super::sockets::describe_peer;
 use std::fmt::Write as _;
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{TcpListener, TcpStream};
@@ -52,7 +53,9 @@
 /// Reads a line without its end.
 pub fn read_line(reader: &mut BufReader<TcpStream>) -> String {
     let mut text = String::new();
-    reader.read_line(&mut text).expect("a line");
+    if let Err(error) = reader.read_line(&mut text) {
+        panic!("no line: {error}, {}", describe_peer(reader.get_ref()));
+    }
     text.trim_end().to_owned()
 }
 
--- a/tests/play/sockets.rs
+++ b/tests/play/sockets.rs
@@ -2,6 +2,7 @@
 
 use super::HANG;
 use std::collections::HashSet;
+use std::net::{SocketAddr, TcpStream};
 use std::time::{Duration, Instant};
 
 /// The state of a TCP socket.
@@ -41,6 +42,18 @@
         .collect()
 }
 
+/// Returns both ends of a connection with the process at the other end, as far as the system shows it.
+pub fn describe_peer(stream: &TcpStream) -> String {
+    let port_of = |address: std::io::Result<SocketAddr>| address.map_or(0, |address| address.port());
+    let (local, peer) = (port_of(stream.local_addr()), port_of(stream.peer_addr()));
+    let is_other_end = |socket: &TcpSocket| socket.local_port == peer && socket.remote_port == local;
+    let processes = std::fs::read_dir("/proc").into_iter().flatten().flatten();
+    let ids = processes.filter_map(|entry| entry.file_name().to_str()?.parse::<u32>().ok());
+    let owner = ids.into_iter().find(|id| of_process(*id).iter().any(is_other_end));
+    let command = owner.and_then(|id| std::fs::read_to_string(format!("/proc/{id}/cmdline")).ok());
+    format!("port {local}, peer's port {peer}, of process {owner:?}: {command:?}")
+}
+
 /// Waits until a process listens, and returns where.
 pub fn listening_address(id: u32) -> String {
     let listening =
--- a/tests/upgrade_check.rs
+++ b/tests/upgrade_check.rs
@@ -2,7 +2,7 @@
 
 mod upgrade_support;
 
-use dunlinspread_fakes::{RequestEnds, StartedRun};
+use dunlinspread_fakes::{RequestEnds, ReservedAddress, StartedRun};
 use std::io::Read;
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::Arc;
@@ -124,10 +124,8 @@
 fn a_connection_that_ends_at_once_and_a_refused_one_turn_requests_away() {
     let records = clients_against(drop);
     assert!(records.count(Outcome::TurnedAway) > 0);
-    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
-    let address = listener.local_addr().expect("an address");
-    drop(listener);
-    let records = records_of(address);
+    let nobody = ReservedAddress::new().expect("a free port");
+    let records = records_of(nobody.address());
     assert_eq!(records.count(Outcome::TurnedAway), records.attempts.len());
 }
 
--- a/tests/upgrade_support/process.rs
+++ b/tests/upgrade_support/process.rs
@@ -5,7 +5,7 @@
 use std::collections::VecDeque;
 use std::io::{BufRead, BufReader};
 use std::net::SocketAddr;
-use std::path::Path;
+use std::path::{Path, PathBuf};
 use std::process::{Child, Command, ExitStatus, Stdio};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::{Duration, Instant};
@@ -34,6 +34,8 @@
     pub control: Option<SocketAddr>,
     /// When it was started.
     pub started_at: Instant,
+    /// Its configuration file.
+    pub config: PathBuf,
     log: Arc<Mutex<VecDeque<String>>>,
 }
 
@@ -53,7 +55,7 @@
         let kept = log.clone();
         // The log is read to its end, so that the server can write it.
         std::thread::spawn(move || lines.map_while(Result::ok).for_each(|line| keep_line(&kept, line)));
-        ServerProcess { child, control, started_at: Instant::now(), log }
+        ServerProcess { child, control, started_at: Instant::now(), config: config.to_owned(), log }
     }
 
     /// Returns the process id.
--- a/tests/upgrade_support/settings.rs
+++ b/tests/upgrade_support/settings.rs
@@ -18,6 +18,7 @@
 pub const CLASSES: [&str; 3] = ["rate-check", "farmer-ledger", "pour-entry"];
 
 /// Where one process of the server listens and connects.
+#[derive(Clone, Copy)]
 pub struct Addresses {
     /// Where clients connect.
     pub listen: SocketAddr,
--- a/tests/upgrade_support/site.rs
+++ b/tests/upgrade_support/site.rs
@@ -3,8 +3,8 @@
 use crate::upgrade_support::process::{ServerProcess, StartError};
 use crate::upgrade_support::settings::{Addresses, config, platform};
 use dunlinspread_fakes::{
-    FakeRegistry, FakeUpstream, FakeWorkerPool, PlatformSettings, RequestEnds, StartedRun, UpstreamFaults,
-    WorkerPoolFaults,
+    FakeRegistry, FakeUpstream, FakeWorkerPool, PlatformSettings, RequestEnds, ReservedAddress, StartedRun,
+    UpstreamFaults, WorkerPoolFaults,
 };
 use std::net::{SocketAddr, TcpListener};
 use std::path::{Path, PathBuf};
@@ -27,8 +27,13 @@
     first_pool: FakeWorkerPool,
     pools: Vec<FakeWorkerPool>,
     registry: Option<FakeRegistry>,
-    registry_address: SocketAddr,
+    /// Kept while no registry runs: reports that meant this one would reach whoever got its port.
+    registry_address: ReservedAddress,
     upstream: FakeUpstream,
+    /// Upstreams that the server has moved away from; calls under way end there.
+    old_upstreams: Vec<FakeUpstream>,
+    /// The configuration files with their addresses.
+    written: Vec<(PathBuf, Addresses)>,
     /// Where clients connect.
     pub listen: SocketAddr,
     folder: PathBuf,
@@ -44,7 +49,8 @@
     /// Starts the fakes for that platform, with these faults of the worker pools.
     pub fn with_platform(seed: u64, platform: PlatformSettings, faults: WorkerPoolFaults) -> Site {
         let first_pool = FakeWorkerPool::start(&platform, seed, faults);
-        let registry = FakeRegistry::start().expect("a free port");
+        let registry_address = ReservedAddress::new().expect("a free port");
+        let registry = FakeRegistry::start_on(registry_address.listen().expect("the port is kept"));
         let number = LAST_SITE.fetch_add(1, Ordering::Relaxed);
         let folder = std::env::temp_dir().join(format!("dls{}-{number}", std::process::id()));
         std::fs::create_dir_all(folder.join("tmp")).expect("a folder");
@@ -54,9 +60,11 @@
             faults,
             first_pool: first_pool.expect("a free port"),
             pools: Vec::new(),
-            registry_address: registry.address(),
-            registry: Some(registry),
+            registry_address,
+            registry: Some(registry.expect("a thread")),
             upstream: FakeUpstream::start(CALL_MS, seed, UpstreamFaults::default()).expect("a free port"),
+            old_upstreams: Vec::new(),
+            written: Vec::new(),
             listen: free_address(),
             folder,
             configs: 0,
@@ -120,12 +128,13 @@
             listen: self.listen,
             control,
             worker_pool: pool.address(),
-            registry: self.registry_address,
+            registry: self.registry_address.address(),
             upstream: self.upstream.address(),
         };
         self.pools.push(pool);
         let path = self.folder.join(format!("config-{}.json", self.configs));
         std::fs::write(&path, config(&self.platform, &addresses)).expect("it is written");
+        self.written.push((path.clone(), addresses));
         ServerProcess::start(&path, &self.temporary_folder(), control)
     }
 
@@ -159,10 +168,31 @@
         self.registry.as_ref().expect("it runs")
     }
 
-    /// Stops the registry for good: it refuses connections.
+    /// Stops the registry: it refuses connections.
     pub fn stop_registry(&mut self) {
         self.registry = None;
     }
+
+    /// Starts the registry again, at its address.
+    pub fn start_registry(&mut self) {
+        let listener = self.registry_address.listen().expect("the port is kept");
+        self.registry = Some(FakeRegistry::start_on(listener).expect("a thread"));
+    }
+
+    /// Moves registry and upstream to other addresses, and writes them to the configuration of a process.
+    pub fn move_peers(&mut self, process: &ServerProcess) {
+        self.registry = None;
+        self.registry_address = ReservedAddress::new().expect("a free port");
+        self.start_registry();
+        let upstream =
+            FakeUpstream::start(CALL_MS, self.seed, UpstreamFaults::default()).expect("a free port");
+        self.old_upstreams.push(std::mem::replace(&mut self.upstream, upstream));
+        let (registry, upstream) = (self.registry_address.address(), self.upstream.address());
+        let written = self.written.iter_mut().find(|(path, _)| *path == process.config);
+        let (path, addresses) = written.expect("it was started here");
+        *addresses = Addresses { registry, upstream, ..*addresses };
+        std::fs::write(path, config(&self.platform, addresses)).expect("it is written");
+    }
 }
 
 impl Drop for Site {
