--- a/src/server/dispatcher/event_loop.rs
+++ b/src/server/dispatcher/event_loop.rs
@@ -59,6 +59,9 @@
         self.update_health(&[HealthInput::Shutdown]);
         self.update_readiness();
         self.advance_handover(PredecessorEvent::ShutdownRequested);
+        // No successor is welcomed any more. The system accepts connections as long as any descriptor of the socket is open,
+        // and those that nobody accepts from it are lost.
+        self.handing_over.listening_socket = None;
         let fail_forwarded = DispatcherMessage::Successor(SuccessorMessage::FailForwarded);
         self.schedule(stop_at - self.clock.now(), fail_forwarded);
         self.start_controller(None);
--- /dev/null
+++ b/tests/soak_support/run.rs
@@ -0,0 +1,244 @@
+//! A run of the soak: the processes, their clients and what happens to them.
+
+use crate::soak_support::crowd::Crowd;
+use crate::soak_support::schedule::{Ending, Schedule, Step, UpgradeKill};
+use crate::upgrade_support::clients::Clients;
+use crate::upgrade_support::load::LoadSettings;
+use crate::upgrade_support::operators::operators_call;
+use crate::upgrade_support::process::ServerProcess;
+use crate::upgrade_support::records::Records;
+use crate::upgrade_support::settings::STOP_MS;
+use crate::upgrade_support::site::Site;
+use crate::upgrade_support::upgrade::finish_predecessor;
+use crate::upgrade_support::{run_for, wait_for};
+use dunlinspread_fakes::{StartedRun, unix_ms};
+use std::ops::Range;
+use std::process::ExitStatus;
+use std::time::{Duration, Instant};
+
+/// Requests a second.
+const RATE: f64 = 120.0;
+/// Load before the first step and after the last.
+const LOAD_TIME: Duration = Duration::from_millis(400);
+/// Time between two looks at the processes.
+const LOOK_INTERVAL: Duration = Duration::from_millis(10);
+/// Time in which health has to be good again after a cause of bad health has ended, ms.
+const GOOD_HEALTH_WITHIN_MS: u64 = 2000;
+/// As above, where the worker pool stalled: its runs have to come to their ends first.
+const GOOD_HEALTH_AFTER_STALL_MS: u64 = 4000;
+
+/// What was seen in a run.
+pub struct SoakReport {
+    pub records: Records,
+    pub runs: Vec<StartedRun>,
+    /// When a process was killed before its time, Unix ms.
+    pub kills_ms: Vec<u64>,
+    /// When bad health is right, Unix ms.
+    pub bad_health_allowed: Vec<Range<u64>>,
+    /// The peak of the resident memory of all processes together, kB.
+    pub peak_resident_kb: u64,
+    /// The largest number of descriptors that all processes together had open.
+    pub peak_descriptors: usize,
+    /// Processes that ended otherwise than they should have.
+    pub wrong_ends: Vec<String>,
+    /// What happened, in order.
+    pub history: Vec<String>,
+}
+
+/// A run under way.
+struct SoakRun {
+    seed: u64,
+    site: Site,
+    serving: ServerProcess,
+    clients: Clients,
+    began: Instant,
+    kills_ms: Vec<u64>,
+    bad_health_allowed: Vec<Range<u64>>,
+    peak_resident_kb: u64,
+    peak_descriptors: usize,
+    wrong_ends: Vec<String>,
+    history: Vec<String>,
+}
+
+/// Plays a schedule and returns what was seen.
+pub fn play(seed: u64, schedule: &Schedule) -> SoakReport {
+    let mut site = Site::start(seed);
+    let serving = site.start_first();
+    let load = LoadSettings { seed, rate: RATE, shared_connections: 8, withdrawals: true };
+    let clients = Clients::start(site.listen, site.request_ends(), load);
+    let mut run = SoakRun {
+        seed,
+        site,
+        serving,
+        clients,
+        began: Instant::now(),
+        kills_ms: Vec::new(),
+        bad_health_allowed: Vec::new(),
+        peak_resident_kb: 0,
+        peak_descriptors: 0,
+        wrong_ends: Vec::new(),
+        history: Vec::new(),
+    };
+    let crowd = schedule.crowd.map(|size| Crowd::start(run.site.listen, size));
+    run.note(&format!("crowd {:?}", schedule.crowd));
+    run.pass(LOAD_TIME);
+    for (pause, step) in &schedule.steps {
+        run.pass(*pause);
+        run.note(&format!("{step:?}"));
+        run.take_step(*step);
+    }
+    run.pass(LOAD_TIME);
+    run.end(schedule.ending);
+    drop(crowd);
+    run.report()
+}
+
+impl SoakRun {
+    fn note(&mut self, text: &str) {
+        let at_ms = self.began.elapsed().as_millis();
+        self.history.push(format!("{at_ms} ms, at {}: {text}", unix_ms()));
+    }
+
+    /// Lets time pass, and looks at the serving process.
+    fn pass(&mut self, time: Duration) {
+        let since = Instant::now();
+        while since.elapsed() < time {
+            self.look_at(None);
+            run_for(LOOK_INTERVAL);
+        }
+    }
+
+    /// Notes the memory and descriptors of the serving process, and of another one.
+    fn look_at(&mut self, other: Option<&ServerProcess>) {
+        let kb = self.serving.resident_kb() + other.map_or(0, ServerProcess::resident_kb);
+        let descriptors = self.serving.descriptors() + other.map_or(0, ServerProcess::descriptors);
+        self.peak_resident_kb = self.peak_resident_kb.max(kb);
+        self.peak_descriptors = self.peak_descriptors.max(descriptors);
+    }
+
+    fn allow_bad_health(&mut self, from_ms: u64, recovery_ms: u64) {
+        self.bad_health_allowed.push(from_ms..unix_ms() + recovery_ms);
+    }
+
+    fn take_step(&mut self, step: Step) {
+        let from_ms = unix_ms();
+        match step {
+            Step::Reload(times) => (0..times).for_each(|_| self.serving.signal("HUP")),
+            Step::Stop(time) => {
+                self.stop_serving(time);
+                self.allow_bad_health(from_ms, GOOD_HEALTH_WITHIN_MS);
+            }
+            Step::Evacuate(time) => {
+                operators_call(&self.serving, "PUT", "/api/evacuate");
+                self.pass(time);
+                operators_call(&self.serving, "PUT", "/api/rejoin");
+                self.allow_bad_health(from_ms, GOOD_HEALTH_WITHIN_MS);
+            }
+            Step::MovePeers => {
+                self.site.move_peers(&self.serving);
+                self.serving.signal("HUP");
+            }
+            Step::RegistryDown(time) => {
+                self.site.stop_registry();
+                self.pass(time);
+                self.site.start_registry();
+            }
+            Step::BreakPoolLink => self.site.last_pool().break_link(),
+            Step::StallPool(time) => {
+                self.site.last_pool().stall(time);
+                self.pass(time);
+                self.allow_bad_health(from_ms, GOOD_HEALTH_AFTER_STALL_MS);
+            }
+            Step::Upgrade { pause, kill } => self.upgrade(pause, kill),
+        }
+    }
+
+    fn stop_serving(&mut self, time: Duration) {
+        self.serving.signal("STOP");
+        self.pass(time);
+        self.serving.signal("CONT");
+    }
+
+    fn upgrade(&mut self, pause: Duration, kill: UpgradeKill) {
+        if let UpgradeKill::New(moment) = kill {
+            return self.kill_new(moment);
+        }
+        let (new, _) = self.site.start_successor();
+        let mut old = std::mem::replace(&mut self.serving, new);
+        if let UpgradeKill::OldOnceReady = kill {
+            self.kills_ms.push(unix_ms());
+            return old.kill();
+        }
+        let since = Instant::now();
+        while since.elapsed() < pause {
+            self.look_at(Some(&old));
+            run_for(LOOK_INTERVAL);
+        }
+        let (_, was_killed) = finish_predecessor(&mut old, |_| {});
+        if was_killed {
+            self.kills_ms.push(unix_ms());
+            self.wrong_ends.push("the old process did not end before its kill".to_owned());
+        }
+    }
+
+    /// Starts a new process and kills it after a while; the old one serves on, or again.
+    fn kill_new(&mut self, moment: Duration) {
+        let mut new = self.site.start_process();
+        run_for(moment);
+        self.kills_ms.push(unix_ms());
+        new.kill();
+        let (seed, serving) = (self.seed, &self.serving);
+        wait_for(seed, "the old process serves", || serving.is_ready());
+    }
+
+    /// Shuts the server down and kills it at the page's earliest, while its clients go on.
+    fn end(&mut self, ending: Ending) {
+        self.note(&format!("{ending:?}"));
+        let from_ms = unix_ms();
+        if ending.reload_before {
+            self.serving.signal("HUP");
+        }
+        self.serving.signal("TERM");
+        let mut kill_at = Instant::now() + Duration::from_millis(STOP_MS);
+        if ending.reload_after {
+            self.serving.signal("HUP");
+        }
+        (0..ending.repeats).for_each(|_| self.serving.signal("TERM"));
+        if let Some(time) = ending.stop {
+            self.stop_serving(time);
+            // The time of a pause is not counted.
+            kill_at += time;
+        }
+        while self.serving.exit_status().is_none() && Instant::now() < kill_at {
+            self.look_at(None);
+            run_for(LOOK_INTERVAL);
+        }
+        match self.serving.exit_status() {
+            Some(status) => self.check_exit(status),
+            None => self.wrong_ends.push("the process did not end before its kill".to_owned()),
+        }
+        self.serving.kill();
+        self.note("ended");
+        self.allow_bad_health(from_ms, GOOD_HEALTH_WITHIN_MS);
+    }
+
+    fn check_exit(&mut self, status: ExitStatus) {
+        if !status.success() {
+            self.wrong_ends.push(format!("the process ended with {status}"));
+        }
+    }
+
+    fn report(self) -> SoakReport {
+        let records = self.clients.finish();
+        SoakReport {
+            records,
+            runs: self.site.started_runs(),
+            kills_ms: self.kills_ms,
+            bad_health_allowed: self.bad_health_allowed,
+            peak_resident_kb: self.peak_resident_kb,
+            peak_descriptors: self.peak_descriptors,
+            wrong_ends: self.wrong_ends,
+            history: self.history,
+        }
+    }
+}
--- a/tests/upgrade.rs
+++ b/tests/upgrade.rs
@@ -8,6 +8,7 @@
 
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
+use std::net::TcpStream;
 use std::path::PathBuf;
 use std::time::Duration;
 use upgrade_support::check::{Verdict, judge, print_attempts};
@@ -258,6 +259,29 @@
     assert_nothing_lost(seed, &verdict);
 }
 
+/// Guards against a listening socket that the process keeps open for a successor after it has stopped accepting: clients go
+/// on until the kill, and what they write on connections that nobody accepts is lost.
+#[test]
+fn a_process_that_shuts_down_loses_nothing_of_clients_that_go_on() {
+    let seed = seed();
+    let mut site = Site::start(seed);
+    let mut process = site.start_first();
+    let clients = Clients::start(site.listen, site.request_ends(), load(seed));
+    wait_until_served(seed, &clients);
+    process.signal("TERM");
+    // A process with open connections does not end before its time is up.
+    let mut resting = Vec::new();
+    wait_for(seed, "its end", || {
+        resting.extend(TcpStream::connect(site.listen));
+        process.exit_status().is_some()
+    });
+    run_for(LOAD_TIME);
+    let (verdict, _) = finish("shutdown", seed, clients, &site);
+    assert!(process.exit_status().is_some_and(|status| status.success()), "seed {seed}");
+    assert_eq!(verdict.without_response(), 0, "seed {seed}: requests without a response: {verdict}");
+    assert_eq!(verdict.broken_rules(), 0, "seed {seed}: a rule is broken: {verdict}");
+}
+
 /// Without a control address nothing is created in the temporary folder, and the process serves and ends as ever.
 #[test]
 fn no_control_address_no_socket() {
