Go on with the run that the pool keeps paused when its request is sent again

What callers saw: after an old process was killed right after the commit of an upgrade, health was bad for 4.6 s, what was queued was rejected, and one request got no answer until its client gave up.

Cause: a request that the old process had forwarded was running in the new one as the old one was killed. Its client was gone, so the run was paused and the request forgotten. The client sent it again under the same id 2 ms later, and a run was asked for. 'For a request that runs already nothing happens': the worker pool kept the paused run, started none and told nothing. The controller saw a run without progress, and took the server for stalled until the client withdrew.

Evidence: commands and notices of the process by attempt, for two such runs: Run, Suspend, Stopped, the same attempt again after 2 ms, Run, then nothing for 4.9 s until Suspend.

The dispatcher now remembers the attempts whose runs are paused for nobody (1,024 at most), and has such a run go on.

The exchange sent_again got a second 'spawn' before, and 'proceed' after.

--- a/src/server/dispatcher/mod.rs
+++ b/src/server/dispatcher/mod.rs
@@ -11,6 +11,7 @@
 //! - With a usage ledger no final response leaves before it is billed.
 //! - The task waits for no other task, and knows no wire protocol.
 
+mod abandoned_runs;
 mod actions;
 mod arrivals;
 mod billing;
--- a/src/server/dispatcher/pool_events.rs
+++ b/src/server/dispatcher/pool_events.rs
@@ -53,6 +53,7 @@
     /// The worker pool restarted. What was sent to the one before may have run there: only a first run of an idempotent
     /// class is requested again, and all other runs have failed.
     fn on_pool_restarted(&mut self) {
+        self.abandoned_runs.clear();
         let has_failed = |request: &Request| {
             let is_idempotent = self.settings.classes[request.class].retry_safety == RetrySafety::Idempotent;
             request.has_run_in_pool() && !(request.is_start_unconfirmed() && is_idempotent)
--- a/src/server/dispatcher/runs.rs
+++ b/src/server/dispatcher/runs.rs
@@ -41,6 +41,10 @@
         request.state = ExecutionState::Running;
         request.run_requested = true;
         let (attempt, class, body) = (request.attempt, request.class, request.body.clone());
+        if self.abandoned_runs.take(attempt) {
+            // The worker pool would start nothing for an attempt whose run it keeps, and report nothing either.
+            return self.request_command(id, PoolCommand::Resume { attempt });
+        }
         self.status.telemetry().record_attempt(class);
         self.request_command(id, PoolCommand::Run { attempt, class, body });
     }
@@ -86,6 +90,9 @@
             request.state = if restarts { ExecutionState::Queued } else { ExecutionState::Paused };
             return self.dispatch_event(Event::RunEnded { id, outcome: Outcome::Cancelled, took_ms });
         }
+        if run_outcome == RunOutcome::Stopped && preemption == Preemption::Suspend {
+            self.abandoned_runs.add(request.attempt);
+        }
         let result = (run_outcome == RunOutcome::Completed).then(|| Rc::from(result));
         self.answer_run(id, result.clone(), took_ms);
         self.finish_key_run(id, run_outcome, result);
--- a/src/server/dispatcher/state.rs
+++ b/src/server/dispatcher/state.rs
@@ -1,12 +1,13 @@
 //! The state of the dispatcher, and the two ways in which it acts: events for the admission controller, and messages to
 //! other tasks.
 
+use super::abandoned_runs::AbandonedRuns;
 use super::gauge_poll::GaugePoll;
 use super::handover_state::{HandingOver, TakingOver};
 use super::idempotency_keys::IdempotencyKeys;
 use super::log_limit::LogLimit;
 use super::pool_link::PoolLink;
-use super::request::Request;
+use super::request::ExecutionState;
 use super::request_table::RequestTable;
 use crate::admission::{AdmissionController, Event, RequestId, Settings};
 use crate::config::Config;
@@ -76,6 +77,7 @@
     pub(super) events: VecDeque<Event>,
     pub(super) requests: RequestTable,
     pub(super) keys: IdempotencyKeys,
+    pub(super) abandoned_runs: AbandonedRuns,
     pub(super) pool: PoolLink,
     pub(super) upstream: Option<Sender<UpstreamMessage>>,
     registry: Sender<RegistryMessage>,
@@ -122,6 +124,7 @@
             events: VecDeque::new(),
             requests: RequestTable::default(),
             keys: IdempotencyKeys::new(config),
+            abandoned_runs: AbandonedRuns::default(),
             pool: PoolLink::new(mailboxes.worker_pool, log.clone()),
             upstream: mailboxes.upstream,
             registry: mailboxes.registry,
@@ -284,9 +287,11 @@
 
     /// Removes a request that is over, unless the worker pool has still to report its run.
     pub(super) fn remove_if_idle(&mut self, id: RequestId) {
-        if self.requests.get(id).is_some_and(Request::is_idle) {
-            self.remove(id);
+        let Some(request) = self.requests.get(id).filter(|request| request.is_idle()) else { return };
+        if matches!(request.state, ExecutionState::Paused) {
+            self.abandoned_runs.add(request.attempt);
         }
+        self.remove(id);
     }
 }
 
