Notify idle clients before the controller first changes the timeout; a test of the grace

What was seen: the test of connections whose grace ends while the server stands still, which had been left out since it did not end in 4 of 8 runs, waited for ever for the notification of a shutdown, in 4 of 4 runs here (a debugger on the test).

Cause: the server. The controller takes the clients' own idle timeout to be in force until it changes it, and tells the listener of changes alone; the listener began with no timeout. Where the first value stays, as with the shortest timeout or under a steady load, idle clients were never notified and kept their descriptors.

The listener now begins with the clients' own timeout, where it is stated.

--- a/src/daemon/wiring.rs
+++ b/src/daemon/wiring.rs
@@ -5,6 +5,7 @@
 use super::error::DaemonError;
 use super::handover::{self, HandoverStart};
 use super::ledger::LedgerStart;
+use crate::admission::Settings;
 use crate::config::Config;
 use crate::operator::LedgerConfig;
 use crate::server::control::{ControlEndpoint, ControlOptions};
@@ -352,6 +353,7 @@
             sender: sender.clone(),
             executor: self.executor.clone(),
             max_connections: self.config.limits.client_connections,
+            idle_timeout_ms: initial_idle_timeout_ms(&self.config.settings),
             accepts,
         };
         let may_end = Rc::new(Cell::new(false));
@@ -370,6 +372,12 @@
     }
 }
 
+/// Returns the idle timeout of client connections until the admission controller changes it, ms: the clients' own, if it is
+/// stated.
+fn initial_idle_timeout_ms(settings: &Settings) -> f64 {
+    if settings.client_idle_timeout_ms > 0.0 { settings.client_idle_timeout_ms } else { f64::INFINITY }
+}
+
 /// Returns the interval at which the usage ledger's time advances, ms.
 fn ledger_tick_ms(mode: DurabilityMode) -> f64 {
     match mode {
--- a/src/server/frontend/listener.rs
+++ b/src/server/frontend/listener.rs
@@ -33,6 +33,8 @@
     pub executor: Rc<LocalExecutor<'static>>,
     /// The most connections.
     pub max_connections: usize,
+    /// The idle timeout until the admission controller sets another one, ms.
+    pub idle_timeout_ms: f64,
     /// Whether connections are accepted from the start on.
     pub accepts: bool,
 }
@@ -95,13 +97,14 @@
 
 impl ListenerTask {
     fn new(listener: Listener) -> ListenerTask {
-        let Listener { context, socket, sender, executor, max_connections, accepts } = listener;
+        let Listener { context, socket, sender, executor, max_connections, idle_timeout_ms, accepts } =
+            listener;
         ListenerTask {
             connections: ConnectionTable::new(context.clone(), sender, executor, max_connections),
             socket: Some(socket),
             accepts,
             handed_over: false,
-            idle_timeout_ms: f64::INFINITY,
+            idle_timeout_ms,
             finish_at: None,
             accept_paused_until: 0.0,
             last_sweep_at: context.clock.now(),
--- a/tests/unread_close.rs
+++ b/tests/unread_close.rs
@@ -182,6 +182,32 @@
     }
 }
 
+/// Guards against a close over a request that crossed the notification: the time that its client has to close the connection
+/// ends while the server stands still.
+#[test]
+fn no_request_is_lost_to_the_end_of_a_close_grace() {
+    const IDLE_TIMEOUT_MS: u64 = 200;
+    /// From the notification to the stop: a little less than the time that a client has.
+    const BEFORE_STOP: Duration = Duration::from_millis(850);
+    const CONNECTIONS: usize = 16;
+    for stop in rounds() {
+        let site = Site::start(IDLE_TIMEOUT_MS);
+        let mut clients = site.open_answered(CONNECTIONS);
+        for client in &mut clients {
+            let notification = client.answer();
+            assert!(notification.starts_with(r"\x93\x02"), "not notified: {notification}");
+        }
+        std::thread::sleep(BEFORE_STOP);
+        site.while_stopped(stop, || {
+            // On a starved machine the grace may be over before the stop.
+            clients.retain_mut(Client::is_open);
+            clients.iter_mut().for_each(|client| client.ask(2, &new_attempt()));
+        });
+        println!("a stop of {stop:?}: {} of {CONNECTIONS} still open", clients.len());
+        assert_all_answered(&format!("a stop of {stop:?}"), &mut clients);
+    }
+}
+
 /// Returns after which time the connection ended under writes of `bytes`, one each `interval`.
 fn time_to_close(client: &mut Client, bytes: impl Iterator<Item = Vec<u8>>, interval: Duration) -> Duration {
     let since = Instant::now();
