--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -26,6 +26,14 @@
     assert!(failed.is_empty(), "seeds {failed:?} of {first} to {}", first + runs - 1);
 }
 
+/// The runs in which a fault was seen that is open: KNOWN-RED.txt. They fail beside load alone.
+#[test]
+fn lives_that_were_seen_to_fail_break_no_rule() {
+    const SEEDS: [u64; 1] = [204];
+    let failed: Vec<u64> = SEEDS.into_iter().filter(|seed| !holds(*seed, &LeftOut::default())).collect();
+    assert!(failed.is_empty(), "seeds {failed:?}");
+}
+
 /// Plays the run of a seed, prints what was seen, and returns whether all rules held.
 fn holds(seed: u64, left_out: &LeftOut) -> bool {
     let report = play(seed, &Schedule::draw(seed, left_out));
--- a/tests/soak_support/crowd.rs
+++ b/tests/soak_support/crowd.rs
@@ -112,7 +112,8 @@
 
     /// Reads what has come, and returns whether the connection has not ended.
     fn stands(&mut self) -> bool {
-        match self.stream.read(&mut [0; 4096]) {
+        let read = self.stream.read(&mut [0; 4096]);
+        match read {
             Ok(count) => count > 0,
             Err(error) => error.kind() == ErrorKind::WouldBlock,
         }
@@ -120,7 +121,8 @@
 
     /// Writes what the connection takes, and returns whether it stands.
     fn write(&mut self, bytes: &[u8]) -> bool {
-        match self.stream.write(bytes) {
+        let written = self.stream.write(bytes);
+        match written {
             Ok(_) => true,
             Err(error) => error.kind() == ErrorKind::WouldBlock,
         }
