--- a/src/server/frontend/listener.rs
+++ b/src/server/frontend/listener.rs
@@ -137,8 +137,8 @@
             return;
         }
         let times = self.context.task_times.take_report();
-        warn!(self.context.log, "event loop stalled"; "component" => "frontend",
-            "ms" => stalled_ms.round(), "tasks" => %times);
+        warn!(self.context.log, "event loop stalled"; "tasks" => %times, "component" => "frontend",
+            "ms" => stalled_ms.round());
         self.connections.exclude_stall(stalled_ms);
         self.last_sweep_at = now;
         self.accept_paused_until = now + ACCEPT_PAUSE_MS;
