--- a/src/daemon/wiring.rs
+++ b/src/daemon/wiring.rs
@@ -124,7 +124,7 @@
         failures,
         status,
         request_ids: Rc::default(),
-        task_times: Rc::default(),
+        task_times: Rc::new(TaskTimes::from_environment()),
         log,
     };
     let control = wiring.start_control()?;
--- a/src/server/task_times.rs
+++ b/src/server/task_times.rs
@@ -6,6 +6,8 @@
 use std::pin::pin;
 use std::time::{Duration, Instant};
 
+/// The variable that has the turns of tasks timed.
+const VARIABLE: &str = "DUNLINSPREAD_TASK_TIMES";
 /// Names of tasks in the text of a report, those that took longest first.
 const MAX_REPORTED_TASKS: usize = 5;
 
@@ -22,8 +24,10 @@
 }
 
 /// The times of the tasks since the last report.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct TaskTimes {
+    /// Whether turns are timed; a reading of the clock before and after each turn has a price.
+    is_enabled: bool,
     times: RefCell<Vec<TaskTime>>,
 }
 
@@ -34,8 +38,21 @@
 }
 
 impl TaskTimes {
+    /// Returns times that are counted if the environment asks for it.
+    pub fn from_environment() -> TaskTimes {
+        TaskTimes::new(std::env::var_os(VARIABLE).is_some())
+    }
+
+    /// Returns times that are counted if this is enabled.
+    pub fn new(is_enabled: bool) -> TaskTimes {
+        TaskTimes { is_enabled, times: RefCell::default() }
+    }
+
     /// Runs a task of this name to its end, and counts the time of each of its turns.
     pub async fn measure<T>(&self, task: &'static str, work: impl Future<Output = T>) -> T {
+        if !self.is_enabled {
+            return work.await;
+        }
         let mut work = pin!(work);
         poll_fn(|context| {
             let began = Instant::now();
--- a/tests/task_times.rs
+++ b/tests/task_times.rs
@@ -6,7 +6,7 @@
 
 #[test]
 fn the_tasks_that_took_longest_come_first() {
-    let times = TaskTimes::default();
+    let times = TaskTimes::new(true);
     times.record("dispatcher", Duration::from_millis(400));
     times.record("listener", Duration::from_millis(30));
     times.record("dispatcher", Duration::from_millis(212));
@@ -21,7 +21,7 @@
 
 #[test]
 fn each_turn_of_a_measured_task_counts() {
-    let times = TaskTimes::default();
+    let times = TaskTimes::new(true);
     let result = block_on(times.measure("task", async {
         yield_now().await;
         yield_now().await;
