Keep indexes in the request table: the cost of an event no longer grows with what is held

What callers saw: under a load past what the event loop bears, keyed requests got no answer in their time. The dispatcher's turn took 0.5 to 1.4 s, and the answer that was due in it was written after it.

Cause: after each event the admission controller walked all requests several times (deadlines, calls, memory, counts, saturated classes), and all of them once more for each candidate of a run that has a reservation: n squared.

Change: the table keeps counts by state and class and memory in whole units, duplicates by their original, unanswered requests by deadline and by (class, state, objective), and those that could start by (class, weight, objective). All changes go through RequestTable::update. Reservations have an order by expiry. A group is asked for its first candidate that meets its objective and its first that misses it; requests with duplicates are valued one by one, and equal values are resolved as before.

--- a/src/admission/arrival.rs
+++ b/src/admission/arrival.rs
@@ -5,7 +5,7 @@
 use super::clamp::clamp_finite;
 use super::controller::AdmissionController;
 use super::event::{Arrival, RequestId};
-use super::request_table::{Request, RequestState};
+use super::request::{Request, RequestState};
 use super::settings::RetrySafety;
 
 /// Usual run times that arrivals may be old on average for the instance to count as idle.
--- a/src/admission/call_end.rs
+++ b/src/admission/call_end.rs
@@ -3,7 +3,7 @@
 use super::action::Action;
 use super::controller::AdmissionController;
 use super::event::{Outcome, RequestId};
-use super::request_table::RequestState;
+use super::request::RequestState;
 use super::upstream_calls::{AfterFailure, CallDecision};
 
 /// A request that waits for its upstream call to be made.
@@ -32,23 +32,24 @@
         actions: &mut Vec<Action>,
     ) {
         self.upstream_calls.record_end(now, id, outcome, took_ms);
-        let Some(request) = self.requests.get_mut(id) else { return };
+        let Some(request) = self.requests.get(id).copied() else { return };
         if outcome == Outcome::Ok {
-            request.state = RequestState::Running;
-            return;
+            return self.requests.set_state(id, RequestState::Running);
         }
         let class = &self.settings.classes[request.class];
         match self.upstream_calls.after_failure(now, outcome, class, request.call_retries) {
             AfterFailure::Retry { retries, at } => {
-                request.call_retries = retries;
-                request.state = RequestState::AwaitingCall(at);
+                self.requests.update(id, |request| {
+                    request.call_retries = retries;
+                    request.state = RequestState::AwaitingCall(at);
+                });
             }
             AfterFailure::Skip => {
-                request.state = RequestState::Running;
+                self.requests.set_state(id, RequestState::Running);
                 actions.push(Action::SkipUpstreamCall(id));
             }
             AfterFailure::Fail => {
-                request.state = RequestState::AwaitingCall(f64::INFINITY);
+                self.requests.set_state(id, RequestState::AwaitingCall(f64::INFINITY));
                 self.answer_unserved(now, id, false, actions);
             }
         }
@@ -57,14 +58,14 @@
     /// Makes or skips the calls that requests wait for: those that cannot be skipped first, then by value.
     pub(super) fn make_calls(&mut self, now: f64, actions: &mut Vec<Action>) {
         for call in self.waiting_calls(now) {
-            let Some(request) = self.requests.get_mut(call.id) else { continue };
+            let Some(request) = self.requests.get(call.id) else { continue };
             match self.upstream_calls.decide(now, call.id, request, call.skippable) {
                 CallDecision::Call { timeout_ms } => {
-                    request.state = RequestState::Calling;
+                    self.requests.set_state(call.id, RequestState::Calling);
                     actions.push(Action::CallUpstream { id: call.id, timeout_ms });
                 }
                 CallDecision::Skip => {
-                    request.state = RequestState::Running;
+                    self.requests.set_state(call.id, RequestState::Running);
                     actions.push(Action::SkipUpstreamCall(call.id));
                 }
                 CallDecision::Wait => {}
@@ -75,12 +76,10 @@
     fn waiting_calls(&self, now: f64) -> Vec<WaitingCall> {
         let mut waiting = Vec::new();
         let scheduler = self.scheduler(now);
-        for (id, request) in self.requests.iter() {
-            let is_due = matches!(request.state, RequestState::AwaitingCall(from) if from <= now);
-            if is_due && !request.answered {
-                let skippable = self.settings.classes[request.class].degraded_weight > 0.0;
-                waiting.push(WaitingCall { id, skippable, value: scheduler.value(request) });
-            }
+        for id in self.requests.due().with_call_due_by(now) {
+            let Some(request) = self.requests.get(id) else { continue };
+            let skippable = self.settings.classes[request.class].degraded_weight > 0.0;
+            waiting.push(WaitingCall { id, skippable, value: scheduler.value(request) });
         }
         waiting.sort_by(|left, right| {
             let by_value = right.value.total_cmp(&left.value);
--- a/src/admission/concurrency_limit.rs
+++ b/src/admission/concurrency_limit.rs
@@ -4,7 +4,7 @@
 //! Requests that run or are at an upstream call stay below the concurrency that the machine survives at its
 //! present speed, so that it also survives when all calls return together.
 
-use super::request_table::{RequestState, RequestTable, RunCounts};
+use super::request_totals::{RequestTotals, RunCounts};
 use super::settings::Settings;
 use std::collections::BTreeMap;
 
@@ -66,29 +66,30 @@
     }
 }
 
-/// The classes that have as many requests in progress as their limit allows, by index.
-pub(super) struct SaturatedClasses(BTreeMap<usize, usize>);
+/// The classes that have as many requests in progress as their limit allows.
+pub(super) struct SaturatedClasses<'a> {
+    requests: &'a RequestTotals,
+    /// The largest number of requests in progress, by class index.
+    limits: &'a BTreeMap<usize, usize>,
+}
 
-impl SaturatedClasses {
+impl SaturatedClasses<'_> {
     /// Returns the saturated classes under these limits by class index.
-    pub(super) fn new(requests: &RequestTable, limits: &BTreeMap<usize, usize>) -> SaturatedClasses {
-        let mut in_progress = BTreeMap::new();
-        if limits.is_empty() {
-            return SaturatedClasses(in_progress);
-        }
-        for (_, request) in requests.iter() {
-            let counts = matches!(
-                request.state,
-                RequestState::Running | RequestState::AwaitingCall(_) | RequestState::Calling
-            );
-            *in_progress.entry(request.class).or_insert(0) += usize::from(counts);
-        }
-        in_progress.retain(|class, count| limits.get(class).is_some_and(|limit| *count >= *limit));
-        SaturatedClasses(in_progress)
+    pub(super) fn new<'a>(
+        requests: &'a RequestTotals,
+        limits: &'a BTreeMap<usize, usize>,
+    ) -> SaturatedClasses<'a> {
+        SaturatedClasses { requests, limits }
     }
 
     /// Returns whether no further request of the class may start.
     pub(super) fn contains(&self, class: usize) -> bool {
-        self.0.contains_key(&class)
+        self.limits.get(&class).is_some_and(|limit| self.requests.class(class).in_progress >= *limit)
+    }
+
+    /// Returns the number of queued requests of these classes.
+    pub(super) fn queued(&self) -> usize {
+        let saturated = self.limits.keys().filter(|class| self.contains(**class));
+        saturated.map(|class| self.requests.class(*class).queued).sum()
     }
 }
--- a/src/admission/controller.rs
+++ b/src/admission/controller.rs
@@ -11,7 +11,8 @@
 use super::memory::MemoryBudget;
 use super::overload_level::OverloadDetector;
 use super::priority_threshold::PriorityThreshold;
-use super::request_table::{Request, RequestState, RequestTable, RunCounts};
+use super::request_table::RequestTable;
+use super::request_totals::RunCounts;
 use super::run_estimates::RunEstimates;
 use super::scheduling::Scheduler;
 use super::settings::{Reconfiguration, Settings};
@@ -138,12 +139,12 @@
 
     /// Returns the memory that is left, kB.
     pub(super) fn free_memory_kb(&self) -> f64 {
-        self.memory.free_kb(&self.requests, self.reservations.len()) - self.external_load.memory_kb()
+        self.memory.free_kb(self.requests.totals(), self.reservations.len()) - self.external_load.memory_kb()
     }
 
     /// Returns the numbers of requests that run or will soon, those of another process included.
     pub(super) fn run_counts(&self) -> RunCounts {
-        self.external_load.added_to(self.requests.run_counts())
+        self.external_load.added_to(self.requests.totals().runs())
     }
 
     /// Returns the runs in progress and their usual time.
@@ -179,9 +180,8 @@
 
     /// Returns the number of queued requests but for those that wait only for others of their class.
     pub(super) fn queued(&self) -> usize {
-        let saturated = SaturatedClasses::new(&self.requests, &self.settings.class_limits);
-        let waits_for_core =
-            |request: &Request| request.state == RequestState::Queued && !saturated.contains(request.class);
-        self.requests.iter().filter(|(_, request)| waits_for_core(request)).count()
+        let requests = self.requests.totals();
+        let saturated = SaturatedClasses::new(requests, &self.settings.class_limits);
+        requests.queued() - saturated.queued()
     }
 }
--- a/src/admission/deadlines.rs
+++ b/src/admission/deadlines.rs
@@ -1,7 +1,8 @@
 //! Which requests have to be answered now, because they are due or will miss a latency objective that is all.
 
+use super::due_index::{Phase, PhaseGroup};
 use super::event::RequestId;
-use super::request_table::{Request, RequestState, RequestTable};
+use super::request_table::RequestTable;
 use super::run_estimates::RunEstimates;
 use super::settings::{Class, Preemption, RetrySafety, Settings};
 use super::shutdown::Shutdown;
@@ -31,48 +32,51 @@
 impl DeadlineCheck<'_> {
     /// Returns the requests that have to be answered now, in the order of their ids.
     pub(super) fn overdue(&self) -> Vec<RequestId> {
-        let unanswered = self.requests.iter().filter(|(_, request)| !request.answered);
-        let overdue = unanswered.filter(|(_, request)| self.is_hopeless(request) || self.is_due(request));
-        overdue.map(|(id, _)| id).collect()
-    }
-
-    fn is_due(&self, request: &Request) -> bool {
-        self.now + self.margin_ms() >= request.deadline
-    }
-
-    /// Returns whether waiting longer cannot lead to a response of any weight.
-    fn is_hopeless(&self, request: &Request) -> bool {
-        let class = &self.settings.classes[request.class];
-        match request.state {
-            RequestState::Queued => self.is_hopeless_in_queue(request, class),
-            RequestState::Running => {
-                self.settings.preemption != Preemption::Off && self.is_worthless(request, class)
+        let due = self.requests.due();
+        let mut overdue: Vec<RequestId> = due.with_deadline_by(self.answered_by()).collect();
+        for group in due.groups() {
+            if let Some(time) = self.hopeless_before(group) {
+                overdue.extend(due.with_objective_before(group, time));
             }
-            RequestState::AwaitingCall(_) => self.is_worthless(request, class),
-            _ => false,
         }
+        if let Some(shutdown) = self.shutdown {
+            overdue.extend(self.unanswered_arrivals_after(shutdown.latest_arrival()));
+        }
+        overdue.sort_unstable();
+        overdue.dedup();
+        overdue
     }
 
-    fn is_hopeless_in_queue(&self, request: &Request, class: &Class) -> bool {
-        let too_late_to_run =
-            self.shutdown.is_some_and(|shutdown| shutdown.is_after_grace(request.arrived_at));
-        if too_late_to_run && !self.requests.waits_for_original(request) {
-            return true;
+    /// Returns the latency objective below which a request of the group has no use of waiting longer; `None`
+    /// where it has some whatever its objective.
+    fn hopeless_before(&self, group: PhaseGroup) -> Option<f64> {
+        let class = &self.settings.classes[group.class];
+        let worthless_late = class.late_weight <= 0.0;
+        match group.phase {
+            Phase::Queued => {
+                let expected_end = self.estimates.expected_end(self.now, group.class, self.idle);
+                (worthless_late || self.overloaded).then_some(expected_end)
+            }
+            Phase::Running if self.settings.preemption == Preemption::Off => None,
+            Phase::Running | Phase::AwaitingCall => {
+                (worthless_late && is_idempotent(class)).then_some(self.answered_by())
+            }
         }
-        let missed = self.estimates.misses_objective(self.now, request, self.idle);
-        missed && (class.late_weight <= 0.0 || self.overloaded)
     }
 
-    /// Returns whether a request in progress may be stopped and has no weight after its latency objective,
-    /// now due.
-    fn is_worthless(&self, request: &Request, class: &Class) -> bool {
-        class.late_weight <= 0.0
-            && self.now + self.margin_ms() > request.objective_at
-            && class.retry_safety == RetrySafety::Idempotent
+    /// Returns the queued requests that arrived after `time` and wait for no original.
+    fn unanswered_arrivals_after(&self, time: f64) -> impl Iterator<Item = RequestId> {
+        let is_unanswered = |id: &RequestId| self.requests.get(*id).is_some_and(|request| !request.answered);
+        self.requests.ready().arrived_after(time).filter(is_unanswered)
     }
 
-    /// Time by which a request is answered early, ms: it covers the lateness of the timer.
-    fn margin_ms(&self) -> f64 {
-        TIMER_PERIOD_MS + MARGIN_TICKS * self.settings.tick_ms
+    /// Returns the time up to which a deadline is due now: the margin covers the lateness of the timer.
+    fn answered_by(&self) -> f64 {
+        self.now + (TIMER_PERIOD_MS + MARGIN_TICKS * self.settings.tick_ms)
     }
 }
+
+/// Returns whether a run of the class may be stopped.
+fn is_idempotent(class: &Class) -> bool {
+    class.retry_safety == RetrySafety::Idempotent
+}
--- a/src/admission/external_load.rs
+++ b/src/admission/external_load.rs
@@ -1,7 +1,7 @@
 //! What another process on the same machine runs, while it hands its work over to this one.
 
 use super::clamp::clamp_finite;
-use super::request_table::RunCounts;
+use super::request_totals::RunCounts;
 
 /// Largest stated memory, kB.
 const MAX_MEMORY_KB: f64 = 1e12;
--- a/src/admission/idempotency.rs
+++ b/src/admission/idempotency.rs
@@ -7,7 +7,8 @@
 use super::action::Action;
 use super::event::RequestId;
 use super::settings::{Class, RetrySafety, Settings};
-use std::collections::BTreeMap;
+use super::sort_key::SortKey;
+use std::collections::{BTreeMap, BTreeSet};
 
 /// The shortest reservation, ms.
 const MIN_TTL_MS: f64 = 1.0;
@@ -19,6 +20,8 @@
     tick_ms: f64,
     shared_result_ttl_ms: f64,
     expires_at: BTreeMap<RequestId, f64>,
+    /// The reservations in the order in which they expire.
+    expiries: BTreeSet<(SortKey, RequestId)>,
 }
 
 impl IdempotencyReservations {
@@ -28,6 +31,7 @@
             tick_ms: settings.tick_ms,
             shared_result_ttl_ms: settings.shared_result_ttl_ms,
             expires_at: BTreeMap::new(),
+            expiries: BTreeSet::new(),
         }
     }
 
@@ -56,19 +60,20 @@
         };
         let until = arrived_at + window_ms + 2.0 * self.tick_ms + TTL_SLACK_MS;
         let ttl_ms = (until - now).max(MIN_TTL_MS);
-        self.expires_at.insert(id, now + ttl_ms);
+        self.set_expiry(id, now + ttl_ms);
         Action::ReserveKey { id, ttl_ms }
     }
 
     /// Removes a reservation and returns whether there was one.
     pub(super) fn remove(&mut self, id: RequestId) -> bool {
-        self.expires_at.remove(&id).is_some()
+        let Some(expires_at) = self.expires_at.remove(&id) else { return false };
+        self.expiries.remove(&(SortKey::new(expires_at), id))
     }
 
     /// Shortens a reservation to the time for which a result is shared.
     pub(super) fn cache_result(&mut self, now: f64, id: RequestId) {
-        if let Some(expires_at) = self.expires_at.get_mut(&id) {
-            *expires_at = expires_at.min(now + self.shared_result_ttl_ms);
+        if let Some(expires_at) = self.expires_at.get(&id) {
+            self.set_expiry(id, expires_at.min(now + self.shared_result_ttl_ms));
         }
     }
 
@@ -76,10 +81,20 @@
     ///
     /// Those of shared results may expire before the time given when they were reserved and are released.
     pub(super) fn drop_expired(&mut self, now: f64, actions: &mut Vec<Action>) {
-        if self.shares_results() {
-            let expired = self.expires_at.iter().filter(|(_, expires_at)| **expires_at <= now);
-            actions.extend(expired.map(|(id, _)| Action::ReleaseKey(*id)));
+        let expired = self.expiries.range(..=(SortKey::new(now), RequestId::MAX));
+        let mut ids: Vec<RequestId> = expired.map(|(_, id)| *id).collect();
+        ids.sort_unstable();
+        for id in ids {
+            self.remove(id);
+            if self.shares_results() {
+                actions.push(Action::ReleaseKey(id));
+            }
         }
-        self.expires_at.retain(|_, expires_at| *expires_at > now);
+    }
+
+    fn set_expiry(&mut self, id: RequestId, expires_at: f64) {
+        self.remove(id);
+        self.expires_at.insert(id, expires_at);
+        self.expiries.insert((SortKey::new(expires_at), id));
     }
 }
--- a/src/admission/memory.rs
+++ b/src/admission/memory.rs
@@ -1,6 +1,7 @@
 //! The memory that requests and reserved keys take.
 
-use super::request_table::{Request, RequestState, RequestTable};
+use super::request::Request;
+use super::request_totals::RequestTotals;
 use super::settings::Settings;
 
 /// Part of a stated capacity that is used; the rest absorbs what is not accounted for.
@@ -36,22 +37,18 @@
         request.request_kb * self.run_factor
     }
 
-    /// Returns the memory that a queued request takes in addition when it starts to run, kB.
-    pub(super) fn start_kb(&self, request: &Request) -> f64 {
-        request.request_kb * (self.run_factor - 1.0)
+    /// Returns the memory that a queued request of that size takes in addition when it starts to run, kB.
+    pub(super) fn start_kb(&self, request_kb: f64) -> f64 {
+        request_kb * (self.run_factor - 1.0)
     }
 
     /// Returns the memory that is left, kB.
-    pub(super) fn free_kb(&self, requests: &RequestTable, reserved_keys: usize) -> f64 {
+    pub(super) fn free_kb(&self, requests: &RequestTotals, reserved_keys: usize) -> f64 {
         self.limit_kb - self.used_kb(requests, reserved_keys)
     }
 
-    fn used_kb(&self, requests: &RequestTable, reserved_keys: usize) -> f64 {
-        let request_kb = |request: &Request| match request.state {
-            RequestState::Queued | RequestState::Reusing => request.request_kb,
-            _ => self.run_kb(request),
-        };
-        let requests_kb = requests.iter().map(|(_, request)| request_kb(request)).sum::<f64>();
+    fn used_kb(&self, requests: &RequestTotals, reserved_keys: usize) -> f64 {
+        let requests_kb = requests.queued_kb() + requests.started_kb() * self.run_factor;
         requests_kb + reserved_keys as f64 * self.key_kb
     }
 }
--- a/src/admission/request_table.rs
+++ b/src/admission/request_table.rs
@@ -1,67 +1,25 @@
 //! The requests of an instance, from arrival to the end of their work.
+//!
+//! Every change of a request goes through the table, which keeps what is asked of all requests at hand: sums,
+//! and orders by time and by value. An event walks over no request that it does not concern, so that it costs
+//! about the same however many are held.
 
+use super::due_index::DueIndex;
 use super::event::RequestId;
-use std::collections::BTreeMap;
-
-/// The state of a request.
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub(super) enum RequestState {
-    /// Waits for a run.
-    Queued,
-    /// Runs.
-    Running,
-    /// Needs an upstream call, which is not to be made before this time.
-    AwaitingCall(f64),
-    /// Its upstream call is in progress.
-    Calling,
-    /// Its run was suspended.
-    Suspended,
-    /// Waits for the result of the request that it duplicates.
-    Reusing,
-}
-
-/// A request that was read and has not ended.
-#[derive(Debug)]
-pub(super) struct Request {
-    /// Index of its class.
-    pub(super) class: usize,
-    /// Memory while queued, kB.
-    pub(super) request_kb: f64,
-    /// Its quantile among all traffic, 0 to 1; the lowest is shed first.
-    pub(super) priority: f64,
-    /// Its weight against other requests.
-    pub(super) priority_weight: f64,
-    /// Time at which it reached the machine.
-    pub(super) arrived_at: f64,
-    /// Time up to which a response has full weight.
-    pub(super) objective_at: f64,
-    /// Time up to which it has to be answered.
-    pub(super) deadline: f64,
-    /// Its state.
-    pub(super) state: RequestState,
-    /// The request that it duplicates, if any.
-    pub(super) duplicate_of: Option<RequestId>,
-    /// Whether its final response was given or its client is gone.
-    pub(super) answered: bool,
-    /// Upstream calls that were repeated.
-    pub(super) call_retries: i32,
-}
-
-/// Requests that run or will soon, by state.
-#[derive(Clone, Copy)]
-pub(super) struct RunCounts {
-    /// Requests on the cores.
-    pub(super) running: usize,
-    /// Requests that wait for an upstream call to be made.
-    pub(super) awaiting_call: usize,
-    /// Requests whose upstream call is in progress.
-    pub(super) calling: usize,
-}
+use super::ready_queue::ReadyQueue;
+use super::request::{Request, RequestState};
+use super::request_totals::RequestTotals;
+use std::collections::{BTreeMap, BTreeSet};
 
 /// All requests that have not ended, by id.
 #[derive(Default)]
 pub(super) struct RequestTable {
     requests: BTreeMap<RequestId, Request>,
+    /// The requests that duplicate another one, by that one, which may be over.
+    duplicates: BTreeMap<RequestId, BTreeSet<RequestId>>,
+    totals: RequestTotals,
+    due: DueIndex,
+    ready: ReadyQueue,
 }
 
 impl RequestTable {
@@ -75,58 +33,74 @@
         self.requests.get(&id)
     }
 
-    /// Returns the request for changes.
-    pub(super) fn get_mut(&mut self, id: RequestId) -> Option<&mut Request> {
-        self.requests.get_mut(&id)
-    }
-
     /// Adds a request.
     pub(super) fn insert(&mut self, id: RequestId, request: Request) {
-        self.requests.insert(id, request);
+        self.replace(id, Some(request));
     }
 
     /// Removes a request, if it is there.
     pub(super) fn remove(&mut self, id: RequestId) {
-        self.requests.remove(&id);
+        self.replace(id, None);
     }
 
-    /// Returns all requests in the order of their ids.
-    pub(super) fn iter(&self) -> impl Iterator<Item = (RequestId, &Request)> {
-        self.requests.iter().map(|(id, request)| (*id, request))
+    /// Changes a request, if it is there.
+    pub(super) fn update(&mut self, id: RequestId, change: impl FnOnce(&mut Request)) {
+        let Some(mut request) = self.get(id).copied() else { return };
+        change(&mut request);
+        self.replace(id, Some(request));
     }
 
     /// Sets the state of a request, if it is there.
     pub(super) fn set_state(&mut self, id: RequestId, state: RequestState) {
-        if let Some(request) = self.requests.get_mut(&id) {
-            request.state = state;
-        }
+        self.update(id, |request| request.state = state);
+    }
+
+    /// Takes that a request got its final response or that its client is gone.
+    pub(super) fn set_answered(&mut self, id: RequestId) {
+        self.update(id, |request| request.answered = true);
     }
 
     /// Brings all deadlines and latency objectives to `stop_at` at the latest.
     pub(super) fn cap_deadlines(&mut self, stop_at: f64) {
-        for request in self.requests.values_mut() {
-            request.deadline = request.deadline.min(stop_at);
-            request.objective_at = request.objective_at.min(stop_at);
+        let ids: Vec<RequestId> = self.requests.keys().copied().collect();
+        for id in ids {
+            self.update(id, |request| {
+                request.deadline = request.deadline.min(stop_at);
+                request.objective_at = request.objective_at.min(stop_at);
+            });
         }
     }
 
+    /// Takes that time went on, before it is asked which request is the best to start.
+    pub(super) fn advance(&mut self, now: f64) {
+        self.ready.advance(now);
+    }
+
+    /// Returns all requests in the order of their ids.
+    pub(super) fn iter(&self) -> impl Iterator<Item = (RequestId, &Request)> {
+        self.requests.iter().map(|(id, request)| (*id, request))
+    }
+
+    /// Returns the sums over all requests.
+    pub(super) fn totals(&self) -> &RequestTotals {
+        &self.totals
+    }
+
+    /// Returns the unanswered requests in the orders in which they fall due.
+    pub(super) fn due(&self) -> &DueIndex {
+        &self.due
+    }
+
+    /// Returns the requests that could be started.
+    ///
+    /// Those are the suspended ones, and the queued ones that wait for no original.
+    pub(super) fn ready(&self) -> &ReadyQueue {
+        &self.ready
+    }
+
     /// Returns the number of running requests.
     pub(super) fn running(&self) -> usize {
-        self.requests.values().filter(|request| request.state == RequestState::Running).count()
-    }
-
-    /// Returns the numbers of requests that run or will soon.
-    pub(super) fn run_counts(&self) -> RunCounts {
-        let mut counts = RunCounts { running: 0, awaiting_call: 0, calling: 0 };
-        for request in self.requests.values() {
-            match request.state {
-                RequestState::Running => counts.running += 1,
-                RequestState::AwaitingCall(_) => counts.awaiting_call += 1,
-                RequestState::Calling => counts.calling += 1,
-                _ => {}
-            }
-        }
-        counts
+        self.totals.runs().running
     }
 
     /// Returns whether the request duplicates one that is still queued.
@@ -136,14 +110,12 @@
 
     /// Returns whether the request is queued.
     pub(super) fn is_queued(&self, id: RequestId) -> bool {
-        self.requests.get(&id).is_some_and(|request| request.state == RequestState::Queued)
+        self.get(id).is_some_and(Request::is_queued)
     }
 
     /// Returns the queued duplicates of a request, in the order of their ids.
     pub(super) fn queued_duplicates(&self, id: RequestId) -> Vec<RequestId> {
-        let waits =
-            |request: &Request| request.duplicate_of == Some(id) && request.state == RequestState::Queued;
-        self.iter().filter(|(_, request)| waits(request)).map(|(id, _)| id).collect()
+        self.duplicates_of(id).filter(|duplicate| self.is_queued(*duplicate)).collect()
     }
 
     /// Makes the first queued duplicate of a request an original, which its other queued duplicates then
@@ -154,15 +126,78 @@
         let duplicates = self.queued_duplicates(id);
         let heir = *duplicates.first()?;
         for duplicate in duplicates {
-            if let Some(request) = self.requests.get_mut(&duplicate) {
-                request.duplicate_of = (duplicate != heir).then_some(heir);
-            }
+            self.update(duplicate, |request| request.duplicate_of = (duplicate != heir).then_some(heir));
         }
         Some(heir)
     }
 
     /// Returns the duplicates of a request that are not answered.
     pub(super) fn unanswered_duplicates(&self, id: RequestId) -> impl Iterator<Item = &Request> {
-        self.requests.values().filter(move |request| request.duplicate_of == Some(id) && !request.answered)
+        let duplicates = self.duplicates_of(id).filter_map(|duplicate| self.get(duplicate));
+        duplicates.filter(|duplicate| !duplicate.answered)
+    }
+
+    fn duplicates_of(&self, id: RequestId) -> impl Iterator<Item = RequestId> {
+        self.duplicates.get(&id).into_iter().flatten().copied()
+    }
+
+    /// Sets or removes a request, and brings all that is kept of it up to date.
+    fn replace(&mut self, id: RequestId, new: Option<Request>) {
+        let old = match new {
+            Some(request) => self.requests.insert(id, request),
+            None => self.requests.remove(&id),
+        };
+        if let Some(request) = &old {
+            self.totals.subtract(request);
+            self.due.remove(id, request);
+        }
+        if let Some(request) = &new {
+            self.totals.add(request);
+            self.due.add(id, request);
+        }
+        let originals = [old, new].map(|request| request.and_then(|request| request.duplicate_of));
+        if originals[0] != originals[1] {
+            self.move_duplicate(id, originals);
+        }
+        self.refresh_ready(id);
+        let was_queued = old.is_some_and(|request| request.is_queued());
+        if was_queued != self.is_queued(id) {
+            let duplicates: Vec<RequestId> = self.duplicates_of(id).collect();
+            duplicates.into_iter().for_each(|duplicate| self.refresh_ready(duplicate));
+        }
+    }
+
+    /// Takes that a request duplicates another one than before.
+    fn move_duplicate(&mut self, id: RequestId, [old, new]: [Option<RequestId>; 2]) {
+        if let Some(original) = old {
+            self.remove_duplicate(original, id);
+            self.refresh_ready(original);
+        }
+        if let Some(original) = new {
+            self.duplicates.entry(original).or_default().insert(id);
+            self.refresh_ready(original);
+        }
+    }
+
+    fn remove_duplicate(&mut self, original: RequestId, id: RequestId) {
+        let Some(duplicates) = self.duplicates.get_mut(&original) else { return };
+        duplicates.remove(&id);
+        if duplicates.is_empty() {
+            self.duplicates.remove(&original);
+        }
+    }
+
+    /// Puts a request where it belongs among those that could be started.
+    fn refresh_ready(&mut self, id: RequestId) {
+        let request = self.requests.get(&id).filter(|request| self.could_start(request));
+        self.ready.place(id, request, self.duplicates.contains_key(&id));
+    }
+
+    fn could_start(&self, request: &Request) -> bool {
+        match request.state {
+            RequestState::Queued => !self.waits_for_original(request),
+            RequestState::Suspended => true,
+            _ => false,
+        }
     }
 }
--- /dev/null
+++ b/src/admission/request_totals.rs
@@ -0,0 +1,119 @@
+//! Sums over the requests of the table: numbers by state and by class, and memory.
+//!
+//! # Invariants
+//! Memory is kept in whole units, so that what was added and taken off again leaves nothing behind.
+
+use super::request::{Request, RequestState};
+use std::collections::BTreeMap;
+
+/// Units of memory in a kB; sizes down to a few bytes are whole numbers of it.
+const MEMORY_UNITS_PER_KB: f64 = (1_u64 << 60) as f64;
+
+/// Requests that run or will soon, by state.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub(super) struct RunCounts {
+    /// Requests on the cores.
+    pub(super) running: usize,
+    /// Requests that wait for an upstream call to be made.
+    pub(super) awaiting_call: usize,
+    /// Requests whose upstream call is in progress.
+    pub(super) calling: usize,
+}
+
+/// The requests of a class.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub(super) struct ClassCounts {
+    /// Requests that wait for a run.
+    pub(super) queued: usize,
+    /// Requests that run or are at an upstream call.
+    pub(super) in_progress: usize,
+}
+
+/// The sums.
+#[derive(Debug, Default)]
+pub(super) struct RequestTotals {
+    queued: usize,
+    runs: RunCounts,
+    /// The classes that have requests in the table which are queued or in progress.
+    classes: BTreeMap<usize, ClassCounts>,
+    /// Memory, while queued, of the requests that take just that.
+    queued_memory: u128,
+    /// Memory, while queued, of the requests that take more since they were started.
+    started_memory: u128,
+}
+
+impl RequestTotals {
+    /// Counts a request.
+    pub(super) fn add(&mut self, request: &Request) {
+        if let Some(count) = self.count_of(request.state) {
+            *count += 1;
+        }
+        *self.memory_of(request.state) += memory_units(request);
+        if request.is_queued() || request.is_in_progress() {
+            let class = self.classes.entry(request.class).or_default();
+            class.queued += usize::from(request.is_queued());
+            class.in_progress += usize::from(request.is_in_progress());
+        }
+    }
+
+    /// Takes off a request that was counted as it is.
+    pub(super) fn subtract(&mut self, request: &Request) {
+        if let Some(count) = self.count_of(request.state) {
+            *count -= 1;
+        }
+        *self.memory_of(request.state) -= memory_units(request);
+        if let Some(class) = self.classes.get_mut(&request.class) {
+            class.queued -= usize::from(request.is_queued());
+            class.in_progress -= usize::from(request.is_in_progress());
+            if *class == ClassCounts::default() {
+                self.classes.remove(&request.class);
+            }
+        }
+    }
+
+    /// Returns the number of queued requests.
+    pub(super) fn queued(&self) -> usize {
+        self.queued
+    }
+
+    /// Returns the numbers of requests that run or will soon.
+    pub(super) fn runs(&self) -> RunCounts {
+        self.runs
+    }
+
+    /// Returns the requests of a class.
+    pub(super) fn class(&self, class: usize) -> ClassCounts {
+        self.classes.get(&class).copied().unwrap_or_default()
+    }
+
+    /// Returns the memory of the requests that were not started or only take another's result, kB.
+    pub(super) fn queued_kb(&self) -> f64 {
+        self.queued_memory as f64 / MEMORY_UNITS_PER_KB
+    }
+
+    /// Returns the memory that the other requests took while they were queued, kB.
+    pub(super) fn started_kb(&self) -> f64 {
+        self.started_memory as f64 / MEMORY_UNITS_PER_KB
+    }
+
+    fn count_of(&mut self, state: RequestState) -> Option<&mut usize> {
+        match state {
+            RequestState::Queued => Some(&mut self.queued),
+            RequestState::Running => Some(&mut self.runs.running),
+            RequestState::AwaitingCall(_) => Some(&mut self.runs.awaiting_call),
+            RequestState::Calling => Some(&mut self.runs.calling),
+            RequestState::Suspended | RequestState::Reusing => None,
+        }
+    }
+
+    fn memory_of(&mut self, state: RequestState) -> &mut u128 {
+        match state {
+            RequestState::Queued | RequestState::Reusing => &mut self.queued_memory,
+            _ => &mut self.started_memory,
+        }
+    }
+}
+
+fn memory_units(request: &Request) -> u128 {
+    (request.request_kb * MEMORY_UNITS_PER_KB) as u128
+}
--- a/src/admission/run_end.rs
+++ b/src/admission/run_end.rs
@@ -5,7 +5,8 @@
 use super::concurrency_limit::SaturatedClasses;
 use super::controller::AdmissionController;
 use super::event::{Outcome, RequestId};
-use super::request_table::{Request, RequestState};
+use super::ready_queue::ReadyGroup;
+use super::request::{Request, RequestState};
 use super::settings::{Preemption, RetrySafety};
 
 /// Longest time that a run is taken to have lasted, ms.
@@ -21,11 +22,10 @@
         took_ms: f64,
         actions: &mut Vec<Action>,
     ) {
-        let Some(request) = self.requests.get_mut(id) else { return };
+        let Some(request) = self.requests.get(id) else { return };
         let stopped_unasked = outcome == Outcome::Cancelled && !request.answered;
         if stopped_unasked && self.settings.preemption == Preemption::Suspend {
-            request.state = RequestState::Suspended;
-            return;
+            return self.requests.set_state(id, RequestState::Suspended);
         }
         let (class, state) = (request.class, request.state);
         if state != RequestState::Reusing {
@@ -69,6 +69,7 @@
 
     /// Starts queued and suspended requests, the most valuable first, up to the limit of concurrent runs.
     pub(super) fn start_runs(&mut self, now: f64, actions: &mut Vec<Action>) {
+        self.requests.advance(now);
         while let Some(id) = self.next_run(now) {
             if self.is_idle() {
                 self.faults.record_start_on_idle_cores(now);
@@ -89,29 +90,26 @@
             return None;
         }
         let calls_blocked = self.concurrency.is_blocked_by_calls(counts, capacity);
-        let saturated = SaturatedClasses::new(&self.requests, &self.settings.class_limits);
+        let saturated = SaturatedClasses::new(self.requests.totals(), &self.settings.class_limits);
         let free_kb = self.free_memory_kb();
-        let is_ready = |request: &Request| match request.state {
-            RequestState::Queued => {
-                self.may_start(request)
-                    && self.memory.start_kb(request) <= free_kb
-                    && !(calls_blocked && self.requires_upstream_call(request))
-            }
-            RequestState::Suspended => true,
-            _ => false,
+        let fits = |request_kb: f64| self.memory.start_kb(request_kb) <= free_kb;
+        let starts_new = !self.starts_suspended && self.requests.ready().least_request_kb().is_some_and(fits);
+        let is_open = |group: ReadyGroup| {
+            let blocked = !starts_new || calls_blocked && self.requires_upstream_call(group.class);
+            (group.suspended || !blocked) && !saturated.contains(group.class)
         };
-        self.scheduler(now).best(|request| is_ready(request) && !saturated.contains(request.class))
+        let is_ready = |request: &Request| !request.is_queued() || self.may_start(request, fits);
+        self.scheduler(now).best(is_open, is_ready)
     }
 
-    /// Returns whether a queued request is to be run at all, and not the one that it duplicates.
-    fn may_start(&self, request: &Request) -> bool {
-        let too_late = request.answered || self.is_after_grace(request.arrived_at);
-        !self.starts_suspended && !too_late && !self.requests.waits_for_original(request)
+    /// Returns whether a queued request is to be run at all, in the memory that is left.
+    fn may_start(&self, request: &Request, fits: impl Fn(f64) -> bool) -> bool {
+        !request.answered && !self.is_after_grace(request.arrived_at) && fits(request.request_kb)
     }
 
-    /// Returns whether the request cannot complete without its upstream call.
-    fn requires_upstream_call(&self, request: &Request) -> bool {
-        let class = &self.settings.classes[request.class];
+    /// Returns whether requests of the class cannot complete without their upstream call.
+    fn requires_upstream_call(&self, class: usize) -> bool {
+        let class = &self.settings.classes[class];
         class.makes_upstream_calls && class.degraded_weight <= 0.0
     }
 }
--- a/src/admission/run_estimates.rs
+++ b/src/admission/run_estimates.rs
@@ -2,7 +2,7 @@
 
 use super::clamp::clamp_finite;
 use super::moving_average::blend;
-use super::request_table::Request;
+use super::request::Request;
 use super::settings::Class;
 
 /// Usual time of a run before any was seen, as a part of its class's latency objective.
@@ -96,12 +96,17 @@
         usual
     }
 
-    /// Returns whether a run that starts now would end after the request's latency objective.
+    /// Returns when a run of that class that starts now is expected to end.
     ///
     /// While no request runs, a run is expected to take no time: only a run can correct a wrong estimate.
-    pub(super) fn misses_objective(&self, now: f64, request: &Request, idle: bool) -> bool {
+    pub(super) fn expected_end(&self, now: f64, class: usize, idle: bool) -> f64 {
         let expected_ms =
-            if idle { 0.0 } else { self.classes[request.class].usual_run_ms * self.slowdown * REQUIRED_FIT };
-        now + expected_ms > request.objective_at
+            if idle { 0.0 } else { self.classes[class].usual_run_ms * self.slowdown * REQUIRED_FIT };
+        now + expected_ms
+    }
+
+    /// Returns whether a run that starts now would end after the request's latency objective.
+    pub(super) fn misses_objective(&self, now: f64, request: &Request, idle: bool) -> bool {
+        self.expected_end(now, request.class, idle) > request.objective_at
     }
 }
--- a/src/admission/shutdown.rs
+++ b/src/admission/shutdown.rs
@@ -24,8 +24,13 @@
         self.stop_at
     }
 
+    /// Returns the latest arrival of a request that may still be run.
+    pub(super) fn latest_arrival(&self) -> f64 {
+        self.requested_at + self.grace_ms - GRACE_MARGIN_MS
+    }
+
     /// Returns whether a request that arrived at `arrived_at` came too late to be run.
     pub(super) fn is_after_grace(&self, arrived_at: f64) -> bool {
-        arrived_at > self.requested_at + self.grace_ms - GRACE_MARGIN_MS
+        arrived_at > self.latest_arrival()
     }
 }
--- a/src/admission/tick.rs
+++ b/src/admission/tick.rs
@@ -7,7 +7,6 @@
 use super::idle_timeout::ConnectionLoad;
 use super::overload_level::LoadSample;
 use super::priority_threshold::MAX_THRESHOLD;
-use super::request_table::RequestState;
 use super::timing::{TIMER_PERIOD_MS, TIMER_TOKEN};
 
 impl AdmissionController {
@@ -57,7 +56,7 @@
 
     /// Returns the queued requests that wait for no other one.
     fn queued_originals(&self) -> Vec<RequestId> {
-        let queued = self.requests.iter().filter(|(_, request)| request.state == RequestState::Queued);
+        let queued = self.requests.iter().filter(|(_, request)| request.is_queued());
         let originals = queued.filter(|(_, request)| !self.requests.waits_for_original(request));
         originals.map(|(id, _)| id).collect()
     }
--- a/src/admission/unserved.rs
+++ b/src/admission/unserved.rs
@@ -5,16 +5,14 @@
 use super::controller::AdmissionController;
 use super::deadlines::DeadlineCheck;
 use super::event::RequestId;
-use super::request_table::RequestState;
+use super::request::RequestState;
 use super::settings::{Preemption, RetrySafety};
 
 impl AdmissionController {
     /// Takes that a client no longer waits.
     pub(super) fn on_client_gone(&mut self, now: f64, id: RequestId, actions: &mut Vec<Action>) {
-        if let Some(request) = self.requests.get_mut(id) {
-            request.answered = true;
-            self.abandon(now, id, actions);
-        }
+        self.requests.set_answered(id);
+        self.abandon(now, id, actions);
     }
 
     /// Answers the requests that are due or can no longer complete in time.
@@ -43,12 +41,11 @@
         do_not_retry: bool,
         actions: &mut Vec<Action>,
     ) {
-        let Some(request) = self.requests.get_mut(id) else { return };
-        if request.answered {
+        let Some(request) = self.requests.get(id).copied().filter(|request| !request.answered) else {
             return;
-        }
-        request.answered = true;
-        let never_ran = request.state == RequestState::Queued && request.duplicate_of.is_none();
+        };
+        self.requests.set_answered(id);
+        let never_ran = request.is_queued() && request.duplicate_of.is_none();
         let retry_safety = self.settings.classes[request.class].retry_safety;
         if never_ran || retry_safety == RetrySafety::Idempotent {
             let retry_after_ms = self.overload.queue_drain_ms();
--- a/src/admission/upstream_calls.rs
+++ b/src/admission/upstream_calls.rs
@@ -9,7 +9,7 @@
 use super::event::{Outcome, RequestId};
 use super::memory::USED_CAPACITY;
 use super::moving_average::{READING_WEIGHT, blend};
-use super::request_table::Request;
+use super::request::Request;
 use super::settings::{Class, RetrySafety, Settings};
 use super::timing::TIMER_PERIOD_MS;
 
