Say what a change of health follows from in its log line

The line `health changed` now has the inputs of the decision: whether the runs were stalled at the last timer, the share of failed runs, and the time without a sign of progress.

--- a/src/admission/controller.rs
+++ b/src/admission/controller.rs
@@ -5,7 +5,7 @@
 use super::concurrency_limit::{Capacity, ConcurrencyLimit, SaturatedClasses};
 use super::event::{Event, RequestId};
 use super::external_load::ExternalLoad;
-use super::fault_detection::{FaultDetector, RunActivity};
+use super::fault_detection::{FaultDetector, FaultReading, RunActivity};
 use super::idempotency::IdempotencyReservations;
 use super::idle_timeout::IdleTimeout;
 use super::memory::MemoryBudget;
@@ -108,6 +108,11 @@
         self.threshold.value()
     }
 
+    /// Returns what the health that [`Action::SetHealth`] states follows from, beside a shutdown.
+    pub fn fault_reading(&self) -> FaultReading {
+        self.faults.reading()
+    }
+
     fn on_start(&mut self, actions: &mut Vec<Action>) {
         actions.push(Action::SetHealth(true));
         let speed = self.slow_start.speed(self.slow_start.started_at());
--- a/src/admission/fault_detection.rs
+++ b/src/admission/fault_detection.rs
@@ -26,6 +26,17 @@
     pub(super) usual_run_ms: f64,
 }
 
+/// What health follows from.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct FaultReading {
+    /// Whether the runs were stalled as of the last timer.
+    pub stalled: bool,
+    /// Share of failed runs of late, 0 to 1.
+    pub failure_share: f64,
+    /// Time since the last sign of progress as of the last timer, ms.
+    pub without_progress_ms: f64,
+}
+
 /// Detects failing and stalled runs and keeps the health that is reported.
 ///
 /// A sign of progress is a run that ends, a run that comes to its upstream call, or a run that starts on idle
@@ -117,6 +128,15 @@
         Some(healthy)
     }
 
+    /// Returns what health follows from.
+    pub(super) fn reading(&self) -> FaultReading {
+        FaultReading {
+            stalled: self.last_stall_at == self.last_timer_at,
+            failure_share: self.failure_share.value(),
+            without_progress_ms: self.last_timer_at - self.last_progress_at,
+        }
+    }
+
     /// Returns whether no sign of progress came for many of the usual gaps.
     fn is_stalled(&self, now: f64, activity: RunActivity) -> bool {
         let usual_gap = self.progress_gaps.value_with_prior(activity.usual_run_ms);
--- a/src/admission/mod.rs
+++ b/src/admission/mod.rs
@@ -50,6 +50,7 @@
 pub use action::Action;
 pub use controller::AdmissionController;
 pub use event::{Arrival, Event, Gauges, Outcome, RequestId};
+pub use fault_detection::FaultReading;
 pub use settings::{
     Class, ClassLimitChange, Preemption, QuotaChange, Reconfiguration, RetrySafety, Settings, Signal,
 };
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -31,6 +31,6 @@
 pub mod simulator;
 
 pub use admission::{
-    Action, AdmissionController, Arrival, Class, ClassLimitChange, Event, Gauges, Outcome, Preemption,
-    QuotaChange, Reconfiguration, RequestId, RetrySafety, Settings, Signal,
+    Action, AdmissionController, Arrival, Class, ClassLimitChange, Event, FaultReading, Gauges, Outcome,
+    Preemption, QuotaChange, Reconfiguration, RequestId, RetrySafety, Settings, Signal,
 };
--- a/src/server/dispatcher/actions.rs
+++ b/src/server/dispatcher/actions.rs
@@ -1,7 +1,7 @@
 //! The actions of the admission controller, carried out.
 
 use super::state::Dispatcher;
-use crate::admission::{Action, RequestId};
+use crate::admission::{Action, AdmissionController, RequestId};
 use crate::server::evacuation::HealthInput;
 use crate::server::messages::{DispatcherMessage, ListenerMessage, Response};
 use slog::info;
@@ -47,7 +47,9 @@
 
     fn set_health(&mut self, healthy: bool) {
         if healthy != self.health.is_controller_healthy() {
-            info!(self.log, "health changed"; "healthy" => healthy);
+            let faults = self.controller.as_ref().map(AdmissionController::fault_reading).unwrap_or_default();
+            info!(self.log, "health changed"; "ms_without_progress" => faults.without_progress_ms.round(),
+                "failed_runs" => faults.failure_share, "stalled" => faults.stalled, "healthy" => healthy);
         }
         self.update_health(&[HealthInput::ControllerHealth(healthy)]);
     }
