Count the time of a shutdown from its signal

What callers could see: a process that ends past its kill loses what it still owes.

Cause: signals were read by the event loop in their order, and the schedule of the shutdown began when SIGTERM was read. A reload before it, or a long turn of a task, moved the end by as much.

Evidence: with a reload held for 1.5 s by a named pipe and 3 s from SIGTERM to the kill, the process ended 3.91 s after SIGTERM; it fails the new test so.

Change: a thread receives the signals and notes when each came; every step of the shutdown counts from there. `shutdown requested` says how late it was heard.

Measured: the test passes (ended under 3 s); exchanges and early_signals pass.

--- a/src/daemon/process.rs
+++ b/src/daemon/process.rs
@@ -3,7 +3,8 @@
 use super::command_line::{Command, CommandLine, ConfigFiles, LoadedConfig};
 use super::error::DaemonError;
 use super::reload::ConfigReloader;
-use super::shutdown::{ProcessSignals, run_until_shutdown};
+use super::shutdown::run_until_shutdown;
+use super::signals::ProcessSignals;
 use super::{ledger, log_writer, logging, wiring};
 use crate::operator::LogSettings;
 use async_executor::LocalExecutor;
--- a/src/daemon/shutdown.rs
+++ b/src/daemon/shutdown.rs
@@ -1,14 +1,13 @@
-//! Signals, and the shutdown that they request.
+//! The shutdown that a signal requests.
 
 use super::error::DaemonError;
 use super::reload::ConfigReloader;
+use super::signals::{ProcessSignal, ProcessSignals};
 use super::wiring::RunningServer;
 use crate::server::messages::{DispatcherMessage, ListenerMessage};
-use async_signal::{Signal, Signals};
-use futures_lite::StreamExt;
 use futures_lite::future::{or, pending};
-use slog::{Logger, info, warn};
-use std::time::Duration;
+use slog::{Logger, info};
+use std::time::{Duration, Instant};
 
 /// The admission controller's time ends so long before the kill, ms: its last responses still have to be written.
 const RESPONSE_MARGIN_MS: f64 = 100.0;
@@ -20,57 +19,43 @@
 /// The process ends so long before the kill at the latest, ms.
 const EXIT_MARGIN_MS: f64 = 40.0;
 
-/// The steps of a shutdown, in ms from its request.
+/// The steps of a shutdown, on the clock of the process.
 struct ShutdownSchedule {
-    /// The process is killed.
-    stop_ms: f64,
+    /// When the process is killed, Unix ms.
+    stop_at: f64,
 }
 
 impl ShutdownSchedule {
-    fn new(stop_timeout: Duration) -> ShutdownSchedule {
-        ShutdownSchedule { stop_ms: stop_timeout.as_secs_f64() * 1000.0 }
+    /// Returns the steps of a shutdown that was requested at that time, Unix ms.
+    fn new(requested_at: f64, stop_timeout: Duration) -> ShutdownSchedule {
+        ShutdownSchedule { stop_at: requested_at + in_ms(stop_timeout) }
     }
 
+    /// Returns the time that lies so long before the kill, Unix ms.
     fn before_stop(&self, margin_ms: f64) -> f64 {
-        (self.stop_ms - margin_ms).max(0.0)
+        self.stop_at - margin_ms
     }
 }
 
-/// The signals of the process.
-pub(super) struct ProcessSignals {
-    signals: Signals,
-    log: Logger,
+fn in_ms(time: Duration) -> f64 {
+    time.as_secs_f64() * 1000.0
 }
 
-impl ProcessSignals {
-    /// Handles SIGTERM, SIGINT and SIGHUP from now on.
-    ///
-    /// # Errors
-    /// If the system does not allow it.
-    pub(super) fn new(log: Logger) -> Result<ProcessSignals, DaemonError> {
-        let signals = Signals::new([Signal::Term, Signal::Int, Signal::Hup]).map_err(DaemonError::Signals)?;
-        Ok(ProcessSignals { signals, log })
-    }
-
-    /// Waits for the request of a shutdown, and reloads the configuration at each SIGHUP before it.
-    async fn shutdown_requested(&mut self, reloader: &mut ConfigReloader) {
-        while let Some(signal) = self.signals.next().await {
-            match signal {
-                Ok(Signal::Hup) => reloader.reload(),
-                Ok(_) => return,
-                Err(error) => {
-                    warn!(self.log, "a signal can't be read"; "error" => error.to_string());
-                }
-            }
+/// Waits for the request of a shutdown, and reloads the configuration at each SIGHUP before it. Returns when it came.
+async fn shutdown_requested(signals: &mut ProcessSignals, reloader: &mut ConfigReloader) -> Instant {
+    while let Some(signal) = signals.next().await {
+        match signal {
+            ProcessSignal::Reload => reloader.reload(),
+            ProcessSignal::Shutdown { received_at } => return received_at,
         }
-        pending().await
     }
+    pending().await
+}
 
-    /// Reloads the configuration at each SIGHUP; further requests of a shutdown have no effect.
-    async fn handle_after_shutdown_request(&mut self, reloader: &mut ConfigReloader) {
-        loop {
-            self.shutdown_requested(reloader).await;
-        }
+/// Reloads the configuration at each SIGHUP; further requests of a shutdown have no effect.
+async fn handle_after_shutdown_request(signals: &mut ProcessSignals, reloader: &mut ConfigReloader) {
+    loop {
+        shutdown_requested(signals, reloader).await;
     }
 }
 
@@ -91,42 +76,52 @@
         }
     };
     let shutdown = async {
-        signals.shutdown_requested(reloader).await;
-        shut_down(server, signals, reloader, log).await
+        let received_at = shutdown_requested(signals, reloader).await;
+        shut_down(server, received_at, signals, reloader, log).await
     };
     or(shutdown, task_failed).await
 }
 
-/// Drains the dispatcher, closes the connections, and returns once they are closed or the time is up.
+/// Drains the dispatcher, closes the connections, and returns once they are closed or the time is up. The time counts from
+/// when the request came, however late it is heard.
 async fn shut_down(
     server: &RunningServer,
+    received_at: Instant,
     signals: &mut ProcessSignals,
     reloader: &mut ConfigReloader,
     log: &Logger,
 ) -> Result<(), DaemonError> {
-    let schedule = ShutdownSchedule::new(reloader.platform().stop_timeout);
-    let requested_at = server.clock.now();
-    info!(log, "shutdown requested"; "stop_ms" => schedule.stop_ms);
-    let stop_at = requested_at + schedule.before_stop(RESPONSE_MARGIN_MS);
-    let drain = DispatcherMessage::Drain { stop_at };
+    let heard_after_ms = in_ms(received_at.elapsed());
+    let stop_timeout = reloader.platform().stop_timeout;
+    let schedule = ShutdownSchedule::new(server.clock.now() - heard_after_ms, stop_timeout);
+    info!(log, "shutdown requested"; "heard_after_ms" => heard_after_ms.round(), "stop_ms" => in_ms(stop_timeout));
+    let drain = DispatcherMessage::Drain { stop_at: schedule.before_stop(RESPONSE_MARGIN_MS) };
     server.dispatcher.send(drain).await.map_err(|_| DaemonError::DispatcherGone)?;
     let connections_closed = async {
         // A process that has handed over is no longer sent to: it ends as soon as nothing is owed.
         if !server.status.is_handed_over() {
-            server.wheel.sleep(schedule.before_stop(CLOSE_MARGIN_MS)).await;
+            sleep_until(server, schedule.before_stop(CLOSE_MARGIN_MS)).await;
         }
-        let finish_at = requested_at + schedule.before_stop(FINISH_MARGIN_MS);
-        close_connections(server, finish_at).await;
+        close_connections(server, schedule.before_stop(FINISH_MARGIN_MS)).await;
         if server.status.is_handed_over() {
             wait_until_idle(server).await;
         }
     };
-    let time_up = server.wheel.sleep(schedule.before_stop(EXIT_MARGIN_MS));
-    let handle_signals = signals.handle_after_shutdown_request(reloader);
+    let time_up = async {
+        let exit_at = schedule.before_stop(EXIT_MARGIN_MS);
+        sleep_until(server, exit_at).await;
+        info!(log, "shutdown out of time"; "late_ms" => (server.clock.now() - exit_at).round());
+    };
+    let handle_signals = handle_after_shutdown_request(signals, reloader);
     or(or(connections_closed, time_up), handle_signals).await;
     Ok(())
 }
 
+/// Sleeps until that time, Unix ms.
+async fn sleep_until(server: &RunningServer, time: f64) {
+    server.wheel.sleep(time - server.clock.now()).await;
+}
+
 /// Closes the connections, which finish at `finish_at`, Unix ms, and waits for their end.
 async fn close_connections(server: &RunningServer, finish_at: f64) {
     server.listener.may_end.set(true);
--- a/tests/early_signals.rs
+++ b/tests/early_signals.rs
@@ -1,4 +1,5 @@
-//! SIGTERM while the program starts, which a file that is a named pipe holds at a known point.
+//! SIGTERM while the program starts or reads its configuration again, which a file that is a named pipe holds at a known
+//! point.
 
 #[allow(dead_code, reason = "each test program uses a part of it")]
 mod play;
@@ -9,6 +10,7 @@
 use std::io::Write;
 use std::os::unix::process::ExitStatusExt;
 use std::path::Path;
+use std::time::{Duration, Instant};
 use tempfile::TempDir;
 
 /// An address that nobody listens on.
@@ -68,3 +70,32 @@
          relay \"a\" {{\n    address = \"{NOBODY}\"\n  }}\n}}\n"
     )
 }
+
+/// Guards against a shutdown that ends past its kill because its time counts from when the event loop hears of it, which a
+/// reload holds up here.
+#[test]
+fn a_shutdown_requested_during_a_reload_ends_by_its_kill() {
+    const STOP: Duration = Duration::from_millis(3000);
+    const RELOAD: Duration = Duration::from_millis(1500);
+    let folder = TempDir::new().expect("a folder");
+    let stop = (r#""stop_ms":30000"#.to_owned(), format!(r#""stop_ms":{}"#, STOP.as_millis()));
+    let config = play::config(NOBODY, NOBODY, NOBODY, &[stop]);
+    let path = folder.path().join("config.json");
+    std::fs::write(&path, &config).expect("the configuration is written");
+    let mut command = play::command(&config, "unlimited").0;
+    let mut server = LoggedServer::spawn(command.env("RELAY_CONFIG", &path));
+    server.log_line("serving");
+    std::fs::remove_file(&path).expect("it was written");
+    make_pipe(&path);
+    server.signal("HUP");
+    let mut held = wait_for_reader(&path);
+    let requested_at = Instant::now();
+    server.signal("TERM");
+    std::thread::sleep(RELOAD);
+    held.write_all(config.as_bytes()).expect("the server reads the configuration");
+    drop(held);
+    assert_eq!(server.end().code(), Some(0));
+    let took = requested_at.elapsed();
+    println!("ended {took:?} after the request, with {STOP:?} to the kill");
+    assert!(took < STOP, "ended {took:?} after the request");
+}
