Give every listening socket room for 4,096 waiting connections

The same fault as that of the clients' listener, elsewhere: publisher and relay of config-sync, the control endpoint and the digest exchange listened with the standard library's queue of 128, and connections that found it full were reset later with what was written on them.

--- a/crates/config-sync/src/net/publisher.rs
+++ b/crates/config-sync/src/net/publisher.rs
@@ -15,7 +15,7 @@
 use dunlinspread_store::{Disk, RealDisk, StoreError};
 use slog::Logger;
 use std::io;
-use std::net::{SocketAddr, TcpListener};
+use std::net::SocketAddr;
 use std::path::Path;
 use std::sync::Arc;
 use std::thread::JoinHandle;
@@ -134,8 +134,9 @@
         let publisher_settings = settings.publisher_settings();
         let opened =
             publisher_store::open(disk, &settings.name, publisher_settings, new_epoch, settings.begin_epoch)?;
-        let listener =
-            Async::<TcpListener>::bind(settings.listen).map_err(io_error("listening on its address"))?;
+        let listener = dunlinspread_sockets::listen(settings.listen)
+            .and_then(Async::new)
+            .map_err(io_error("listening on its address"))?;
         let address = listener.get_ref().local_addr().map_err(io_error("reading its address"))?;
         let (commands, inbox) = bounded(MAX_COMMANDS);
         let (reports, progress) = async_channel::unbounded();
--- a/crates/config-sync/src/net/relay.rs
+++ b/crates/config-sync/src/net/relay.rs
@@ -60,7 +60,7 @@
     pub fn start(settings: RelayNodeSettings, log: Logger) -> io::Result<RelayNode> {
         let key = frame_key(&settings.fleet_key)?;
         check_member(&settings.member)?;
-        let listener = Async::<TcpListener>::bind(settings.listen)?;
+        let listener = Async::new(dunlinspread_sockets::listen(settings.listen)?)?;
         let address = listener.get_ref().local_addr()?;
         let (questions, inbox) = bounded(MAX_QUESTIONS);
         let thread = std::thread::Builder::new()
--- a/src/daemon/wiring.rs
+++ b/src/daemon/wiring.rs
@@ -35,8 +35,6 @@
 use std::rc::Rc;
 use std::sync::Arc;
 
-/// Connections that may wait to be accepted, as far as the system allows: more than clients may have open.
-const ACCEPT_BACKLOG: i32 = 4096;
 /// Interval at which the usage ledger's time advances, ms, if its commit interval is not shorter.
 const LEDGER_TICK_MS: f64 = 100.0;
 
@@ -134,7 +132,8 @@
     let mut takeover = handover.as_ref().and_then(|(start, directory)| start.find_predecessor(directory));
     let socket = match &mut takeover {
         Some(takeover) => takeover.receive_socket().await?,
-        None => listen(config.listen)?,
+        None => dunlinspread_sockets::listen(config.listen)
+            .map_err(|source| DaemonError::Listen { address: config.listen, source })?,
     };
     wiring.supervise("evacuation", Box::pin(report_evacuation(evacuation_changes, dispatcher.clone())));
     // The process before reports until it has handed over.
@@ -164,16 +163,6 @@
     })
 }
 
-/// Listens for clients. While the event loop lags, their connections wait in the system's queue; one that finds it full
-/// stands for its client, and is reset later together with the requests written on it.
-fn listen(address: SocketAddr) -> Result<TcpListener, DaemonError> {
-    let socket = TcpListener::bind(address).map_err(|source| DaemonError::Listen { address, source })?;
-    // Listening again changes the length of the queue alone.
-    rustix::net::listen(&socket, ACCEPT_BACKLOG)
-        .map_err(|error| DaemonError::Listen { address, source: error.into() })?;
-    Ok(socket)
-}
-
 /// Has the dispatcher report each change of the evacuation.
 async fn report_evacuation(changes: Receiver<()>, dispatcher: Sender<DispatcherMessage>) {
     while changes.recv().await.is_ok() {
--- a/src/server/control/endpoint.rs
+++ b/src/server/control/endpoint.rs
@@ -6,7 +6,7 @@
 use async_channel::Sender;
 use slog::{Logger, error, info, o};
 use std::io;
-use std::net::{SocketAddr, TcpListener};
+use std::net::SocketAddr;
 use std::os::unix::net::UnixStream;
 use std::sync::Arc;
 use std::thread::JoinHandle;
@@ -44,7 +44,7 @@
         log: &Logger,
     ) -> io::Result<ControlEndpoint> {
         let log = log.new(o!("component" => "control"));
-        let listener = TcpListener::bind(options.address)?;
+        let listener = dunlinspread_sockets::listen(options.address)?;
         listener.set_nonblocking(true)?;
         let address = listener.local_addr()?;
         let (stop, stopped) = UnixStream::pair()?;
--- a/src/server/usage/digest_exchange.rs
+++ b/src/server/usage/digest_exchange.rs
@@ -68,8 +68,8 @@
     /// If the address can't be listened on, or a thread can't be started.
     pub fn start(&self, settings: &PeerSettings) -> Result<(), UsageError> {
         if let Some(address) = settings.listen {
-            let listener =
-                TcpListener::bind(address).map_err(|source| UsageError::Listen { address, source })?;
+            let listener = dunlinspread_sockets::listen(address)
+                .map_err(|source| UsageError::Listen { address, source })?;
             let local_address = listener.local_addr().unwrap_or(address);
             info!(self.log, "digest exchange listening"; "address" => local_address.to_string());
             let exchange = self.clone();
