--- a/src/daemon/shutdown.rs
+++ b/src/daemon/shutdown.rs
@@ -6,7 +6,7 @@
 use super::wiring::RunningServer;
 use crate::server::messages::{DispatcherMessage, ListenerMessage};
 use futures_lite::future::{or, pending};
-use slog::{Logger, info};
+use slog::{Logger, error, info};
 use std::time::{Duration, Instant};
 
 /// The admission controller's time ends so long before the kill, ms: its last responses still have to be written.
@@ -41,22 +41,22 @@
     time.as_secs_f64() * 1000.0
 }
 
-/// Waits for the request of a shutdown, and reloads the configuration at each SIGHUP before it. Returns when it came.
-async fn shutdown_requested(signals: &mut ProcessSignals, reloader: &mut ConfigReloader) -> Instant {
+/// Waits for the request of a shutdown, and reloads the configuration at each SIGHUP before it. Returns when it came;
+/// `None` if no signal can be received any more.
+async fn shutdown_requested(signals: &mut ProcessSignals, reloader: &mut ConfigReloader) -> Option<Instant> {
     while let Some(signal) = signals.next().await {
         match signal {
             ProcessSignal::Reload => reloader.reload(),
-            ProcessSignal::Shutdown { received_at } => return received_at,
+            ProcessSignal::Shutdown { received_at } => return Some(received_at),
         }
     }
-    pending().await
+    None
 }
 
 /// Reloads the configuration at each SIGHUP; further requests of a shutdown have no effect.
 async fn handle_after_shutdown_request(signals: &mut ProcessSignals, reloader: &mut ConfigReloader) {
-    loop {
-        shutdown_requested(signals, reloader).await;
-    }
+    while shutdown_requested(signals, reloader).await.is_some() {}
+    pending().await
 }
 
 /// Serves until a shutdown is requested and complete.
@@ -76,7 +76,10 @@
         }
     };
     let shutdown = async {
-        let received_at = shutdown_requested(signals, reloader).await;
+        let received_at = shutdown_requested(signals, reloader).await.unwrap_or_else(|| {
+            error!(log, "signals can't be received any more, shutting down");
+            Instant::now()
+        });
         shut_down(server, received_at, signals, reloader, log).await
     };
     or(shutdown, task_failed).await
--- a/src/daemon/signals.rs
+++ b/src/daemon/signals.rs
@@ -1,6 +1,7 @@
 //! The signals of the process, with the times at which they came.
 
 use super::error::DaemonError;
+use crate::server::fault_injection::{self, PanicPoint};
 use async_channel::{Receiver, Sender};
 use async_signal::{Signal, Signals};
 use futures_lite::StreamExt;
@@ -48,7 +49,7 @@
         Ok(ProcessSignals { received })
     }
 
-    /// Returns the next signal.
+    /// Returns the next signal; `None` once the thread has ended.
     pub(super) async fn next(&mut self) -> Option<ProcessSignal> {
         self.received.recv().await.ok()
     }
@@ -65,6 +66,7 @@
                 continue;
             }
         };
+        fault_injection::pass(PanicPoint::SignalReceived);
         if sender.send(signal).await.is_err() {
             return;
         }
--- a/src/server/fault_injection.rs
+++ b/src/server/fault_injection.rs
@@ -20,6 +20,8 @@
     ExportWorkerRequest,
     /// The store's writer reports lines that bill requests.
     StoreProgress,
+    /// The signals' thread has received a signal.
+    SignalReceived,
     /// The log's thread writes a line.
     LogLine,
     /// The log's thread hands a line to its writer, outside all that is caught there.
@@ -34,6 +36,7 @@
             PanicPoint::UpstreamRequestSent => "upstream-request-sent",
             PanicPoint::ExportWorkerRequest => "export-worker-request",
             PanicPoint::StoreProgress => "store-progress",
+            PanicPoint::SignalReceived => "signal-received",
             PanicPoint::LogLine => "log-line",
             PanicPoint::LogThread => "log-thread",
         }
--- a/tests/task_panics.rs
+++ b/tests/task_panics.rs
@@ -4,11 +4,13 @@
 #[allow(dead_code, reason = "each test program uses a part of it")]
 mod play;
 
-use play::{Playback, Setup};
+use play::{LoggedServer, PANIC_AT, Playback, Setup, command, config};
 use std::path::{Path, PathBuf};
 use std::time::{Duration, Instant};
 use tempfile::TempDir;
 
+/// An address that nobody listens on.
+const NOBODY: &str = "127.0.0.1:1";
 /// How long a test waits for a file.
 const HANG: Duration = Duration::from_secs(60);
 
@@ -139,6 +141,20 @@
     assert!(text.starts_with("error: "), "{text}");
 }
 
+/// Without the thread SIGTERM would have no effect: the process shuts down as if it had come.
+#[test]
+fn the_signals_thread() {
+    let stop = (r#""stop_ms":30000"#.to_owned(), r#""stop_ms":2000"#.to_owned());
+    let (mut command, _) = command(&config(NOBODY, NOBODY, NOBODY, &[stop]), "unlimited");
+    let mut server = LoggedServer::spawn(command.env(PANIC_AT, "signal-received:1"));
+    server.log_line("serving");
+    server.signal("HUP");
+    for words in ["signals can't be received any more", "shutdown requested", "shutdown complete"] {
+        server.log_line(words);
+    }
+    assert_eq!(server.end().code(), Some(0));
+}
+
 /// Returns the answer to the operator's request, once it is there.
 fn answer(folder: &Path) -> Option<String> {
     let files = std::fs::read_dir(folder).expect("the folder").flatten().map(|entry| entry.path());
