Serve an evicted connection for 50 ms after its client was notified

Cause: an eviction notified and finished in one step, right after its look for unread bytes; what came in between or crossed the notification was read and discarded.

Evidence: new stop points (feature test-faults) have the process stop itself after the look; the clients write, it goes on. A stop between accept and first read, and one before the close that follows, lose nothing.

An eviction now notifies; for 50 ms and while a response is owed the connection is served, then finished after a further look.

--- a/src/server/fault_injection.rs
+++ b/src/server/fault_injection.rs
@@ -1,11 +1,17 @@
-//! Deliberate panics at named points, for tests that show what follows a panic there. Without the feature `test-faults`
-//! there are none.
+//! Deliberate panics and stops of the process at named points, for tests that show what follows there. Without the feature
+//! `test-faults` there are none.
 
+use rustix::process::{Signal, getpid, kill_process};
 use std::sync::OnceLock;
 use std::sync::atomic::{AtomicUsize, Ordering};
+use std::time::Duration;
 
 /// The variable that names the point of the panic and which pass of it panics: `store:3` for the third pass.
-const VARIABLE: &str = "DUNLINSPREAD_PANIC_AT";
+const PANIC_VARIABLE: &str = "DUNLINSPREAD_PANIC_AT";
+/// The variable that names the point of the stop and which pass of it stops, in the same form.
+const STOP_VARIABLE: &str = "DUNLINSPREAD_STOP_AT";
+/// Time within which a signal of the process to itself takes effect.
+const SIGNAL_TIME: Duration = Duration::from_millis(5);
 
 /// A place in the program that can be made to panic.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -43,10 +49,31 @@
     }
 }
 
-/// The panic that the environment asks for.
-struct RequestedPanic {
+/// A place in the program at which the process can be made to stop until it is continued.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum StopPoint {
+    /// A connection was accepted, and nothing is read from it yet.
+    ConnectionAccepted,
+    /// A connection to be evicted was found to have no unread bytes.
+    EvictionChecked,
+    /// A connection to be closed was found to have no unread bytes.
+    CloseChecked,
+}
+
+impl StopPoint {
+    fn name(self) -> &'static str {
+        match self {
+            StopPoint::ConnectionAccepted => "connection-accepted",
+            StopPoint::EvictionChecked => "eviction-checked",
+            StopPoint::CloseChecked => "close-checked",
+        }
+    }
+}
+
+/// The fault that the environment asks for.
+struct RequestedFault {
     point: String,
-    /// Which pass of the point panics, from 1.
+    /// Which pass of the point has the fault, from 1.
     pass: usize,
     passes: AtomicUsize,
 }
@@ -59,17 +86,39 @@
     if !cfg!(feature = "test-faults") {
         return;
     }
-    static REQUESTED: OnceLock<Option<RequestedPanic>> = OnceLock::new();
-    let Some(requested) = REQUESTED.get_or_init(requested_panic) else { return };
-    if requested.point != point.name() {
+    static REQUESTED: OnceLock<Option<RequestedFault>> = OnceLock::new();
+    let requested = REQUESTED.get_or_init(|| RequestedFault::from_variable(PANIC_VARIABLE));
+    let is_due = requested.as_ref().is_some_and(|fault| fault.is_due_at(point.name()));
+    assert!(!is_due, "deliberate panic at {}", point.name());
+}
+
+/// Passes a point at which the process stops if the environment says so. It goes on with `SIGCONT`.
+pub fn pass_stop(point: StopPoint) {
+    if !cfg!(feature = "test-faults") {
         return;
     }
-    let pass = requested.passes.fetch_add(1, Ordering::Relaxed) + 1;
-    assert!(pass != requested.pass, "deliberate panic at {}", point.name());
+    static REQUESTED: OnceLock<Option<RequestedFault>> = OnceLock::new();
+    let requested = REQUESTED.get_or_init(|| RequestedFault::from_variable(STOP_VARIABLE));
+    if requested.as_ref().is_some_and(|fault| fault.is_due_at(point.name())) {
+        // A process may always signal itself.
+        let _ = kill_process(getpid(), Signal::STOP);
+        std::thread::sleep(SIGNAL_TIME);
+    }
 }
 
-fn requested_panic() -> Option<RequestedPanic> {
-    let text = std::env::var(VARIABLE).ok()?;
-    let (point, pass) = text.split_once(':')?;
-    Some(RequestedPanic { point: point.to_owned(), pass: pass.parse().ok()?, passes: AtomicUsize::new(0) })
+impl RequestedFault {
+    fn from_variable(variable: &str) -> Option<RequestedFault> {
+        let text = std::env::var(variable).ok()?;
+        let (point, pass) = text.split_once(':')?;
+        Some(RequestedFault {
+            point: point.to_owned(),
+            pass: pass.parse().ok()?,
+            passes: AtomicUsize::new(0),
+        })
+    }
+
+    /// Counts a pass of this point, and returns whether the fault is due in it.
+    fn is_due_at(&self, point: &str) -> bool {
+        self.point == point && self.passes.fetch_add(1, Ordering::Relaxed) + 1 == self.pass
+    }
 }
--- a/src/server/frontend/connection.rs
+++ b/src/server/frontend/connection.rs
@@ -1,14 +1,13 @@
 //! The state of one connection that its task and the connection table share.
 
 use super::connection_state::{ConnectionPolicy, ConnectionState, EvictionRank, FinishReason, Transition};
-use super::response_encoder::encode_shutdown;
 use crate::admission::RequestId;
+use crate::server::fault_injection::{self, StopPoint};
 use crate::server::messages::{ConnectionMessage, ReplyHandle, Response};
 use async_channel::{Receiver, Sender};
 use async_io::Async;
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
-use std::io::Write;
 use std::net::{Shutdown, TcpStream};
 use std::rc::{Rc, Weak};
 
@@ -87,43 +86,42 @@
     /// nothing that is still unread.
     pub(super) fn advance(&self, now: f64, policy: ConnectionPolicy) {
         let would_finish = self.state.borrow().would_finish(now, self.response_owed(), policy);
-        if would_finish && !policy.finish_all && self.is_held_open(now) {
-            return;
+        if would_finish && !policy.finish_all {
+            if self.is_held_open(now) {
+                return;
+            }
+            fault_injection::pass_stop(StopPoint::CloseChecked);
         }
         let transition = self.state.borrow_mut().advance(now, self.response_owed(), policy);
-        match transition {
-            Transition::Stay => {}
-            Transition::NotifyShutdown => self.notify_shutdown(),
-            Transition::Finish => self.close_sending_side(None),
-        }
+        self.carry_out(transition);
     }
 
-    /// Closes the connection at once and returns true, unless bytes of the client are still unread. A request that
-    /// crosses this is not accepted, and its client sends it again.
+    /// Evicts the connection and returns true, unless bytes of the client are still unread. Its client is notified; what
+    /// crosses the notification is served, and a later [`Connection::advance`] closes the connection.
     pub(super) fn try_evict(&self, now: f64) -> bool {
         if self.is_held_open(now) {
             return false;
         }
-        let mut notification = Vec::new();
-        encode_shutdown(&mut notification);
-        self.state.borrow_mut().finish(now, FinishReason::Evicted);
-        self.close_sending_side(Some(&notification));
+        fault_injection::pass_stop(StopPoint::EvictionChecked);
+        let transition = self.state.borrow_mut().evict(now);
+        self.carry_out(transition);
         true
     }
 
-    /// Closes the queue of responses, and where nothing waits to be written shuts the socket's sending side at once, after
-    /// these last bytes. The client then sees the end before anything can hold up the connection's task.
-    fn close_sending_side(&self, last_bytes: Option<&[u8]>) {
+    fn carry_out(&self, transition: Transition) {
+        match transition {
+            Transition::Stay => {}
+            Transition::NotifyShutdown => self.notify_shutdown(),
+            Transition::Finish => self.close_sending_side(),
+        }
+    }
+
+    /// Closes the queue of responses, and where nothing waits to be written shuts the socket's sending side at once: the
+    /// client then sees the end before anything can hold up the connection's task.
+    fn close_sending_side(&self) {
         let is_writer_idle = self.responses.is_empty() && !self.is_writing.get();
-        let socket = self.socket.upgrade().filter(|_| is_writer_idle);
-        match (socket, last_bytes) {
-            (Some(socket), _) => {
-                // An idle socket has room for a notification; without it the client sees the end alone.
-                let _ = last_bytes.map(|bytes| socket.get_ref().write_all(bytes));
-                let _ = socket.get_ref().shutdown(Shutdown::Write);
-            }
-            (None, Some(_)) => self.notify_shutdown(),
-            (None, None) => {}
+        if let Some(socket) = self.socket.upgrade().filter(|_| is_writer_idle) {
+            let _ = socket.get_ref().shutdown(Shutdown::Write);
         }
         self.close_response_queue();
     }
--- a/src/server/frontend/connection_state.rs
+++ b/src/server/frontend/connection_state.rs
@@ -1,8 +1,9 @@
 //! State machine of a client connection: when its client is notified to send nothing new, and when it is closed.
 //!
-//! A connection serves; its client is notified; it finishes: the responses that are owed go out, the sending side is
-//! shut, and further bytes are read and discarded, because a close over unread bytes would reset the connection and
-//! lose responses. The state machine has no socket and no clock.
+//! A connection serves; its client is notified, because it was idle, the server drains, or it makes room for others; it
+//! finishes: the responses that are owed go out, the sending side is shut, and further bytes are read and discarded,
+//! because a close over unread bytes would reset the connection and lose responses. Between the notification and the
+//! finish, requests that crossed the notification are served. The state machine has no socket and no clock.
 //!
 //! # Invariants
 //! - While a response is owed, a connection finishes only at the end of the process or by an explicit
@@ -29,6 +30,9 @@
 pub const UNREAD_GRACE_MS: f64 = 800.0;
 /// Age below which a connection without a request is not evicted, ms: its first request may be on its way.
 const NEW_CONNECTION_GRACE_MS: f64 = 50.0;
+/// Time for which an evicted connection is still served after its client was notified, ms: the protocol's limit for a
+/// request that crosses the notification.
+pub const EVICTION_GRACE_MS: f64 = 50.0;
 
 /// Why a connection finishes.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -39,7 +43,7 @@
     MessageNotCompleted,
     /// Its client was notified, and did not close it in time.
     CloseGraceOver,
-    /// It made room for others.
+    /// Its client was notified, and it made room for others.
     Evicted,
     /// The process ends.
     ProcessEnds,
@@ -113,6 +117,8 @@
     Serving,
     /// The client was notified at that time.
     Notified(f64),
+    /// The client was notified at that time, and the connection makes room for others.
+    Evicting(f64),
     /// Nothing is accepted since that time.
     Finishing(f64, FinishReason),
 }
@@ -151,7 +157,7 @@
         self.held_open_since = self.held_open_since.map(|since| since + stalled_ms);
         match &mut self.phase {
             Phase::Serving => {}
-            Phase::Notified(at) | Phase::Finishing(at, _) => *at += stalled_ms,
+            Phase::Notified(at) | Phase::Evicting(at) | Phase::Finishing(at, _) => *at += stalled_ms,
         }
     }
 
@@ -189,6 +195,22 @@
         !matches!(self.phase, Phase::Finishing(..))
     }
 
+    /// Returns whether the connection is evicted or finishes, so that its descriptor becomes free soon.
+    pub fn is_leaving(&self) -> bool {
+        matches!(self.phase, Phase::Evicting(_) | Phase::Finishing(..))
+    }
+
+    /// Returns whether a connection whose responses are all written may be dropped where descriptors are short: for
+    /// [`MIN_LINGER_MS`] its client knows that it ends. An evicted client was notified before the connection finished.
+    pub fn may_stop_lingering(&self, now: f64) -> bool {
+        let Phase::Finishing(finished_at, reason) = self.phase else { return false };
+        let client_knows_since = match reason {
+            FinishReason::Evicted => self.last_activity.max(finished_at - EVICTION_GRACE_MS),
+            _ => finished_at,
+        };
+        now - client_knows_since >= MIN_LINGER_MS
+    }
+
     /// Returns since when and why no request is accepted.
     pub fn finishing_since(&self) -> Option<(f64, FinishReason)> {
         match self.phase {
@@ -204,6 +226,22 @@
         }
     }
 
+    /// Evicts the connection and returns what has to be done. It is served for [`EVICTION_GRACE_MS`] from when its client
+    /// was notified, and while a response is owed.
+    pub fn evict(&mut self, now: f64) -> Transition {
+        match self.phase {
+            Phase::Serving => {
+                self.phase = Phase::Evicting(now);
+                Transition::NotifyShutdown
+            }
+            Phase::Notified(at) => {
+                self.phase = Phase::Evicting(at);
+                Transition::Stay
+            }
+            Phase::Evicting(_) | Phase::Finishing(..) => Transition::Stay,
+        }
+    }
+
     /// Returns whether [`ConnectionState::advance`] would let it finish.
     pub fn would_finish(&self, now: f64, response_owed: bool, policy: ConnectionPolicy) -> bool {
         self.accepts_requests() && self.finish_reason(now, response_owed, policy).is_some()
@@ -226,7 +264,7 @@
                 self.phase = Phase::Notified(now);
                 Transition::NotifyShutdown
             }
-            Phase::Notified(at) if response_owed => {
+            Phase::Notified(at) | Phase::Evicting(at) if response_owed => {
                 *at = now;
                 Transition::Stay
             }
@@ -253,15 +291,16 @@
             Phase::Notified(at) if now - at.max(self.last_activity) >= CLOSE_GRACE_MS => {
                 Some(FinishReason::CloseGraceOver)
             }
-            Phase::Notified(_) | Phase::Serving | Phase::Finishing(..) => None,
+            Phase::Evicting(at) if now - at >= EVICTION_GRACE_MS => Some(FinishReason::Evicted),
+            Phase::Notified(_) | Phase::Evicting(_) | Phase::Serving | Phase::Finishing(..) => None,
         }
     }
 
-    /// Returns the rank for eviction, or `None` while the connection can't be evicted: it finishes, a response is owed,
+    /// Returns the rank for eviction, or `None` while the connection can't be evicted: it is leaving, a response is owed,
     /// or it is so new that its first request may be on its way.
     pub fn eviction_rank(&self, now: f64, response_owed: bool) -> Option<EvictionRank> {
         let is_new = !self.sent_request && now - self.accepted_at < NEW_CONNECTION_GRACE_MS;
-        let evictable = self.accepts_requests() && !response_owed && !is_new;
+        let evictable = !self.is_leaving() && !response_owed && !is_new;
         evictable
             .then_some(EvictionRank { sent_request: self.sent_request, last_activity: self.last_activity })
     }
--- a/src/server/frontend/connection_table.rs
+++ b/src/server/frontend/connection_table.rs
@@ -1,9 +1,10 @@
 //! The connections that are open, each with its task, and their number against its limit.
 
 use super::connection::Connection;
-use super::connection_state::{ConnectionPolicy, MIN_LINGER_MS};
+use super::connection_state::ConnectionPolicy;
 use super::connection_task;
 use super::context::{FrontendContext, LOG_WINDOW_MS};
+use crate::server::fault_injection::{self, StopPoint};
 use crate::server::messages::ListenerMessage;
 use async_channel::Sender;
 use async_executor::{LocalExecutor, Task};
@@ -95,6 +96,7 @@
             })
         };
         self.entries.insert(self.last_number, Entry { connection, _task: task });
+        fault_injection::pass_stop(StopPoint::ConnectionAccepted);
         if !self.is_tight() {
             return;
         }
@@ -124,8 +126,9 @@
     pub(super) fn sweep(&mut self, now: f64, policy: ConnectionPolicy) {
         if self.is_tight() {
             self.drop_lingering(now);
-            let finishing = self.entries.values().filter(|e| !e.connection.accepts_requests()).count();
-            self.evict(now, (self.len() - finishing).saturating_sub(self.comfortable_len()));
+            let is_leaving = |entry: &&Entry| entry.connection.state.borrow().is_leaving();
+            let staying = self.len() - self.entries.values().filter(is_leaving).count();
+            self.evict(now, staying.saturating_sub(self.comfortable_len()));
         }
         for entry in self.entries.values() {
             entry.connection.advance(now, policy);
@@ -152,9 +155,8 @@
 
     fn drop_lingering(&mut self, now: f64) {
         self.entries.retain(|_, entry| {
-            let finishing_since = entry.connection.state.borrow().finishing_since();
-            let is_due = finishing_since.is_some_and(|(since, _)| now - since >= MIN_LINGER_MS);
-            !(entry.connection.is_lingering.get() && is_due)
+            let may_stop_lingering = entry.connection.state.borrow().may_stop_lingering(now);
+            !(entry.connection.is_lingering.get() && may_stop_lingering)
         });
     }
 
--- a/tests/connection_state.rs
+++ b/tests/connection_state.rs
@@ -2,8 +2,8 @@
 //! shutdown and the end of the process. A plain model beside it records what is owed and what was notified.
 
 use dunlinspread::server::frontend::connection_state::{
-    CLOSE_GRACE_MS, ConnectionPolicy, ConnectionState, FinishReason, MESSAGE_TIMEOUT_MS, ReadProgress,
-    Transition, UNREAD_GRACE_MS,
+    CLOSE_GRACE_MS, ConnectionPolicy, ConnectionState, EVICTION_GRACE_MS, FinishReason, MESSAGE_TIMEOUT_MS,
+    MIN_LINGER_MS, ReadProgress, Transition, UNREAD_GRACE_MS,
 };
 use proptest::prelude::*;
 
@@ -76,7 +76,9 @@
                     let may = connection.eviction_rank(now, responses_owed > 0).is_some();
                     prop_assert!(!may || responses_owed == 0 && connection.accepts_requests(), "evicted while a response is owed");
                     if may {
-                        connection.finish(now, FinishReason::Evicted);
+                        transition = connection.evict(now);
+                        prop_assert!(connection.accepts_requests(), "a request that crosses an eviction is not accepted");
+                        prop_assert!(connection.eviction_rank(now, false).is_none(), "evicted twice");
                     }
                 }
                 ConnectionEvent::ServerDrains => policy.notify_all = true,
@@ -119,3 +121,58 @@
     connection.record_request();
     assert!(connection.hold_open_for_unread_bytes(STALL_MS + UNREAD_GRACE_MS));
 }
+
+/// The policy of a server that serves, with an idle timeout that is not reached.
+const SERVING: ConnectionPolicy =
+    ConnectionPolicy { idle_timeout_ms: f64::INFINITY, notify_all: false, finish_all: false };
+
+/// Returns the state of a connection that has sent a request, which was answered at time 0.
+fn answered_connection() -> ConnectionState {
+    let mut connection = ConnectionState::new(0.0);
+    connection.record_request();
+    connection
+}
+
+/// What crosses the notification of an eviction is served, and the connection finishes once that was answered.
+#[test]
+fn an_evicted_connection_is_served_until_its_grace_is_over() {
+    const SENT_AT_MS: f64 = EVICTION_GRACE_MS - 1.0;
+    const ANSWERED_AT_MS: f64 = 20.0 * EVICTION_GRACE_MS;
+    let mut connection = answered_connection();
+    assert_eq!(connection.evict(0.0), Transition::NotifyShutdown);
+    assert_eq!(connection.advance(SENT_AT_MS, false, SERVING), Transition::Stay);
+    assert!(connection.accepts_requests() && connection.is_leaving());
+    connection.record_request();
+    assert_eq!(connection.advance(ANSWERED_AT_MS, true, SERVING), Transition::Stay);
+    let finishes_at_ms = ANSWERED_AT_MS + EVICTION_GRACE_MS;
+    assert_eq!(connection.advance(finishes_at_ms - 1.0, false, SERVING), Transition::Stay);
+    assert_eq!(connection.advance(finishes_at_ms, false, SERVING), Transition::Finish);
+    assert_eq!(connection.finishing_since(), Some((finishes_at_ms, FinishReason::Evicted)));
+}
+
+/// A client that was notified before it is evicted isn't notified again, and the time since then counts.
+#[test]
+fn a_notified_connection_is_evicted_without_a_further_notification() {
+    const EVICTED_AT_MS: f64 = 2.0 * EVICTION_GRACE_MS;
+    let mut connection = answered_connection();
+    let draining = ConnectionPolicy { notify_all: true, ..SERVING };
+    assert_eq!(connection.advance(0.0, false, draining), Transition::NotifyShutdown);
+    assert_eq!(connection.evict(EVICTED_AT_MS), Transition::Stay);
+    assert_eq!(connection.advance(EVICTED_AT_MS, false, draining), Transition::Finish);
+}
+
+/// Where descriptors are short, an evicted connection is kept for as long after its last bytes as any other after its end.
+#[test]
+fn an_evicted_connection_lingers_from_its_last_bytes() {
+    let mut silent = answered_connection();
+    silent.evict(0.0);
+    silent.advance(EVICTION_GRACE_MS, false, SERVING);
+    assert!(silent.may_stop_lingering(EVICTION_GRACE_MS));
+    let mut served = answered_connection();
+    served.evict(0.0);
+    let last_bytes_at_ms = EVICTION_GRACE_MS - 1.0;
+    served.record_activity(last_bytes_at_ms);
+    served.advance(EVICTION_GRACE_MS, false, SERVING);
+    assert!(!served.may_stop_lingering(last_bytes_at_ms + MIN_LINGER_MS - 1.0));
+    assert!(served.may_stop_lingering(last_bytes_at_ms + MIN_LINGER_MS));
+}
--- a/tests/play/alone.rs
+++ b/tests/play/alone.rs
@@ -2,14 +2,14 @@
 
 use super::HANG;
 use super::bytes::{message, request, unescape};
-use super::process::{listening_address, start_with};
+use super::process::{STOP_AT, command, listening_address, start_with};
 use rustix::process::{Pid, Signal, WaitOptions, kill_process, waitpid};
 use std::io::{BufRead, BufReader, ErrorKind, Read, Write};
 use std::net::TcpStream;
 use std::process::Child;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// The first bytes of a notification, escaped.
 const NOTIFICATION: &str = r"\x93\x02";
@@ -45,7 +45,16 @@
 
     /// Starts it with so many descriptors and waits until it serves.
     pub fn limited(config: &str, descriptors: &str) -> Alone {
-        let server = start_with(config, descriptors).0;
+        Alone::serving(start_with(config, descriptors).0)
+    }
+
+    /// Starts it with a point at which it will stop itself, and waits until it serves.
+    pub fn stopping_at(config: &str, point: &str) -> Alone {
+        let mut command = command(config, "unlimited").0;
+        Alone::serving(command.env(STOP_AT, point).spawn().expect("the server starts"))
+    }
+
+    fn serving(server: Child) -> Alone {
         let mut alone = Alone { server, address: String::new(), stalled_ms: Arc::default() };
         let log = BufReader::new(alone.server.stderr.take().expect("a log"));
         let mut lines = log.lines().map_while(Result::ok);
@@ -73,6 +82,17 @@
         waitpid(Some(id), WaitOptions::UNTRACED).expect("it is a child");
     }
 
+    /// Waits until the process has stopped itself.
+    pub fn wait_until_stopped(&self) {
+        let id = Pid::from_child(&self.server);
+        let since = Instant::now();
+        let options = WaitOptions::UNTRACED | WaitOptions::NOHANG;
+        while waitpid(Some(id), options).expect("it is a child").is_none() {
+            assert!(since.elapsed() < HANG, "the server does not stop itself");
+            std::thread::sleep(Duration::from_millis(1));
+        }
+    }
+
     /// Continues the process.
     pub fn resume(&self) {
         kill_process(Pid::from_child(&self.server), Signal::CONT).expect("it is stopped");
--- a/tests/play/process.rs
+++ b/tests/play/process.rs
@@ -22,6 +22,9 @@
 /// The variable that makes the server panic at a named point.
 pub const PANIC_AT: &str = "DUNLINSPREAD_PANIC_AT";
 
+/// The variable that makes the server stop itself at a named point.
+pub const STOP_AT: &str = "DUNLINSPREAD_STOP_AT";
+
 /// The variable that names the operator file.
 pub const OPERATOR: &str = "DUNLINSPREAD_OPERATOR";
 
--- a/tests/unread_close.rs
+++ b/tests/unread_close.rs
@@ -25,6 +25,8 @@
 const STOPS: [Duration; 2] = [Duration::from_millis(300), Duration::from_millis(700)];
 /// Rounds with each stop: the order of the server's tasks as it continues is not the same in all.
 const ROUNDS: usize = 3;
+/// An idle timeout that is not reached.
+const NO_IDLE_TIMEOUT_MS: u64 = 32_000_000_000;
 /// Time limit for the end of a connection that sends no request: 2 s for a whole message, 0.8 s for unread bytes, and
 /// slack for a starved machine.
 const CLOSE_LIMIT: Duration = Duration::from_millis(2800 + 2200);
@@ -44,16 +46,25 @@
 
 impl Site {
     fn start(idle_timeout_ms: u64) -> Site {
+        Site::start_with(idle_timeout_ms, Alone::new)
+    }
+
+    /// Starts a server that will stop itself at this point.
+    fn stopping_at(point: &str) -> Site {
+        Site::start_with(NO_IDLE_TIMEOUT_MS, |config| Alone::stopping_at(config, point))
+    }
+
+    fn start_with(idle_timeout_ms: u64, start: impl FnOnce(&str) -> Alone) -> Site {
         let pool = FakeWorkerPool::new();
         let changes = [
             (r#""sockets":1024"#.to_owned(), format!(r#""sockets":{DESCRIPTORS}"#)),
             (
-                r#""keepalive_max_ms":32000000000"#.to_owned(),
+                format!(r#""keepalive_max_ms":{NO_IDLE_TIMEOUT_MS}"#),
                 format!(r#""keepalive_max_ms":{idle_timeout_ms}"#),
             ),
         ];
         let address = pool.address().to_string();
-        let server = Alone::new(&config(&address, "127.0.0.1:1", "127.0.0.1:1", &changes));
+        let server = start(&config(&address, "127.0.0.1:1", "127.0.0.1:1", &changes));
         Site { pool, server }
     }
 
@@ -148,7 +159,7 @@
 #[test]
 fn no_request_is_lost_to_an_eviction_after_a_stop() {
     for stop in rounds() {
-        let site = Site::start(32_000_000_000);
+        let site = Site::start(NO_IDLE_TIMEOUT_MS);
         let _checks = HealthChecks::start(&site.server.address);
         let mut clients = site.open_answered(MAX_CONNECTIONS - HealthChecks::THREADS - 1);
         let mut waiting = None;
@@ -168,7 +179,7 @@
 #[test]
 fn no_request_is_lost_to_an_eviction_for_waiting_connections() {
     for stop in rounds() {
-        let site = Site::start(32_000_000_000);
+        let site = Site::start(NO_IDLE_TIMEOUT_MS);
         let mut clients = site.open_answered(COMFORTABLE_CONNECTIONS);
         let mut waiting = Vec::new();
         site.while_stopped(stop, || {
@@ -182,6 +193,42 @@
     }
 }
 
+/// Has every client that was not notified write a request while the server, with one connection more than it keeps free of
+/// eviction, stands still at this point.
+fn assert_none_lost_at(point: &str) {
+    for stop in STOPS {
+        let site = Site::stopping_at(point);
+        let mut clients = site.open_answered(COMFORTABLE_CONNECTIONS);
+        clients.push(Client::new(&site.server.address));
+        site.server.wait_until_stopped();
+        let since = Instant::now();
+        clients.retain(Client::is_quiet);
+        assert!(clients.len() >= COMFORTABLE_CONNECTIONS, "only {} were not notified", clients.len());
+        clients.iter_mut().for_each(|client| client.ask(2, &new_attempt()));
+        std::thread::sleep(stop.saturating_sub(since.elapsed()));
+        site.server.resume();
+        assert_all_answered(&format!("a stop of {stop:?} at {point}"), &mut clients);
+    }
+}
+
+/// Guards against an eviction that closes at once: a request that comes after the look for unread bytes would be discarded.
+#[test]
+fn no_request_is_lost_between_the_look_for_unread_bytes_and_an_eviction() {
+    assert_none_lost_at("eviction-checked:1");
+}
+
+/// The evicted client was notified and sends nothing: the close ends no other connection.
+#[test]
+fn no_request_is_lost_between_the_look_for_unread_bytes_and_the_close_of_an_evicted_connection() {
+    assert_none_lost_at("close-checked:1");
+}
+
+/// The stop is in the accept of the connection for which another one is to be evicted.
+#[test]
+fn no_request_is_lost_between_an_accept_and_the_first_read() {
+    assert_none_lost_at(&format!("connection-accepted:{}", COMFORTABLE_CONNECTIONS + 1));
+}
+
 /// Guards against a close over a request that crossed the notification: the time that its client has to close the connection
 /// ends while the server stands still.
 #[test]
@@ -242,7 +289,7 @@
 /// that are sent without a pause, so that some are unread whenever the server looks.
 #[test]
 fn a_connection_without_a_request_is_closed_in_a_bounded_time() {
-    let site = Site::start(32_000_000_000);
+    let site = Site::start(NO_IDLE_TIMEOUT_MS);
     let long_message =
         [&b"\x94\x00\x01\xda\xff\xff"[..], &[b'a'; 64]].concat().into_iter().map(|byte| vec![byte]);
     assert_closed_in_time(&site, "silent", std::iter::empty(), Duration::ZERO);
@@ -257,7 +304,7 @@
     const ROUNDS: u32 = 3;
     const BETWEEN: Duration = Duration::from_millis(300);
     const STOP: Duration = Duration::from_millis(1200);
-    let site = Site::start(32_000_000_000);
+    let site = Site::start(NO_IDLE_TIMEOUT_MS);
     let took = std::thread::scope(|scope| {
         let flood =
             scope.spawn(|| assert_closed_in_time(&site, "notifications", notifications(), Duration::ZERO));
