Tests: a peer passes over connections of other processes' servers

Shown now: another server whose worker pool has the upstream service's port gives the same silence, 'no line' on an accepted connection with a foreign process at the other end (182 s, then failed). The peers of played exchanges now look whether the other end is open in another process than their server's, say so and take the next one; the same test passes. A connection that its server has closed already is still the server's.

--- a/tests/play/mod.rs
+++ b/tests/play/mod.rs
@@ -31,7 +31,11 @@
 
 /// Plays a script and returns its transcript.
 pub fn play(script: &str) -> String {
-    let mut playback = Playback::start(&Setup::of_script(script));
+    play_on(&mut Playback::start(&Setup::of_script(script)), script)
+}
+
+/// Plays a script on a server that was started with its settings, and returns its transcript.
+pub fn play_on(playback: &mut Playback, script: &str) -> String {
     let mut transcript = String::new();
     for line in script.lines().filter(|line| !line.is_empty() && !Setup::is_setting(line)) {
         transcript.push_str(line);
--- a/tests/play/peers.rs
+++ b/tests/play/peers.rs
@@ -2,10 +2,10 @@
 
 use super::HANG;
 use super::process::config;
-use super::sockets::describe_peer;
+use super::sockets::{describe_peer, is_from_another_process};
 use std::fmt::Write as _;
 use std::io::{BufRead, BufReader, Read, Write};
-use std::net::{TcpListener, TcpStream};
+use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::mpsc::Sender;
 
 /// The listeners of all peers.
@@ -30,22 +30,37 @@
 /// A peer with the connection that it uses, accepted when it is first needed.
 pub struct Peer {
     listener: TcpListener,
+    /// The server's process.
+    server: u32,
     pub connection: Option<BufReader<TcpStream>>,
 }
 
 impl Peer {
-    pub fn new(listener: TcpListener) -> Peer {
-        Peer { listener, connection: None }
+    pub fn new(listener: TcpListener, server: u32) -> Peer {
+        Peer { listener, server, connection: None }
+    }
+
+    /// Returns where it listens.
+    pub fn address(&self) -> SocketAddr {
+        self.listener.local_addr().expect("an address")
     }
 
     /// Returns the connection, or the next one that the server opens.
     pub fn connected(&mut self) -> &mut BufReader<TcpStream> {
-        self.connection.get_or_insert_with(|| accept(&self.listener))
+        self.connection.get_or_insert_with(|| accept(&self.listener, self.server))
     }
 }
 
-fn accept(listener: &TcpListener) -> BufReader<TcpStream> {
-    let (stream, _) = listener.accept().expect("the server connects");
+/// Accepts the next connection of the server with this process id. Those of others are closed: their ports were another
+/// test's before.
+fn accept(listener: &TcpListener, server: u32) -> BufReader<TcpStream> {
+    let stream = loop {
+        let (stream, _) = listener.accept().expect("the server connects");
+        if !is_from_another_process(&stream, server) {
+            break stream;
+        }
+        println!("not the server's connection: {}", describe_peer(&stream));
+    };
     stream.set_read_timeout(Some(HANG)).expect("a time limit");
     BufReader::new(stream)
 }
@@ -81,12 +96,12 @@
     Some(format!("{request} | {}", body.escape_ascii()))
 }
 
-/// Answers the reports to a registry in a thread of its own, and passes each change on.
-pub fn answer_reports(registry: TcpListener, changes: Sender<String>) {
+/// Answers the reports of the server with this process id in a thread of its own, and passes each change on.
+pub fn answer_reports(registry: TcpListener, server: u32, changes: Sender<String>) {
     std::thread::spawn(move || {
         let mut last = String::new();
         loop {
-            let mut reader = accept(&registry);
+            let mut reader = accept(&registry, server);
             while let Some(report) = read_http_request(&mut reader) {
                 if report != last && changes.send(report.clone()).is_err() {
                     return;
--- a/tests/play/playback.rs
+++ b/tests/play/playback.rs
@@ -6,7 +6,7 @@
 use super::process::{OPERATOR, PANIC_AT, command, listening_address, without_file};
 use std::collections::HashMap;
 use std::io::{BufRead, BufReader, Write};
-use std::net::{Shutdown, TcpStream};
+use std::net::{Shutdown, SocketAddr, TcpStream};
 use std::path::PathBuf;
 use std::process::{Child, Command};
 use std::sync::mpsc::{Receiver, Sender, channel};
@@ -90,8 +90,10 @@
             stderr.lines().map_while(Result::ok).try_for_each(|line| log_sender.send(line))
         });
         let (report_sender, reports) = channel();
-        answer_reports(listeners.registry, report_sender.clone());
+        answer_reports(listeners.registry, server.id(), report_sender.clone());
         let mut playback = Playback {
+            pool: Peer::new(listeners.pool, server.id()),
+            upstream: Peer::new(listeners.upstream, server.id()),
             server,
             config_file,
             config_changes: setup.config_changes.clone(),
@@ -101,8 +103,6 @@
             reports,
             report_sender,
             clients: HashMap::new(),
-            pool: Peer::new(listeners.pool),
-            upstream: Peer::new(listeners.upstream),
             old_upstream: None,
         };
         while playback.address.is_empty() {
@@ -113,6 +113,11 @@
         playback
     }
 
+    /// Returns where the upstream service listens.
+    pub fn upstream_address(&self) -> SocketAddr {
+        self.upstream.address()
+    }
+
     /// Returns the log line with these words that was written before the server served.
     pub fn start_line(&self, words: &str) -> &str {
         let line = self.start_lines.iter().find(|line| line.contains(words));
@@ -220,9 +225,10 @@
         }
         let (listeners, text) = Listeners::bind(&self.config_changes);
         std::fs::write(&self.config_file, text).expect("the configuration is written");
-        answer_reports(listeners.registry, self.report_sender.clone());
-        self.pool = Peer::new(listeners.pool);
-        self.old_upstream = std::mem::replace(&mut self.upstream, Peer::new(listeners.upstream)).connection;
+        answer_reports(listeners.registry, self.server.id(), self.report_sender.clone());
+        self.pool = Peer::new(listeners.pool, self.server.id());
+        self.old_upstream =
+            std::mem::replace(&mut self.upstream, Peer::new(listeners.upstream, self.server.id())).connection;
         self.signal("HUP");
     }
 
--- a/tests/task_panics.rs
+++ b/tests/task_panics.rs
@@ -25,6 +25,22 @@
 
 panics! { connection upstream_before upstream_after }
 
+/// Guards against a connection of another test's server, to a port that the system gave out anew, being taken for the server's
+/// own: the peers waited on it without end.
+#[test]
+fn a_connection_of_another_process_does_not_stand_in_for_the_servers_own() {
+    let script = include_str!("panics/upstream_before.txt");
+    let mut playback = Playback::start(&Setup::of_script(script));
+    let upstream = playback.upstream_address();
+    // It takes the upstream service for its worker pool.
+    let other =
+        LoggedServer::start(&mut command(&config(&upstream.to_string(), NOBODY, NOBODY, &[]), "unlimited").0);
+    play::sockets::wait_for(|| {
+        play::sockets::of_process(other.id()).into_iter().find(|socket| socket.remote_port == upstream.port())
+    });
+    assert_eq!(play::play_on(&mut playback, script), play::play(script));
+}
+
 /// A server's ledger in a folder of its own.
 struct Ledger {
     folder: TempDir,
