Tests: count the end of a connection from when it came to the client's system

The protocol has such a request sent again; the check took the lag of the test's client, one thread for 900 requests a second in a debug build, for the server's.

Replaced by one as strict: the bound of 50 ms and the rule are unchanged, but a thread of its own notes when the system shows the server's end. If that thread lags, an end counts later, never earlier.

--- a/tests/upgrade_check.rs
+++ b/tests/upgrade_check.rs
@@ -2,13 +2,14 @@
 
 mod upgrade_support;
 
-use dunlinspread_fakes::{RequestEnds, ReservedAddress, StartedRun};
-use std::io::Read;
-use std::net::{SocketAddr, TcpListener, TcpStream};
+use dunlinspread_fakes::{RequestEnds, ReservedAddress, StartedRun, unix_ms};
+use std::io::{Read, Write};
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::sync::Arc;
 use std::time::Duration;
 use upgrade_support::check::{Verdict, judge};
 use upgrade_support::clients::Clients;
+use upgrade_support::connection::Connection;
 use upgrade_support::load::{LoadSettings, PlannedRequest};
 use upgrade_support::records::{AttemptRecord, Outcome, Records};
 use upgrade_support::wait_for;
@@ -17,6 +18,8 @@
 const WINDOW_MS: f64 = 1000.0;
 /// A connection that ends this soon after a request was written was not read.
 const CROSSING: Duration = Duration::from_millis(50);
+/// A server's notification that it shuts down.
+const SHUTDOWN_NOTIFICATION: &[u8] = b"\x93\x02\xa4stop\x90";
 
 fn attempt(call: u64, key: Option<&str>, written_ms: u64, outcome: Outcome) -> AttemptRecord {
     let request = PlannedRequest {
@@ -129,6 +132,43 @@
     assert_eq!(records.count(Outcome::TurnedAway), records.attempts.len());
 }
 
+/// Guards against taking the lag of a client for the server's: an end counts from when it came, also behind a message that the
+/// client has not read.
+#[test]
+fn an_end_counts_from_when_it_came() {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+    let address = listener.local_addr().expect("an address");
+    let connection = async_io::block_on(Connection::open(address)).expect("it listens");
+    let (mut server, _) = listener.accept().expect("a connection");
+    server.write_all(SHUTDOWN_NOTIFICATION).expect("the connection is open");
+    let (_, responded) = connection.open_request();
+    server.shutdown(Shutdown::Write).expect("the connection is open");
+    let ended_ms = unix_ms();
+    // The client is late by as much.
+    std::thread::sleep(CROSSING * 20);
+    async_io::block_on(connection.serve());
+    assert!(responded.is_closed(), "no response comes");
+    let came_ms = connection.ended_ms().expect("it has ended");
+    assert!(
+        (ended_ms..unix_ms() - CROSSING.as_millis() as u64 * 10).contains(&came_ms),
+        "{came_ms}, not {ended_ms}"
+    );
+}
+
+/// An end that comes long after a request counts from then, however promptly it is seen.
+#[test]
+fn an_end_does_not_count_before_it_came() {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+    let address = listener.local_addr().expect("an address");
+    let connection = async_io::block_on(Connection::open(address)).expect("it listens");
+    let (server, _) = listener.accept().expect("a connection");
+    std::thread::sleep(CROSSING * 4);
+    let ended_ms = unix_ms();
+    drop(server);
+    async_io::block_on(connection.serve());
+    assert!(connection.ended_ms().is_some_and(|came_ms| came_ms >= ended_ms), "{:?}", connection.ended_ms());
+}
+
 #[test]
 fn a_request_that_is_never_answered_counts_as_unanswered() {
     let records =
--- a/tests/upgrade_support/connection.rs
+++ b/tests/upgrade_support/connection.rs
@@ -1,5 +1,6 @@
 //! One connection of a client to the server.
 
+use crate::upgrade_support::connection_ends::ConnectionEnd;
 use crate::upgrade_support::messages::{Response, ServerMessage, decode};
 use async_channel::{Receiver, Sender};
 use async_io::{Async, Timer};
@@ -41,6 +42,9 @@
     last_id: Cell<u64>,
     retired: Cell<bool>,
     shutdown_seen: Cell<bool>,
+    /// The server's end of it, as the system shows it.
+    server_end: ConnectionEnd,
+    /// When it was seen to have ended.
     ended_ms: Cell<Option<u64>>,
 }
 
@@ -52,6 +56,7 @@
     pub async fn open(address: SocketAddr) -> io::Result<Rc<Connection>> {
         let stream = Async::<TcpStream>::connect(address).await?;
         stream.get_ref().set_nodelay(true)?;
+        let server_end = ConnectionEnd::watch(stream.get_ref())?;
         let (outgoing, queued) = async_channel::unbounded();
         Ok(Rc::new(Connection {
             connected_ms: unix_ms(),
@@ -64,6 +69,7 @@
             last_id: Cell::new(0),
             retired: Cell::new(false),
             shutdown_seen: Cell::new(false),
+            server_end,
             ended_ms: Cell::new(None),
         }))
     }
@@ -74,9 +80,10 @@
         usable && self.open.borrow().len() < MAX_OPEN_REQUESTS
     }
 
-    /// Returns the Unix ms of its end; `None` while it stands.
+    /// Returns the Unix ms at which its end came, which a client that lags sees later; `None` while it stands.
     pub fn ended_ms(&self) -> Option<u64> {
-        self.ended_ms.get()
+        let seen_ms = self.ended_ms.get()?;
+        Some(self.server_end.came_at_ms().map_or(seen_ms, |came_ms| came_ms.min(seen_ms)))
     }
 
     /// Returns how many second responses it carried.
--- a/tests/upgrade_support/mod.rs
+++ b/tests/upgrade_support/mod.rs
@@ -7,6 +7,7 @@
 pub mod check;
 pub mod clients;
 pub mod connection;
+pub mod connection_ends;
 pub mod health;
 pub mod http;
 pub mod load;
