Judge a stall as of the request for the gauges

Cause: the gauges come behind what the pool reported before their request was read, and before what it reports later; the time without progress was taken when they were handled. That the worker pool had no time on the cores is ruled out: its thread measured its own delays.

The controller hears when the gauges are requested and counts up to then.

--- a/src/admission/controller.rs
+++ b/src/admission/controller.rs
@@ -90,6 +90,7 @@
                 self.external_load = ExternalLoad::new(runs, memory_kb);
             }
             Event::Reconfigured(changes) => self.on_reconfigured(&changes),
+            Event::GaugesRequested => self.faults.record_gauges_request(now),
             Event::Timer { token: TIMER_TOKEN, gauges } => self.on_tick(now, gauges, actions),
             Event::Timer { .. } => {}
         }
--- a/src/admission/event.rs
+++ b/src/admission/event.rs
@@ -117,11 +117,14 @@
     },
     /// Changes of settings take effect.
     Reconfigured(Box<Reconfiguration>),
+    /// The gauges of the next timer are requested. They come behind all that the runs reported until now, and
+    /// before what they report from now on.
+    GaugesRequested,
     /// A timer fired.
     Timer {
         /// The token given when the timer was set.
         token: u64,
-        /// The gauges at this moment.
+        /// The gauges as of their request; without a request, at this moment.
         gauges: Gauges,
     },
 }
--- a/src/admission/fault_detection.rs
+++ b/src/admission/fault_detection.rs
@@ -33,7 +33,7 @@
     pub stalled: bool,
     /// Share of failed runs of late, 0 to 1.
     pub failure_share: f64,
-    /// Time since the last sign of progress as of the last timer, ms.
+    /// Time from the last sign of progress to the last reading of the gauges, ms.
     pub without_progress_ms: f64,
 }
 
@@ -47,6 +47,10 @@
     last_progress_at: f64,
     last_stall_at: f64,
     last_timer_at: f64,
+    /// Up to when all signs of progress were known as of the last timer.
+    last_reading_at: f64,
+    /// When the gauges of the next timer were requested.
+    gauges_requested_at: Option<f64>,
     healthy: bool,
 }
 
@@ -59,6 +63,8 @@
             last_progress_at: now,
             last_stall_at: f64::NEG_INFINITY,
             last_timer_at: now,
+            last_reading_at: now,
+            gauges_requested_at: None,
             healthy: true,
         }
     }
@@ -99,16 +105,34 @@
         self.failure_share.decay(SYMPTOM_SPAN_MS);
     }
 
-    /// Takes a timer and returns whether the runs are stalled.
+    /// Takes the request for the gauges of the next timer.
+    pub(super) fn record_gauges_request(&mut self, now: f64) {
+        self.gauges_requested_at = Some(now);
+    }
+
+    /// Returns up to when all signs of progress are known at a timer: later ones may lie unread behind the
+    /// gauges.
+    pub(super) fn take_reading_time(&mut self, now: f64) -> f64 {
+        self.gauges_requested_at.take().unwrap_or(now)
+    }
+
+    /// Takes a timer, whose gauges were read at `reading_at`, and returns whether the runs are stalled.
     ///
     /// A process that was suspended as a whole, which a late timer or missing gauges show, is not stalled.
-    pub(super) fn update_stall(&mut self, now: f64, gauges_missing: bool, activity: RunActivity) -> bool {
+    pub(super) fn update_stall(
+        &mut self,
+        now: f64,
+        reading_at: f64,
+        gauges_missing: bool,
+        activity: RunActivity,
+    ) -> bool {
         let since_timer = now - self.last_timer_at;
         if gauges_missing || since_timer > SUSPENDED_PERIODS * TIMER_PERIOD_MS {
             self.last_progress_at = (self.last_progress_at + now - self.last_timer_at).min(now);
         }
         self.last_timer_at = now;
-        let stalled = self.is_stalled(now, activity);
+        self.last_reading_at = reading_at;
+        let stalled = self.is_stalled(reading_at, activity);
         if stalled {
             self.last_stall_at = now;
         } else {
@@ -133,7 +157,7 @@
         FaultReading {
             stalled: self.last_stall_at == self.last_timer_at,
             failure_share: self.failure_share.value(),
-            without_progress_ms: self.last_timer_at - self.last_progress_at,
+            without_progress_ms: (self.last_reading_at - self.last_progress_at).max(0.0),
         }
     }
 
--- a/src/admission/tick.rs
+++ b/src/admission/tick.rs
@@ -15,8 +15,9 @@
         actions.push(Action::SetTimer { token: TIMER_TOKEN, delay_ms: TIMER_PERIOD_MS });
         self.reservations.drop_expired(now, actions);
         self.upstream_calls.drop_expired(now);
-        self.update_overload_level(now, gauges);
-        self.update_health(now, gauges, actions);
+        let reading_at = self.faults.take_reading_time(now);
+        self.update_overload_level(now, reading_at, gauges);
+        self.update_health(now, reading_at, gauges, actions);
         let max_threshold = self.traffic.priority_quantile(MAX_THRESHOLD, false);
         self.threshold.step(self.overload.level() > 0, max_threshold);
         self.update_traffic();
@@ -24,7 +25,7 @@
         self.update_advertised_share(now, actions);
     }
 
-    fn update_overload_level(&mut self, now: f64, gauges: Gauges) {
+    fn update_overload_level(&mut self, now: f64, reading_at: f64, gauges: Gauges) {
         let activity = self.run_activity(now);
         let usual_run = self.estimates.usual_run(&self.settings.classes);
         self.overload.update(&LoadSample {
@@ -35,15 +36,16 @@
             usual_run_ms: usual_run.run_ms,
             latency_objective_ms: usual_run.latency_objective_ms,
             speed: self.slow_start.speed(now),
-            faulty: self.faults.is_faulty(now, activity),
+            faulty: self.faults.is_faulty(reading_at, activity),
         });
         self.faults.decay_failures();
     }
 
     /// While runs are stalled, queued requests are rejected, so that their clients go elsewhere.
-    fn update_health(&mut self, now: f64, gauges: Gauges, actions: &mut Vec<Action>) {
+    fn update_health(&mut self, now: f64, reading_at: f64, gauges: Gauges, actions: &mut Vec<Action>) {
         let gauges_missing = gauges == Gauges::default();
-        let stalled = self.faults.update_stall(now, gauges_missing, self.run_activity(now));
+        let activity = self.run_activity(now);
+        let stalled = self.faults.update_stall(now, reading_at, gauges_missing, activity);
         if stalled {
             for id in self.queued_originals() {
                 self.answer_unserved(now, id, false, actions);
--- a/src/server/dispatcher/timers.rs
+++ b/src/server/dispatcher/timers.rs
@@ -16,6 +16,7 @@
             self.fire_timer(earlier, Gauges::default());
         }
         let tag = self.gauge_poll.begin(token);
+        self.dispatch_event(Event::GaugesRequested);
         if self.pool.send(PoolCommand::ReadGauges { tag }) {
             self.schedule(GAUGES_TIMEOUT_MS, DispatcherMessage::GaugesTimedOut(tag));
         } else {
--- a/tests/progress.rs
+++ b/tests/progress.rs
@@ -116,6 +116,39 @@
     assert_eq!(healths(&actions), vec![true], "it finds out by itself");
 }
 
+/// Guards against taking the lag of this process for a stall of the runs: what they reported after the gauges were read lies
+/// unread behind them.
+#[test]
+fn what_came_after_the_gauges_were_requested_is_no_stall() {
+    const GAP_MS: f64 = 1.0;
+    const GAPS: usize = 2000;
+    const RUN_MS: f64 = 5.0;
+    /// Less than what shows that the process was suspended.
+    const LAG_MS: f64 = 45.0;
+    let mut driver = Driver::new(settings());
+    let (running, _) = driver.arrive(0);
+    for _ in 0..GAPS {
+        driver.now += GAP_MS;
+        let (ended, _) = driver.arrive(0);
+        driver.send(Event::RunEnded { id: ended, outcome: Outcome::Ok, took_ms: RUN_MS });
+        driver.progress(running);
+    }
+    driver.tick(1.0, 2.0);
+    driver.progress(running);
+    driver.send(Event::GaugesRequested);
+    driver.now += LAG_MS;
+    let gauges = Gauges { busy: Some(1.0), run_queue: Some(2.0), ..Gauges::default() };
+    let actions = driver.send(Event::Timer { token: 1, gauges });
+    assert!(healths(&actions).is_empty(), "the reading is {LAG_MS} ms old: {actions:?}");
+    driver.now += LAG_MS;
+    driver.send(Event::GaugesRequested);
+    assert_eq!(
+        healths(&driver.send(Event::Timer { token: 1, gauges })),
+        vec![false],
+        "no progress until the reading"
+    );
+}
+
 /// A suspended machine brings timers in time, but neither events nor gauges.
 #[test]
 fn a_time_without_gauges_is_no_stall() {
