Count the grace for unread bytes apart for a time limit and for an eviction

Cause: unread bytes keep a connection open for 0.8 s from when they are first found until a request is read. Bytes found at an eviction, such as the beginning of a request in pieces, began that time; at the limit of 2 s it was used up, and the connection was closed over the unread rest. Each cause has its own clock now; both stay bounded, so a connection without a request still ends within 2.8 s.

The new test failed with one clock for both.

--- a/src/server/frontend/connection.rs
+++ b/src/server/frontend/connection.rs
@@ -1,6 +1,8 @@
 //! The state of one connection that its task and the connection table share.
 
-use super::connection_state::{ConnectionPolicy, ConnectionState, EvictionRank, FinishReason, Transition};
+use super::connection_state::{
+    CloseCause, ConnectionPolicy, ConnectionState, EvictionRank, FinishReason, Transition,
+};
 use crate::admission::RequestId;
 use crate::server::fault_injection::{self, StopPoint};
 use crate::server::messages::{ConnectionMessage, ReplyHandle, Response};
@@ -78,8 +80,8 @@
     }
 
     /// Returns whether the connection stays open for bytes that are still unread.
-    fn is_held_open(&self, now: f64) -> bool {
-        self.has_unread_bytes() && self.state.borrow_mut().hold_open_for_unread_bytes(now)
+    fn is_held_open(&self, now: f64, cause: CloseCause) -> bool {
+        self.has_unread_bytes() && self.state.borrow_mut().hold_open_for_unread_bytes(now, cause)
     }
 
     /// Advances the state machine to `now`: notifies an idle client, and closes the connection if it stays and has sent
@@ -87,7 +89,7 @@
     pub(super) fn advance(&self, now: f64, policy: ConnectionPolicy) {
         let would_finish = self.state.borrow().would_finish(now, self.response_owed(), policy);
         if would_finish && !policy.finish_all {
-            if self.is_held_open(now) {
+            if self.is_held_open(now, CloseCause::TimeLimit) {
                 return;
             }
             fault_injection::pass_stop(StopPoint::CloseChecked);
@@ -99,7 +101,7 @@
     /// Evicts the connection and returns true, unless bytes of the client are still unread. Its client is notified; what
     /// crosses the notification is served, and a later [`Connection::advance`] closes the connection.
     pub(super) fn try_evict(&self, now: f64) -> bool {
-        if self.is_held_open(now) {
+        if self.is_held_open(now, CloseCause::Eviction) {
             return false;
         }
         fault_injection::pass_stop(StopPoint::EvictionChecked);
--- a/src/server/frontend/connection_state.rs
+++ b/src/server/frontend/connection_state.rs
@@ -131,8 +131,40 @@
     sent_request: bool,
     partial_message_since: Option<f64>,
     last_activity: f64,
-    /// Since when unread bytes have kept the connection open without a request.
-    held_open_since: Option<f64>,
+    /// Since when unread bytes have kept the connection from each close, without a request.
+    held_open: HeldOpen,
+}
+
+/// What would close a connection that has unread bytes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum CloseCause {
+    /// A time limit.
+    TimeLimit,
+    /// Room for others.
+    Eviction,
+}
+
+/// Since when unread bytes have kept a connection from a close, by its cause. What was found long before a time limit,
+/// where the connection was to make room, takes nothing of the time that its client has at the limit.
+#[derive(Clone, Copy, Debug, Default)]
+struct HeldOpen {
+    time_limit_since: Option<f64>,
+    eviction_since: Option<f64>,
+}
+
+impl HeldOpen {
+    fn since_mut(&mut self, cause: CloseCause) -> &mut Option<f64> {
+        match cause {
+            CloseCause::TimeLimit => &mut self.time_limit_since,
+            CloseCause::Eviction => &mut self.eviction_since,
+        }
+    }
+
+    fn exclude_stall(&mut self, stalled_ms: f64) {
+        for since in [&mut self.time_limit_since, &mut self.eviction_since] {
+            *since = since.map(|since| since + stalled_ms);
+        }
+    }
 }
 
 impl ConnectionState {
@@ -144,7 +176,7 @@
             sent_request: false,
             partial_message_since: None,
             last_activity: now,
-            held_open_since: None,
+            held_open: HeldOpen::default(),
         }
     }
 
@@ -154,7 +186,7 @@
         self.accepted_at += stalled_ms;
         self.last_activity += stalled_ms;
         self.partial_message_since = self.partial_message_since.map(|since| since + stalled_ms);
-        self.held_open_since = self.held_open_since.map(|since| since + stalled_ms);
+        self.held_open.exclude_stall(stalled_ms);
         match &mut self.phase {
             Phase::Serving => {}
             Phase::Notified(at) | Phase::Evicting(at) | Phase::Finishing(at, _) => *at += stalled_ms,
@@ -168,8 +200,8 @@
 
     /// Records that bytes were found unread where the connection would be closed, and returns whether it stays open for
     /// them: for [`UNREAD_GRACE_MS`], so that a client that sends no request can't stay by sending other bytes.
-    pub fn hold_open_for_unread_bytes(&mut self, now: f64) -> bool {
-        let since = *self.held_open_since.get_or_insert(now);
+    pub fn hold_open_for_unread_bytes(&mut self, now: f64, cause: CloseCause) -> bool {
+        let since = *self.held_open.since_mut(cause).get_or_insert(now);
         let is_held_open = now - since < UNREAD_GRACE_MS;
         if is_held_open {
             self.last_activity = self.last_activity.max(now);
@@ -180,7 +212,7 @@
     /// Records that a request was read.
     pub fn record_request(&mut self) {
         self.sent_request = true;
-        self.held_open_since = None;
+        self.held_open = HeldOpen::default();
     }
 
     /// Records that all bytes that have come were decoded.
--- a/tests/connection_state.rs
+++ b/tests/connection_state.rs
@@ -2,8 +2,8 @@
 //! shutdown and the end of the process. A plain model beside it records what is owed and what was notified.
 
 use dunlinspread::server::frontend::connection_state::{
-    CLOSE_GRACE_MS, ConnectionPolicy, ConnectionState, EVICTION_GRACE_MS, FinishReason, MESSAGE_TIMEOUT_MS,
-    MIN_LINGER_MS, ReadProgress, Transition, UNREAD_GRACE_MS,
+    CLOSE_GRACE_MS, CloseCause, ConnectionPolicy, ConnectionState, EVICTION_GRACE_MS, FinishReason,
+    MESSAGE_TIMEOUT_MS, MIN_LINGER_MS, ReadProgress, Transition, UNREAD_GRACE_MS,
 };
 use proptest::prelude::*;
 
@@ -112,14 +112,17 @@
 fn unread_bytes_hold_a_connection_open_until_the_grace_is_over() {
     const STALL_MS: f64 = 700.0;
     let mut connection = ConnectionState::new(0.0);
-    assert!(connection.hold_open_for_unread_bytes(0.0));
+    assert!(connection.hold_open_for_unread_bytes(0.0, CloseCause::TimeLimit));
     connection.exclude_stall(STALL_MS);
-    assert!(connection.hold_open_for_unread_bytes(STALL_MS + UNREAD_GRACE_MS - 1.0));
-    assert!(!connection.hold_open_for_unread_bytes(STALL_MS + UNREAD_GRACE_MS));
+    assert!(connection.hold_open_for_unread_bytes(STALL_MS + UNREAD_GRACE_MS - 1.0, CloseCause::TimeLimit));
+    assert!(!connection.hold_open_for_unread_bytes(STALL_MS + UNREAD_GRACE_MS, CloseCause::TimeLimit));
     connection.record_read(ReadProgress { completed_message: true, ends_in_partial_message: false });
-    assert!(!connection.hold_open_for_unread_bytes(STALL_MS + UNREAD_GRACE_MS), "no request was read");
+    assert!(
+        !connection.hold_open_for_unread_bytes(STALL_MS + UNREAD_GRACE_MS, CloseCause::TimeLimit),
+        "no request was read"
+    );
     connection.record_request();
-    assert!(connection.hold_open_for_unread_bytes(STALL_MS + UNREAD_GRACE_MS));
+    assert!(connection.hold_open_for_unread_bytes(STALL_MS + UNREAD_GRACE_MS, CloseCause::TimeLimit));
 }
 
 /// The policy of a server that serves, with an idle timeout that is not reached.
@@ -176,3 +179,22 @@
     assert!(!served.may_stop_lingering(last_bytes_at_ms + MIN_LINGER_MS - 1.0));
     assert!(served.may_stop_lingering(last_bytes_at_ms + MIN_LINGER_MS));
 }
+
+/// Guards against a close over the rest of a first request at its time limit, where its beginning was unread, and then read,
+/// as the connection was to make room.
+#[test]
+fn what_was_unread_at_an_eviction_takes_nothing_of_the_grace_at_a_time_limit() {
+    const FOUND_AT_MS: f64 = 100.0;
+    let mut connection = ConnectionState::new(0.0);
+    assert!(connection.hold_open_for_unread_bytes(FOUND_AT_MS, CloseCause::Eviction));
+    connection.record_activity(FOUND_AT_MS);
+    connection.record_read(ReadProgress { completed_message: false, ends_in_partial_message: true });
+    assert!(connection.would_finish(MESSAGE_TIMEOUT_MS, false, SERVING));
+    assert!(connection.hold_open_for_unread_bytes(MESSAGE_TIMEOUT_MS, CloseCause::TimeLimit));
+    assert!(
+        !connection.hold_open_for_unread_bytes(MESSAGE_TIMEOUT_MS, CloseCause::Eviction),
+        "held for good"
+    );
+    let end_ms = MESSAGE_TIMEOUT_MS + UNREAD_GRACE_MS;
+    assert!(!connection.hold_open_for_unread_bytes(end_ms, CloseCause::TimeLimit), "held for good");
+}
