Soak: a failure tells when worker pools stood still, and keeps 400 log lines a process

The fake worker pools note each time at which a timer of their thread came 15 ms late or more.

The label of log lines stood twice and stands once.

--- a/crates/fakes/src/worker_pool/fake_worker_pool.rs
+++ b/crates/fakes/src/worker_pool/fake_worker_pool.rs
@@ -13,6 +13,7 @@
 use std::collections::HashMap;
 use std::io;
 use std::net::SocketAddr;
+use std::ops::Range;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -64,9 +65,11 @@
         let (request_ends, ended) = async_channel::unbounded();
         let platform = platform.clone();
         let (machine_platform, machine_shared) = (platform.clone(), shared.clone());
+        let delays = shared.delays.clone();
         let (server, address) = FakeServer::listen("worker pool", move |tasks| {
             let machine = Machine::new(machine_platform, seed, faults, machine_shared, request_ends);
             let machine = Rc::new(RefCell::new(machine));
+            tasks.spawn(delays.record());
             tasks.spawn(obey_controls(machine.clone(), received));
             tasks.spawn(hear_request_ends(machine.clone(), ended));
             let tasks = tasks.clone();
@@ -106,6 +109,12 @@
         self.shared.run_log.counts()
     }
 
+    /// Returns when this worker pool or another one on the machine stood still, by a fault that was asked for or for want of
+    /// time on the cores, from when to when, Unix ms.
+    pub fn delays(&self) -> Vec<Range<u64>> {
+        self.shared.delays.all()
+    }
+
     /// Returns all runs that were begun on the machine, also through other worker pools, in order.
     pub fn started_runs(&self) -> Vec<StartedRun> {
         self.shared.run_log.runs()
--- a/crates/fakes/src/worker_pool/mod.rs
+++ b/crates/fakes/src/worker_pool/mod.rs
@@ -1,6 +1,7 @@
 //! The worker pool: owns the cores of one machine, runs what it is told to, and reports in numbered notices.
 
 mod commands;
+mod delays;
 mod fake_worker_pool;
 mod faults;
 mod link;
--- a/crates/fakes/src/worker_pool/shared_machine.rs
+++ b/crates/fakes/src/worker_pool/shared_machine.rs
@@ -1,5 +1,6 @@
 //! What the worker pools of one machine share.
 
+use crate::worker_pool::delays::Delays;
 use crate::worker_pool::occupancy::Occupancy;
 use crate::worker_pool::request_ends::RequestEnds;
 use crate::worker_pool::run_log::RunLog;
@@ -13,6 +14,8 @@
     pub run_log: RunLog,
     /// The requests that are over.
     pub request_ends: RequestEnds,
+    /// When one of them stood still.
+    pub delays: Delays,
 }
 
 impl SharedMachine {
@@ -22,6 +25,7 @@
             occupancy: Occupancy::of_new_machine(),
             run_log: RunLog::default(),
             request_ends: RequestEnds::default(),
+            delays: Delays::default(),
         }
     }
 
--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -75,6 +75,9 @@
     );
     problems.iter().for_each(|problem| println!("  {problem}"));
     report.history.iter().for_each(|line| println!("  {line}"));
+    for delay in &report.worker_pool_delays {
+        println!("  {} to {}: a worker pool stood still", delay.start, delay.end);
+    }
     report.logs.iter().for_each(|line| println!("  {line}"));
     false
 }
--- a/tests/soak_support/run.rs
+++ b/tests/soak_support/run.rs
@@ -43,6 +43,8 @@
     pub wrong_ends: Vec<String>,
     /// What happened, in order.
     pub history: Vec<String>,
+    /// When worker pools stood still, from when to when, Unix ms.
+    pub worker_pool_delays: Vec<Range<u64>>,
     /// The last log lines of each process, in the order of their ends.
     pub logs: Vec<String>,
 }
@@ -121,8 +123,7 @@
     }
 
     fn keep_log(&mut self, process: &ServerProcess) {
-        let id = process.id();
-        self.logs.extend(process.log_lines().into_iter().map(|line| format!("process {id}: {line}")));
+        self.logs.extend(labelled_log(process));
     }
 
     fn allow_bad_health(&mut self, from_ms: u64, recovery_ms: u64) {
@@ -241,8 +242,7 @@
     }
 
     fn report(mut self) -> SoakReport {
-        let last = self.serving.log_lines().into_iter().map(|line| format!("the last process: {line}"));
-        self.logs.extend(last);
+        self.logs.extend(labelled_log(&self.serving));
         let records = self.clients.finish();
         SoakReport {
             records,
@@ -253,7 +253,14 @@
             peak_descriptors: self.peak_descriptors,
             wrong_ends: self.wrong_ends,
             history: self.history,
+            worker_pool_delays: self.site.worker_pool_delays(),
             logs: self.logs,
         }
     }
 }
+
+/// Returns the last log lines of a process, each with its id.
+fn labelled_log(process: &ServerProcess) -> Vec<String> {
+    let id = process.id();
+    process.log_lines().into_iter().map(|line| format!("process {id}: {line}")).collect()
+}
--- a/tests/upgrade_support/process.rs
+++ b/tests/upgrade_support/process.rs
@@ -11,7 +11,7 @@
 use std::time::{Duration, Instant};
 
 /// Log lines that are kept for the message of a failure.
-const MAX_KEPT_LINES: usize = 60;
+const MAX_KEPT_LINES: usize = 400;
 /// What a log says if an address is taken by another program.
 const ADDRESS_IN_USE: &str = "ddress already in use";
 
--- a/tests/upgrade_support/site.rs
+++ b/tests/upgrade_support/site.rs
@@ -7,6 +7,7 @@
     UpstreamFaults, WorkerPoolFaults,
 };
 use std::net::{SocketAddr, TcpListener};
+use std::ops::Range;
 use std::path::{Path, PathBuf};
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
@@ -153,6 +154,11 @@
         self.first_pool.started_runs()
     }
 
+    /// Returns when worker pools of the machine stood still, from when to when, Unix ms.
+    pub fn worker_pool_delays(&self) -> Vec<Range<u64>> {
+        self.first_pool.delays()
+    }
+
     /// Returns the worker pool of the process that was started last.
     pub fn last_pool(&self) -> &FakeWorkerPool {
         self.pools.last().expect("a process was started")
