Soak: evacuations within upgrades, three processes, bursts of requests

Wide runs play three of them: a new process that is evacuated before the old one shuts down, two upgrades in a row with all three processes alive, 900 requests a second for a second. Their draws come from a stream of their own, so that those of the other runs stay.

Not played: a worker pool that moves, kills of the only process.

--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -2,7 +2,7 @@
 //! alone. Some seeds are tests of their own, so that one that fails is seen, and listed, without the others.
 //!
 //! A long soak is started by hand: `SOAK_SEED` sets the first seed and `SOAK_RUNS` the number of runs; `SOAK_WITHOUT` leaves
-//! parts out: `SOAK_SEED=101 SOAK_RUNS=50 cargo test --test soak whole_lives -- --nocapture`.
+//! parts out: `SOAK_SEED=101 SOAK_RUNS=50 cargo test --test soak whole_lives -- --nocapture`, or `wide_lives`.
 
 mod soak_support;
 mod upgrade_support;
@@ -16,8 +16,33 @@
 
 /// The first seed and the number of runs where the environment sets none.
 const DEFAULT_SEED: u64 = 9;
+const DEFAULT_WIDE_SEED: u64 = 3;
 const DEFAULT_RUNS: u64 = 1;
 
+/// The kinds of runs.
+#[derive(Clone, Copy)]
+enum Kind {
+    Whole,
+    Wide,
+}
+
+impl Kind {
+    fn schedule(self, seed: u64, left_out: &LeftOut) -> Schedule {
+        match self {
+            Kind::Whole => Schedule::draw(seed, left_out),
+            Kind::Wide => Schedule::draw_wide(seed, left_out),
+        }
+    }
+
+    /// Returns the test that plays this kind by hand.
+    fn test(self) -> &'static str {
+        match self {
+            Kind::Whole => "whole_lives",
+            Kind::Wide => "wide_lives",
+        }
+    }
+}
+
 /// Held while a life is played: what a test program plays at once would be load for the others.
 static PLAYED_ALONE: Mutex<()> = Mutex::new(());
 
@@ -28,23 +53,42 @@
     let first = from_environment("SOAK_SEED", DEFAULT_SEED);
     let runs = from_environment("SOAK_RUNS", DEFAULT_RUNS);
     let left_out = LeftOut::from_environment();
-    let failed: Vec<u64> = (first..first + runs).filter(|seed| !holds(*seed, &left_out)).collect();
+    let is_held = |seed: u64| holds(Kind::Whole, seed, &left_out);
+    let failed: Vec<u64> = (first..first + runs).filter(|seed| !is_held(*seed)).collect();
+    assert!(failed.is_empty(), "seeds {failed:?} of {first} to {}", first + runs - 1);
+}
+
+/// The same with steps that the other runs do not know: evacuations within upgrades, three processes, bursts of requests.
+#[test]
+fn wide_lives_break_no_rule() {
+    let first = from_environment("SOAK_SEED", DEFAULT_WIDE_SEED);
+    let runs = from_environment("SOAK_RUNS", DEFAULT_RUNS);
+    let left_out = LeftOut::from_environment();
+    let is_held = |seed: u64| holds(Kind::Wide, seed, &left_out);
+    let failed: Vec<u64> = (first..first + runs).filter(|seed| !is_held(*seed)).collect();
     assert!(failed.is_empty(), "seeds {failed:?} of {first} to {}", first + runs - 1);
 }
 
-/// Defines a test of the same for each of these seeds.
+/// Defines a test of a run for each of these seeds, with the steps that a function draws.
 macro_rules! lives {
-    ($($test:ident: $seed:literal),+ $(,)?) => {
+    ($kind:path, $($test:ident: $seed:literal),+ $(,)?) => {
         $(
             #[test]
             fn $test() {
-                assert!(holds($seed, &LeftOut::default()), "seed {}", $seed);
+                assert!(holds($kind, $seed, &LeftOut::default()), "seed {}", $seed);
             }
         )+
     };
 }
 
 lives! {
+    Kind::Wide,
+    wide_life_1_breaks_no_rule: 1,
+    wide_life_2_breaks_no_rule: 2,
+}
+
+lives! {
+    Kind::Whole,
     life_1_breaks_no_rule: 1,
     life_2_breaks_no_rule: 2,
     life_3_breaks_no_rule: 3,
@@ -58,10 +102,10 @@
     life_7051_breaks_no_rule: 7051,
 }
 
-/// Plays the run of a seed, prints what was seen, and returns whether all rules held.
-fn holds(seed: u64, left_out: &LeftOut) -> bool {
+/// Plays a run of a seed, prints what was seen, and returns whether all rules held.
+fn holds(kind: Kind, seed: u64, left_out: &LeftOut) -> bool {
     let _alone = PLAYED_ALONE.lock().unwrap_or_else(PoisonError::into_inner);
-    let report = play(seed, &Schedule::draw(seed, left_out));
+    let report = play(seed, &kind.schedule(seed, left_out));
     let (verdict, problems) = judge_run(&report);
     println!(
         "soak, seed {seed}: {verdict}, {} kB, {} descriptors",
@@ -71,7 +115,8 @@
         return true;
     }
     println!(
-        "seed {seed} failed: SOAK_SEED={seed} SOAK_RUNS=1 cargo test --locked --test soak -- --nocapture"
+        "seed {seed} failed: SOAK_SEED={seed} SOAK_RUNS=1 cargo test --locked --test soak {} -- --nocapture",
+        kind.test()
     );
     problems.iter().for_each(|problem| println!("  {problem}"));
     report.history.iter().for_each(|line| println!("  {line}"));
--- a/tests/soak_support/parts.rs
+++ b/tests/soak_support/parts.rs
@@ -20,16 +20,19 @@
     Kills,
     /// Faults of the registry, of the worker pool, and moved addresses.
     Peers,
+    /// Bursts of requests.
+    Bursts,
 }
 
 /// The parts with the names that the variable uses.
-const NAMES: [(&str, Part); 6] = [
+const NAMES: [(&str, Part); 7] = [
     ("crowd", Part::Crowd),
     ("signals", Part::Signals),
     ("evacuation", Part::Evacuation),
     ("upgrades", Part::Upgrades),
     ("kills", Part::Kills),
     ("peers", Part::Peers),
+    ("bursts", Part::Bursts),
 ];
 
 /// The parts that are left out.
--- a/tests/soak_support/run.rs
+++ b/tests/soak_support/run.rs
@@ -18,6 +18,13 @@
 
 /// Requests a second.
 const RATE: f64 = 120.0;
+/// Requests a second in a burst, and how long it lasts.
+const BURST_RATE: f64 = 900.0;
+const BURST_TIME: Duration = Duration::from_secs(1);
+/// Connections that requests of a burst share.
+const BURST_CONNECTIONS: usize = 40;
+/// Keeps the draws of bursts apart from those of the other requests of a seed.
+const BURST_SEEDS: u64 = 1 << 32;
 /// Load before the first step and after the last.
 const LOAD_TIME: Duration = Duration::from_millis(400);
 /// Time between two looks at the processes.
@@ -55,6 +62,8 @@
     site: Site,
     serving: ServerProcess,
     clients: Clients,
+    /// What the clients of the bursts recorded.
+    bursts: Vec<Records>,
     began: Instant,
     kills_ms: Vec<u64>,
     bad_health_allowed: Vec<Range<u64>>,
@@ -76,6 +85,7 @@
         site,
         serving,
         clients,
+        bursts: Vec::new(),
         began: Instant::now(),
         kills_ms: Vec::new(),
         bad_health_allowed: Vec::new(),
@@ -160,9 +170,60 @@
                 self.allow_bad_health(from_ms, GOOD_HEALTH_AFTER_STALL_MS);
             }
             Step::Upgrade { pause, kill } => self.upgrade(pause, kill),
+            Step::EvacuateInUpgrade(time) => self.evacuate_in_upgrade(time),
+            Step::ThreeProcesses { pause } => self.hand_on_twice(pause),
+            Step::Burst => self.burst(),
         }
     }
 
+    /// Has a further set of clients send past what the event loop bears, and waits for the ends of what they sent.
+    fn burst(&mut self) {
+        let load = LoadSettings {
+            seed: self.seed + BURST_SEEDS * (1 + self.bursts.len() as u64),
+            rate: BURST_RATE,
+            shared_connections: BURST_CONNECTIONS,
+            withdrawals: false,
+        };
+        let clients = Clients::start(self.site.listen, self.site.request_ends(), load);
+        self.pass(BURST_TIME);
+        self.bursts.push(clients.finish());
+    }
+
+    /// Starts a successor, which serves from now on, and returns the process before it.
+    fn hand_over(&mut self) -> ServerProcess {
+        let (new, _) = self.site.start_successor();
+        std::mem::replace(&mut self.serving, new)
+    }
+
+    fn evacuate_in_upgrade(&mut self, time: Duration) {
+        let mut old = self.hand_over();
+        let from_ms = unix_ms();
+        operators_call(&self.serving, "PUT", "/api/evacuate");
+        self.pass(time);
+        operators_call(&self.serving, "PUT", "/api/rejoin");
+        self.allow_bad_health(from_ms, GOOD_HEALTH_WITHIN_MS);
+        self.finish(&mut old);
+    }
+
+    fn hand_on_twice(&mut self, pause: Duration) {
+        let mut first = self.hand_over();
+        self.pass(pause);
+        let mut second = self.hand_over();
+        self.pass(pause);
+        self.finish(&mut first);
+        self.finish(&mut second);
+    }
+
+    /// Requests the shutdown of a process that handed over, and waits for its end.
+    fn finish(&mut self, old: &mut ServerProcess) {
+        let (_, was_killed) = finish_predecessor(old, |_| {});
+        if was_killed {
+            self.kills_ms.push(unix_ms());
+            self.wrong_ends.push("the old process did not end before its kill".to_owned());
+        }
+        self.keep_log(old);
+    }
+
     fn stop_serving(&mut self, time: Duration) {
         self.serving.signal("STOP");
         self.pass(time);
@@ -173,8 +234,7 @@
         if let UpgradeKill::New(moment) = kill {
             return self.kill_new(moment);
         }
-        let (new, _) = self.site.start_successor();
-        let mut old = std::mem::replace(&mut self.serving, new);
+        let mut old = self.hand_over();
         if let UpgradeKill::OldOnceReady = kill {
             self.kills_ms.push(unix_ms());
             old.kill();
@@ -185,12 +245,7 @@
             self.look_at(Some(&old));
             run_for(LOOK_INTERVAL);
         }
-        let (_, was_killed) = finish_predecessor(&mut old, |_| {});
-        if was_killed {
-            self.kills_ms.push(unix_ms());
-            self.wrong_ends.push("the old process did not end before its kill".to_owned());
-        }
-        self.keep_log(&old);
+        self.finish(&mut old);
     }
 
     /// Starts a new process and kills it after a while; the old one serves on, or again.
@@ -243,7 +298,8 @@
 
     fn report(mut self) -> SoakReport {
         self.logs.extend(labelled_log(&self.serving));
-        let records = self.clients.finish();
+        let mut records = self.clients.finish();
+        self.bursts.into_iter().for_each(|burst| records.add(burst));
         SoakReport {
             records,
             runs: self.site.started_runs(),
--- a/tests/soak_support/schedule.rs
+++ b/tests/soak_support/schedule.rs
@@ -19,6 +19,10 @@
 const MAX_FAULT_MS: u64 = 1500;
 /// The latest moment after a new process's start at which one of the two is killed, ms.
 const MAX_KILL_MOMENT_MS: u64 = 60;
+/// Steps of a wide run.
+const WIDE_STEPS: usize = 3;
+/// Keeps what a wide run draws apart from the other draws of its seed.
+const WIDE_STREAM: u64 = 1;
 /// The longest time from a new process's readiness to the shutdown request to the old one, ms.
 const MAX_UPGRADE_PAUSE_MS: u64 = 800;
 /// The part of the runs that have a crowd.
@@ -55,6 +59,12 @@
     StallPool(Duration),
     /// A new process takes over; the old one is told to shut down after the pause.
     Upgrade { pause: Duration, kill: UpgradeKill },
+    /// A new process takes over and is evacuated for so long; only then the old one is told to shut down.
+    EvacuateInUpgrade(Duration),
+    /// A new process takes over, and after the pause a further one; only then the two before are told to shut down.
+    ThreeProcesses { pause: Duration },
+    /// Requests past what the event loop bears, for a second.
+    Burst,
 }
 
 /// The signals at the end: SIGTERM, with others around it, until the kill.
@@ -92,15 +102,29 @@
         let quiet = Ending { reload_before: false, reload_after: false, repeats: 0, stop: None };
         Schedule {
             crowd: (has_crowd && left_out.plays(Part::Crowd)).then_some(crowd),
-            steps: steps
-                .into_iter()
-                .filter(|(_, step)| parts(step).iter().all(|p| left_out.plays(*p)))
-                .collect(),
+            steps: played(steps, left_out),
             ending: if plays_signals { ending } else { quiet },
         }
     }
 }
 
+impl Schedule {
+    /// Draws a wide run of a seed: its crowd and its end, and between them steps that [`Schedule::draw`] does not know.
+    pub fn draw_wide(seed: u64, left_out: &LeftOut) -> Schedule {
+        let mut rng = ChaCha8Rng::seed_from_u64(seed);
+        rng.set_stream(WIDE_STREAM);
+        let steps: Vec<_> =
+            (0..WIDE_STEPS).map(|_| (draw_ms(&mut rng, MAX_PAUSE_MS), draw_wide_step(&mut rng))).collect();
+        Schedule { steps: played(steps, left_out), ..Schedule::draw(seed, left_out) }
+    }
+}
+
+/// Returns the steps without those of parts that are left out.
+fn played(steps: Vec<(Duration, Step)>, left_out: &LeftOut) -> Vec<(Duration, Step)> {
+    let is_played = |step: &Step| parts(step).iter().all(|part| left_out.plays(*part));
+    steps.into_iter().filter(|(_, step)| is_played(step)).collect()
+}
+
 /// Returns the parts that a step belongs to.
 fn parts(step: &Step) -> &'static [Part] {
     match step {
@@ -109,6 +133,9 @@
         Step::MovePeers | Step::RegistryDown(_) | Step::BreakPoolLink | Step::StallPool(_) => &[Part::Peers],
         Step::Upgrade { kill: UpgradeKill::Nobody, .. } => &[Part::Upgrades],
         Step::Upgrade { .. } => &[Part::Upgrades, Part::Kills],
+        Step::EvacuateInUpgrade(_) => &[Part::Upgrades, Part::Evacuation],
+        Step::ThreeProcesses { .. } => &[Part::Upgrades],
+        Step::Burst => &[Part::Bursts],
     }
 }
 
@@ -131,6 +158,13 @@
     *steps.choose(rng).expect("there are some")
 }
 
+fn draw_wide_step(rng: &mut ChaCha8Rng) -> Step {
+    let evacuation = draw_ms(rng, MAX_EVACUATION_MS);
+    let pause = draw_ms(rng, MAX_UPGRADE_PAUSE_MS);
+    let steps = [Step::EvacuateInUpgrade(evacuation), Step::ThreeProcesses { pause }, Step::Burst];
+    *steps.choose(rng).expect("there are some")
+}
+
 fn draw_ending(rng: &mut ChaCha8Rng) -> Ending {
     let stop = draw_ms(rng, MAX_STOP_MS);
     Ending {
--- a/tests/upgrade_support/records.rs
+++ b/tests/upgrade_support/records.rs
@@ -79,6 +79,14 @@
 }
 
 impl Records {
+    /// Adds what other clients recorded.
+    pub fn add(&mut self, other: Records) {
+        self.attempts.extend(other.attempts);
+        self.duplicate_responses += other.duplicate_responses;
+        self.health.extend(other.health);
+        self.open += other.open;
+    }
+
     /// Returns how many attempts ended so.
     pub fn count(&self, outcome: Outcome) -> usize {
         self.attempts.iter().filter(|attempt| attempt.outcome == outcome).count()
