Tests: the peers of a played exchange listen on a loopback address of their own

The peers of one server now listen on an address of their own in 127.128.0.0/9. A server of another test that goes on connecting to a port of 127.0.0.1 which was given out anew doesn't reach them, at no cost; the look at processes is gone.

--- a/tests/play/peers.rs
+++ b/tests/play/peers.rs
@@ -2,10 +2,11 @@
 
 use super::HANG;
 use super::process::config;
-use super::sockets::{describe_peer, is_from_another_process};
+use super::sockets::describe_peer;
 use std::fmt::Write as _;
 use std::io::{BufRead, BufReader, Read, Write};
-use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream};
+use std::sync::atomic::{AtomicU32, Ordering};
 use std::sync::mpsc::Sender;
 
 /// The listeners of all peers.
@@ -15,10 +16,26 @@
     pub registry: TcpListener,
 }
 
+/// The loopback addresses that this test program has taken.
+static ADDRESSES_TAKEN: AtomicU32 = AtomicU32::new(0);
+
+/// Returns a loopback address of its own for the peers of one server. A server of another test that goes on connecting to a
+/// port which the system has given out anew doesn't reach them.
+fn own_address() -> Ipv4Addr {
+    /// The upper half of the loopback network.
+    const FIRST: u32 = 0x7f80_0000;
+    const NUMBER_BITS: u32 = 10;
+    const PROCESS_BITS: u32 = 13;
+    let number = ADDRESSES_TAKEN.fetch_add(1, Ordering::Relaxed) % (1 << NUMBER_BITS);
+    let process = std::process::id() % (1 << PROCESS_BITS);
+    Ipv4Addr::from_bits(FIRST | process << NUMBER_BITS | number)
+}
+
 impl Listeners {
     /// Listens on free ports, and returns the configuration that names them.
     pub fn bind(changes: &[(String, String)]) -> (Listeners, String) {
-        let bind = || TcpListener::bind("127.0.0.1:0").expect("a free port");
+        let own_address = own_address();
+        let bind = || TcpListener::bind((own_address, 0)).expect("a free port");
         let peers = Listeners { pool: bind(), upstream: bind(), registry: bind() };
         let address = |listener: &TcpListener| listener.local_addr().expect("an address").to_string();
         let text =
@@ -30,14 +47,12 @@
 /// A peer with the connection that it uses, accepted when it is first needed.
 pub struct Peer {
     listener: TcpListener,
-    /// The server's process.
-    server: u32,
     pub connection: Option<BufReader<TcpStream>>,
 }
 
 impl Peer {
-    pub fn new(listener: TcpListener, server: u32) -> Peer {
-        Peer { listener, server, connection: None }
+    pub fn new(listener: TcpListener) -> Peer {
+        Peer { listener, connection: None }
     }
 
     /// Returns where it listens.
@@ -47,20 +62,12 @@
 
     /// Returns the connection, or the next one that the server opens.
     pub fn connected(&mut self) -> &mut BufReader<TcpStream> {
-        self.connection.get_or_insert_with(|| accept(&self.listener, self.server))
+        self.connection.get_or_insert_with(|| accept(&self.listener))
     }
 }
 
-/// Accepts the next connection of the server with this process id. Those of others are closed: their ports were another
-/// test's before.
-fn accept(listener: &TcpListener, server: u32) -> BufReader<TcpStream> {
-    let stream = loop {
-        let (stream, _) = listener.accept().expect("the server connects");
-        if !is_from_another_process(&stream, server) {
-            break stream;
-        }
-        println!("not the server's connection: {}", describe_peer(&stream));
-    };
+fn accept(listener: &TcpListener) -> BufReader<TcpStream> {
+    let (stream, _) = listener.accept().expect("the server connects");
     stream.set_read_timeout(Some(HANG)).expect("a time limit");
     BufReader::new(stream)
 }
@@ -96,12 +103,12 @@
     Some(format!("{request} | {}", body.escape_ascii()))
 }
 
-/// Answers the reports of the server with this process id in a thread of its own, and passes each change on.
-pub fn answer_reports(registry: TcpListener, server: u32, changes: Sender<String>) {
+/// Answers the reports to a registry in a thread of its own, and passes each change on.
+pub fn answer_reports(registry: TcpListener, changes: Sender<String>) {
     std::thread::spawn(move || {
         let mut last = String::new();
         loop {
-            let mut reader = accept(&registry, server);
+            let mut reader = accept(&registry);
             while let Some(report) = read_http_request(&mut reader) {
                 if report != last && changes.send(report.clone()).is_err() {
                     return;
--- a/tests/play/playback.rs
+++ b/tests/play/playback.rs
@@ -90,10 +90,8 @@
             stderr.lines().map_while(Result::ok).try_for_each(|line| log_sender.send(line))
         });
         let (report_sender, reports) = channel();
-        answer_reports(listeners.registry, server.id(), report_sender.clone());
+        answer_reports(listeners.registry, report_sender.clone());
         let mut playback = Playback {
-            pool: Peer::new(listeners.pool, server.id()),
-            upstream: Peer::new(listeners.upstream, server.id()),
             server,
             config_file,
             config_changes: setup.config_changes.clone(),
@@ -103,6 +101,8 @@
             reports,
             report_sender,
             clients: HashMap::new(),
+            pool: Peer::new(listeners.pool),
+            upstream: Peer::new(listeners.upstream),
             old_upstream: None,
         };
         while playback.address.is_empty() {
@@ -225,10 +225,9 @@
         }
         let (listeners, text) = Listeners::bind(&self.config_changes);
         std::fs::write(&self.config_file, text).expect("the configuration is written");
-        answer_reports(listeners.registry, self.server.id(), self.report_sender.clone());
-        self.pool = Peer::new(listeners.pool, self.server.id());
-        self.old_upstream =
-            std::mem::replace(&mut self.upstream, Peer::new(listeners.upstream, self.server.id())).connection;
+        answer_reports(listeners.registry, self.report_sender.clone());
+        self.pool = Peer::new(listeners.pool);
+        self.old_upstream = std::mem::replace(&mut self.upstream, Peer::new(listeners.upstream)).connection;
         self.signal("HUP");
     }
 
--- a/tests/play/sockets.rs
+++ b/tests/play/sockets.rs
@@ -24,52 +24,28 @@
     pub state: SocketState,
 }
 
-/// The inode that the system shows for a socket that no process has open any more.
-const CLOSED_INODE: &str = "0";
-
 /// Returns the sockets that a process has open now.
 pub fn of_process(id: u32) -> Vec<TcpSocket> {
     let inodes = inodes(id);
-    let sockets = sockets_with_inodes(id).into_iter();
-    sockets.filter(|(_, inode)| inodes.contains(inode)).map(|(socket, _)| socket).collect()
-}
-
-/// Returns all sockets in the network of a process, each with its inode.
-fn sockets_with_inodes(id: u32) -> Vec<(TcpSocket, String)> {
     let table = std::fs::read_to_string(format!("/proc/{id}/net/tcp")).unwrap_or_default();
     let rows = table.lines().skip(1).map(|line| line.split_whitespace().collect::<Vec<_>>());
-    rows.filter_map(|row| Some((socket(&row), (*row.get(9)?).to_owned()))).collect()
-}
-
-fn socket(row: &[&str]) -> TcpSocket {
-    TcpSocket {
-        local_port: port(row[1]),
-        remote_port: port(row[2]),
-        state: match row[3] {
-            "02" => SocketState::Connecting,
-            "0A" => SocketState::Listening,
-            _ => SocketState::Other,
-        },
-    }
-}
-
-/// Returns whether the other end of a connection is open in another process than this one.
-pub fn is_from_another_process(stream: &TcpStream, id: u32) -> bool {
-    let (local, peer) = ports(stream);
-    let is_other_end = |socket: &TcpSocket| socket.local_port == peer && socket.remote_port == local;
-    let other_end = sockets_with_inodes(id).into_iter().find(|(socket, _)| is_other_end(socket));
-    other_end.is_some_and(|(_, inode)| inode != CLOSED_INODE && !inodes(id).contains(&inode))
-}
-
-/// Returns the ports of a connection, the local one first.
-fn ports(stream: &TcpStream) -> (u16, u16) {
-    let port_of = |address: std::io::Result<SocketAddr>| address.map_or(0, |address| address.port());
-    (port_of(stream.local_addr()), port_of(stream.peer_addr()))
+    rows.filter(|row| row.get(9).is_some_and(|inode| inodes.contains(*inode)))
+        .map(|row| TcpSocket {
+            local_port: port(row[1]),
+            remote_port: port(row[2]),
+            state: match row[3] {
+                "02" => SocketState::Connecting,
+                "0A" => SocketState::Listening,
+                _ => SocketState::Other,
+            },
+        })
+        .collect()
 }
 
 /// Returns both ends of a connection with the process at the other end, as far as the system shows it.
 pub fn describe_peer(stream: &TcpStream) -> String {
-    let (local, peer) = ports(stream);
+    let port_of = |address: std::io::Result<SocketAddr>| address.map_or(0, |address| address.port());
+    let (local, peer) = (port_of(stream.local_addr()), port_of(stream.peer_addr()));
     let is_other_end = |socket: &TcpSocket| socket.local_port == peer && socket.remote_port == local;
     let processes = std::fs::read_dir("/proc").into_iter().flatten().flatten();
     let ids = processes.filter_map(|entry| entry.file_name().to_str()?.parse::<u32>().ok());
--- a/tests/task_panics.rs
+++ b/tests/task_panics.rs
@@ -28,16 +28,14 @@
 /// Guards against a connection of another test's server, to a port that the system gave out anew, being taken for the server's
 /// own: the peers waited on it without end.
 #[test]
-fn a_connection_of_another_process_does_not_stand_in_for_the_servers_own() {
+fn a_server_that_connects_to_a_port_given_out_anew_does_not_reach_the_peers_of_another() {
     let script = include_str!("panics/upstream_before.txt");
     let mut playback = Playback::start(&Setup::of_script(script));
     let upstream = playback.upstream_address();
-    // It takes the upstream service for its worker pool.
-    let other =
-        LoggedServer::start(&mut command(&config(&upstream.to_string(), NOBODY, NOBODY, &[]), "unlimited").0);
-    play::sockets::wait_for(|| {
-        play::sockets::of_process(other.id()).into_iter().find(|socket| socket.remote_port == upstream.port())
-    });
+    // It takes a port of the host address for its worker pool's, which is the upstream service's port now.
+    let worker_pool = format!("127.0.0.1:{}", upstream.port());
+    let other = LoggedServer::start(&mut command(&config(&worker_pool, NOBODY, NOBODY, &[]), "unlimited").0);
+    other.log_line("worker pool unreachable");
     assert_eq!(play::play_on(&mut playback, script), play::play(script));
 }
 
