--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -50,26 +50,25 @@
 /// stay within their limits and end as they should, whatever a schedule brings.
 #[test]
 fn whole_lives_break_no_rule() {
-    let first = from_environment("SOAK_SEED", DEFAULT_SEED);
-    let runs = from_environment("SOAK_RUNS", DEFAULT_RUNS);
-    let left_out = LeftOut::from_environment();
-    let is_held = |seed: u64| holds(Kind::Whole, seed, &left_out);
-    let failed: Vec<u64> = (first..first + runs).filter(|seed| !is_held(*seed)).collect();
-    assert!(failed.is_empty(), "seeds {failed:?} of {first} to {}", first + runs - 1);
+    assert_all_hold(Kind::Whole, DEFAULT_SEED);
 }
 
 /// The same with steps that the other runs do not know: evacuations within upgrades, three processes, bursts of requests.
 #[test]
 fn wide_lives_break_no_rule() {
-    let first = from_environment("SOAK_SEED", DEFAULT_WIDE_SEED);
+    assert_all_hold(Kind::Wide, DEFAULT_WIDE_SEED);
+}
+
+/// Plays the seeds that the environment names, or the default one, and asserts that all rules held in each run.
+fn assert_all_hold(kind: Kind, default_seed: u64) {
+    let first = from_environment("SOAK_SEED", default_seed);
     let runs = from_environment("SOAK_RUNS", DEFAULT_RUNS);
     let left_out = LeftOut::from_environment();
-    let is_held = |seed: u64| holds(Kind::Wide, seed, &left_out);
-    let failed: Vec<u64> = (first..first + runs).filter(|seed| !is_held(*seed)).collect();
+    let failed: Vec<u64> = (first..first + runs).filter(|seed| !holds(kind, *seed, &left_out)).collect();
     assert!(failed.is_empty(), "seeds {failed:?} of {first} to {}", first + runs - 1);
 }
 
-/// Defines a test of a run for each of these seeds, with the steps that a function draws.
+/// Defines a test of a run of that kind for each of these seeds.
 macro_rules! lives {
     ($kind:path, $($test:ident: $seed:literal),+ $(,)?) => {
         $(
