Test faults: points that cost processor time, and stops around the decision

A server that is short of processor time could be tested only on a busy machine. DUNLINSPREAD_SLOW_AT, of the feature test-faults, makes each message of a client and each message of the dispatcher cost a set time (`message:500us,decision:200us`). Two more stop points: a request was read and the dispatcher doesn't have it, and a response was decided and isn't written. Without the feature nothing changes; with it and without the variable, a look-up.

--- a/src/server/dispatcher/event_loop.rs
+++ b/src/server/dispatcher/event_loop.rs
@@ -4,6 +4,7 @@
 use super::timers::SWEEP_INTERVAL_MS;
 use crate::admission::{Event, Gauges};
 use crate::server::evacuation::HealthInput;
+use crate::server::fault_injection::{self, SlowPoint};
 use crate::server::messages::{DispatcherMessage, Response, SuccessorMessage};
 use async_channel::Receiver;
 use dunlinspread_handover::PredecessorEvent;
@@ -19,6 +20,7 @@
         }
         let mut inbox = pin!(inbox);
         while let Some(message) = inbox.next().await {
+            fault_injection::pass_slow(SlowPoint::DispatcherMessage);
             self.handle_message(message);
             self.flush_usage();
             self.tell_predecessor_health();
--- a/src/server/fault_injection.rs
+++ b/src/server/fault_injection.rs
@@ -1,15 +1,19 @@
-//! Deliberate panics and stops of the process at named points, for tests that show what follows there. Without the feature
-//! `test-faults` there are none.
+//! Deliberate panics, stops and slowness of the process at named points, for tests that show what follows there. Without
+//! the feature `test-faults` there are none.
 
 use rustix::process::{Signal, getpid, kill_process};
 use std::sync::OnceLock;
 use std::sync::atomic::{AtomicUsize, Ordering};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// The variable that names the point of the panic and which pass of it panics: `store:3` for the third pass.
 const PANIC_VARIABLE: &str = "DUNLINSPREAD_PANIC_AT";
 /// The variable that names the point of the stop and which pass of it stops, in the same form.
 const STOP_VARIABLE: &str = "DUNLINSPREAD_STOP_AT";
+/// The variable that names the points that are slow and what each pass of them costs: `message:1000us,decision:200us`.
+const SLOW_VARIABLE: &str = "DUNLINSPREAD_SLOW_AT";
+/// The unit of a cost in that variable.
+const COST_UNIT: &str = "us";
 /// Time within which a signal of the process to itself takes effect.
 const SIGNAL_TIME: Duration = Duration::from_millis(5);
 
@@ -58,6 +62,10 @@
     EvictionChecked,
     /// A connection to be closed was found to have no unread bytes.
     CloseChecked,
+    /// A request was read, and the dispatcher does not have it yet.
+    RequestRead,
+    /// A response was decided, and nothing of it is written yet.
+    ResponseDecided,
 }
 
 impl StopPoint {
@@ -66,6 +74,26 @@
             StopPoint::ConnectionAccepted => "connection-accepted",
             StopPoint::EvictionChecked => "eviction-checked",
             StopPoint::CloseChecked => "close-checked",
+            StopPoint::RequestRead => "request-read",
+            StopPoint::ResponseDecided => "response-decided",
+        }
+    }
+}
+
+/// A place in the program that can be made to cost processor time in each pass.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum SlowPoint {
+    /// A connection handles a message of its client, known or unknown.
+    ClientMessage,
+    /// The dispatcher handles a message of its mailbox.
+    DispatcherMessage,
+}
+
+impl SlowPoint {
+    fn name(self) -> &'static str {
+        match self {
+            SlowPoint::ClientMessage => "message",
+            SlowPoint::DispatcherMessage => "decision",
         }
     }
 }
@@ -106,6 +134,31 @@
     }
 }
 
+/// Passes a point that costs processor time if the environment says so: the thread is busy for that long.
+pub fn pass_slow(point: SlowPoint) {
+    if !cfg!(feature = "test-faults") {
+        return;
+    }
+    static REQUESTED: OnceLock<Vec<(String, Duration)>> = OnceLock::new();
+    let requested = REQUESTED.get_or_init(|| requested_costs(SLOW_VARIABLE));
+    let cost = requested.iter().find(|(name, _)| name == point.name()).map(|(_, cost)| *cost);
+    let since = Instant::now();
+    while cost.is_some_and(|cost| since.elapsed() < cost) {
+        std::hint::spin_loop();
+    }
+}
+
+/// Returns the points that are slow, by their names, and what a pass of each costs.
+fn requested_costs(variable: &str) -> Vec<(String, Duration)> {
+    let text = std::env::var(variable).unwrap_or_default();
+    let parse = |item: &str| {
+        let (point, cost) = item.split_once(':')?;
+        let cost_us = cost.strip_suffix(COST_UNIT)?.parse().ok()?;
+        Some((point.to_owned(), Duration::from_micros(cost_us)))
+    };
+    text.split(',').filter_map(parse).collect()
+}
+
 impl RequestedFault {
     fn from_variable(variable: &str) -> Option<RequestedFault> {
         let text = std::env::var(variable).ok()?;
--- a/src/server/frontend/reader.rs
+++ b/src/server/frontend/reader.rs
@@ -6,7 +6,7 @@
 use super::error::ConnectionError;
 use super::request_decoder::{ClientMessage, decode_request, parse_message};
 use crate::codec::msgpack::{Decoder, Value};
-use crate::server::fault_injection::{self, PanicPoint};
+use crate::server::fault_injection::{self, PanicPoint, SlowPoint, StopPoint};
 use crate::server::messages::DispatcherMessage;
 use async_io::Async;
 use futures_lite::AsyncReadExt;
@@ -86,6 +86,7 @@
     }
 
     async fn handle_message(&mut self, message: &Value) -> Result<(), ConnectionError> {
+        fault_injection::pass_slow(SlowPoint::ClientMessage);
         // The dispatcher closes the queue of a client that reads no responses; the writer may be stuck.
         if self.connection.is_response_queue_closed() {
             return Err(ConnectionError::ResponseQueueFull);
@@ -133,6 +134,7 @@
         };
         let Some(request) = request else { return self.reject_invalid(message_id).await };
         self.connection.open_request(message_id, request.id);
+        fault_injection::pass_stop(StopPoint::RequestRead);
         self.send(DispatcherMessage::Request(Box::new(request))).await;
     }
 
--- a/src/server/frontend/writer.rs
+++ b/src/server/frontend/writer.rs
@@ -4,6 +4,7 @@
 use super::context::FrontendContext;
 use super::error::ConnectionError;
 use super::response_encoder::{encode_response, encode_shutdown};
+use crate::server::fault_injection::{self, StopPoint};
 use crate::server::messages::ConnectionMessage;
 use async_channel::Receiver;
 use async_io::Async;
@@ -50,6 +51,7 @@
             context.wheel.sleep(WRITE_TIMEOUT_MS).await;
             Err(ErrorKind::TimedOut.into())
         };
+        fault_injection::pass_stop(StopPoint::ResponseDecided);
         connection.is_writing.set(true);
         let written = or(stream.write_all(&buffer), timed_out).await;
         connection.is_writing.set(false);
