Test: the order of the event loop's work when it is short of time

Requests went unanswered and were lost on servers without enough processor time, and only load on the machine showed it. Here each message costs the server a set time, so the order of events is forced: 24 connections flood it with notifications, and beside them requests arrive, runs end and requests fall due; the server is stopped between read and decision and between decision and write; a client stands still; a request waits behind its client's own messages while the idle limit, the close grace and an eviction come.

--- /dev/null
+++ b/tests/event_loop_support/held_site.rs
@@ -0,0 +1,144 @@
+//! A slowed server whose runs begin and end as the test says, and clients that are read one message at a time.
+
+use super::{COSTS, SLOW_AT};
+use crate::fleet::FakeWorkerPool;
+use crate::play::alone::{Alone, Client};
+use crate::play::config;
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::{Duration, Instant};
+
+/// A class without an idempotency key, and one with.
+pub const UNKEYED: &str = "route-sheet";
+pub const KEYED: &str = "pour-entry";
+/// How long the clients of these tests wait, as the platform's do.
+pub const CLIENT_TIMEOUT: Duration = Duration::from_millis(5000);
+
+/// How long clients wait, and half of that as the objective.
+const CLIENT_TIMES: [(&str, &str); 2] =
+    [(r#""give_up_ms":90000"#, r#""give_up_ms":5000"#), (r#""target_ms":80000"#, r#""target_ms":2500"#)];
+/// The withdrawal of a request that is not open.
+const WITHDRAWAL: &[u8] = b"\x93\x02\xa6forget\x91\x00";
+
+/// The number of the last attempt: each has one of its own.
+static LAST_ATTEMPT: AtomicU64 = AtomicU64::new(0);
+
+/// The server and its worker pool.
+pub struct HeldSite {
+    pub pool: FakeWorkerPool,
+    pub server: Alone,
+}
+
+impl HeldSite {
+    /// Starts a slowed server.
+    pub fn slowed() -> HeldSite {
+        HeldSite::start(&[], SLOW_AT, COSTS)
+    }
+
+    /// Starts a server with a variable and with each `from` of the configuration replaced by its `to`.
+    pub fn start(changes: &[(&str, &str)], name: &str, value: &str) -> HeldSite {
+        let pool = FakeWorkerPool::new();
+        let changes = CLIENT_TIMES.iter().chain(changes);
+        let changes: Vec<_> = changes.map(|(from, to)| ((*from).to_owned(), (*to).to_owned())).collect();
+        let config = config(&pool.address().to_string(), "127.0.0.1:1", "127.0.0.1:1", &changes);
+        HeldSite { pool, server: Alone::with_variable(&config, name, value) }
+    }
+
+    /// Returns where clients connect.
+    pub fn listen(&self) -> SocketAddr {
+        self.server.address.parse().expect("an address")
+    }
+
+    /// Connects a client.
+    pub fn client(&self) -> TimedClient {
+        TimedClient { client: Client::new(&self.server.address), asked_at: Instant::now() }
+    }
+
+    /// Connects clients, each of which was answered a first request.
+    pub fn answered_clients(&self, count: usize) -> Vec<TimedClient> {
+        let mut clients: Vec<TimedClient> = (0..count).map(|_| self.client()).collect();
+        for client in &mut clients {
+            client.ask(1, UNKEYED, CLIENT_TIMEOUT);
+            assert!(client.answer_to(1).is_completed, "a first request is not completed");
+        }
+        clients
+    }
+}
+
+/// An answer and when it came.
+#[derive(Clone, Debug)]
+pub struct Answer {
+    /// Whether it is the response to the request that was asked.
+    pub is_response: bool,
+    /// Whether it is the result of the run.
+    pub is_completed: bool,
+    /// Time from the writing of the request.
+    pub took: Duration,
+    /// What came, escaped.
+    #[allow(dead_code, reason = "it is printed")]
+    pub text: String,
+}
+
+impl Answer {
+    /// Returns whether the request was answered while its client waited.
+    pub fn is_in_time(&self, limit: Duration) -> bool {
+        self.is_response && self.took <= limit
+    }
+}
+
+/// A client that notes when it asked.
+pub struct TimedClient {
+    pub client: Client,
+    pub asked_at: Instant,
+}
+
+impl TimedClient {
+    /// Writes a request with this time limit.
+    pub fn ask(&mut self, id: u64, class: &str, timeout: Duration) {
+        self.ask_behind(0, id, class, timeout);
+    }
+
+    /// Writes so many withdrawals, of requests that are not open, and a request behind them, all at once.
+    pub fn ask_behind(&mut self, withdrawals: usize, id: u64, class: &str, timeout: Duration) {
+        let attempt = LAST_ATTEMPT.fetch_add(1, Ordering::Relaxed) + 1;
+        let key = if class == KEYED { format!(" dedupe={attempt:032x}") } else { String::new() };
+        let timeout_ms = timeout.as_millis();
+        let request = format!("{class} call={attempt:016x} ttl={timeout_ms}{key}");
+        self.asked_at = Instant::now();
+        self.client.ask_behind(&WITHDRAWAL.repeat(withdrawals), id, &request);
+    }
+
+    /// Reads the next response, which is to be the one to this request.
+    pub fn answer_to(&mut self, id: u64) -> Answer {
+        let text = self.client.response();
+        Answer {
+            is_response: text.starts_with(&format!(r"\x94\x01\x{id:02x}")),
+            is_completed: text.starts_with(&format!(r"\x94\x01\x{id:02x}\xc0")),
+            took: self.asked_at.elapsed(),
+            text,
+        }
+    }
+}
+
+/// Reads the responses to a request that each client asked, asserts that all came in time, and returns how many of them are
+/// results.
+pub fn assert_answered_in(
+    seed: u64,
+    what: &str,
+    id: u64,
+    limit: Duration,
+    clients: &mut [TimedClient],
+) -> usize {
+    let answers: Vec<Answer> = clients.iter_mut().map(|client| client.answer_to(id)).collect();
+    let late: Vec<&Answer> = answers.iter().filter(|answer| !answer.is_in_time(limit)).collect();
+    let slowest = answers.iter().map(|answer| answer.took).max();
+    let completed = answers.iter().filter(|answer| answer.is_completed).count();
+    println!(
+        "seed {seed}, {what}: {} asked, {completed} completed, {} late or lost, slowest {slowest:?}",
+        answers.len(),
+        late.len()
+    );
+    late.iter().for_each(|answer| println!("  {answer:?}"));
+    assert!(late.is_empty(), "seed {seed}, {what}: {} not answered within {limit:?}", late.len());
+    completed
+}
--- a/tests/play/alone.rs
+++ b/tests/play/alone.rs
@@ -50,8 +50,13 @@
 
     /// Starts it with a point at which it will stop itself, and waits until it serves.
     pub fn stopping_at(config: &str, point: &str) -> Alone {
+        Alone::with_variable(config, STOP_AT, point)
+    }
+
+    /// Starts it with a variable, and waits until it serves.
+    pub fn with_variable(config: &str, name: &str, value: &str) -> Alone {
         let mut command = command(config, "unlimited").0;
-        Alone::serving(command.env(STOP_AT, point).spawn().expect("the server starts"))
+        Alone::serving(command.env(name, value).spawn().expect("the server starts"))
     }
 
     fn serving(server: Child) -> Alone {
@@ -142,7 +147,13 @@
 
     /// Sends a request.
     pub fn ask(&mut self, id: u64, class: &str) {
-        self.0.write_all(&request("g", &format!("{id} {class}"))).expect("the connection is open");
+        self.ask_behind(&[], id, class);
+    }
+
+    /// Sends other bytes and a request behind them, in one write.
+    pub fn ask_behind(&mut self, other: &[u8], id: u64, class: &str) {
+        let bytes = [other, &request("g", &format!("{id} {class}"))].concat();
+        self.0.write_all(&bytes).expect("the connection is open");
     }
 
     /// Sends these bytes, and returns whether the connection took them.
@@ -160,6 +171,17 @@
         }
     }
 
+    /// Returns what has come and was not read yet, up to a limit; nothing is taken.
+    pub fn unread(&self) -> Vec<u8> {
+        const MAX_BYTES: usize = 64 * 1024;
+        let mut bytes = vec![0; MAX_BYTES];
+        self.0.set_nonblocking(true).expect("a socket");
+        let peeked = self.0.peek(&mut bytes);
+        self.0.set_nonblocking(false).expect("a socket");
+        bytes.truncate(peeked.unwrap_or(0));
+        bytes
+    }
+
     /// Returns whether nothing has come and the connection stands.
     pub fn is_quiet(&self) -> bool {
         self.0.set_nonblocking(true).expect("a socket");
--- a/tests/upgrade_support/process.rs
+++ b/tests/upgrade_support/process.rs
@@ -40,13 +40,19 @@
 }
 
 impl ServerProcess {
-    /// Starts the built program with that configuration file and temporary folder.
-    pub fn start(config: &Path, folder: &Path, control: Option<SocketAddr>) -> ServerProcess {
+    /// Starts the built program with that configuration file and temporary folder, and with these variables.
+    pub fn start(
+        config: &Path,
+        folder: &Path,
+        control: Option<SocketAddr>,
+        variables: &[(&str, String)],
+    ) -> ServerProcess {
         let mut child = Command::new(env!("CARGO_BIN_EXE_dunlinspread"))
             .env("RELAY_CONFIG", config)
             .env("TMPDIR", folder)
             .env_remove("RELAY_CONTROL")
             .env_remove("RELAY_LISTEN")
+            .envs(variables.iter().map(|(name, value)| (name, value)))
             .stderr(Stdio::piped())
             .spawn()
             .expect("the program starts");
--- a/tests/upgrade_support/site.rs
+++ b/tests/upgrade_support/site.rs
@@ -37,6 +37,8 @@
     written: Vec<(PathBuf, Addresses)>,
     /// Where clients connect.
     pub listen: SocketAddr,
+    /// Variables that the processes are started with.
+    pub variables: Vec<(&'static str, String)>,
     folder: PathBuf,
     configs: u64,
 }
@@ -67,6 +69,7 @@
             old_upstreams: Vec::new(),
             written: Vec::new(),
             listen: free_address(),
+            variables: Vec::new(),
             folder,
             configs: 0,
         }
@@ -136,7 +139,7 @@
         let path = self.folder.join(format!("config-{}.json", self.configs));
         std::fs::write(&path, config(&self.platform, &addresses)).expect("it is written");
         self.written.push((path.clone(), addresses));
-        ServerProcess::start(&path, &self.temporary_folder(), control)
+        ServerProcess::start(&path, &self.temporary_folder(), control, &self.variables)
     }
 
     /// Returns the folder that the processes may write.
