Log requests that end late, with their age at each stage

Callers saw requests without an answer, and no record told whether the server read, decided or wrote late, or the client read late.

`request answered late` is written for a request that ends past its due time, or whose response lay for half a second before it was written; it tells how it ended and its age when its connection was accepted, when it was read, decided, answered and written. At most twenty lines a second, beside those about faulty connections. It costs one reading of the clock a request, at its answer; the other stages use readings that were there.

The clients of the upgrade and soak tests record for an attempt without a response their port, the bytes that lay unread at their end, and how the connection ended.

--- a/src/server/dispatcher/arrivals.rs
+++ b/src/server/dispatcher/arrivals.rs
@@ -25,6 +25,9 @@
     pub(super) fn decide_arrival(&mut self, mut incoming: IncomingRequest) {
         self.start_controller(None);
         let now = self.clock.now();
+        if let Some(progress) = &incoming.reply.progress {
+            progress.set_decided(now);
+        }
         incoming.received_at = incoming.received_at.min(now + MAX_FUTURE_MS);
         // Each attempt has a number of its own: a second request with it can't be told apart in the worker pool.
         if self.requests.id_of_attempt(incoming.attempt).is_some() {
--- a/src/server/dispatcher/handing_over.rs
+++ b/src/server/dispatcher/handing_over.rs
@@ -231,7 +231,7 @@
         match frame {
             ToPredecessor::Response(ForwardedResponse { request, outcome, advertised_share }) => {
                 if let Some(reply) = self.handing_over.forwarded.remove(&request) {
-                    pass_on(reply, response(outcome), advertised_share);
+                    pass_on(self.clock.now(), reply, response(outcome), advertised_share);
                 }
             }
             ToPredecessor::Health { healthy, advertised_share } => {
@@ -245,8 +245,9 @@
     /// Fails all forwarded requests: they may have run.
     fn fail_forwarded(&mut self) {
         let share = self.handing_over.successor_health.advertised_share;
+        let now = self.clock.now();
         for (_, reply) in self.handing_over.forwarded.drain() {
-            pass_on(reply, Response::Failed, share);
+            pass_on(now, reply, Response::Failed, share);
         }
     }
 
@@ -282,7 +283,10 @@
 }
 
 /// Passes a response of the successor on to the client.
-fn pass_on(reply: ReplyHandle, response: Response, advertised_share: Option<f64>) {
+fn pass_on(now: f64, reply: ReplyHandle, response: Response, advertised_share: Option<f64>) {
+    if let Some(progress) = &reply.progress {
+        progress.set_answered(now);
+    }
     let message = ConnectionMessage::Response { tag: reply.tag, response, advertised_share };
     if reply.mailbox.try_send(message).is_err() {
         // A client that does not read takes no memory without bound: its connection ends.
--- a/src/server/dispatcher/state.rs
+++ b/src/server/dispatcher/state.rs
@@ -205,6 +205,9 @@
 
     /// Sends a response to the connection of its request.
     pub(super) fn send_response(&self, reply: ReplyHandle, response: Response) {
+        if let Some(progress) = &reply.progress {
+            progress.set_answered(self.clock.now());
+        }
         if let (Some(class), Some(end)) = (reply.class, request_end(&response)) {
             self.status.telemetry().record_end(class, end);
         }
--- a/src/server/dispatcher/taking_over.rs
+++ b/src/server/dispatcher/taking_over.rs
@@ -113,7 +113,7 @@
     fn on_forwarded_request(&mut self, request: ForwardedRequest) {
         let Some(responses) = self.taking_over.responses.clone() else { return };
         let (number, id) = (request.request, self.taking_over.request_ids.next_id());
-        let reply = ReplyHandle { mailbox: responses, tag: number, class: None };
+        let reply = ReplyHandle { mailbox: responses, tag: number, class: None, progress: None };
         let known = (request.class as usize) < self.settings.classes.len();
         if !known {
             return self.send_response(reply, crate::server::messages::Response::Invalid);
--- a/src/server/frontend/connection.rs
+++ b/src/server/frontend/connection.rs
@@ -5,7 +5,7 @@
 };
 use crate::admission::RequestId;
 use crate::server::fault_injection::{self, StopPoint};
-use crate::server::messages::{ConnectionMessage, ReplyHandle, Response};
+use crate::server::messages::{ConnectionMessage, ReplyHandle, RequestProgress, Response};
 use async_channel::{Receiver, Sender};
 use async_io::Async;
 use std::cell::{Cell, RefCell};
@@ -18,10 +18,30 @@
 /// Responses that wait for the writer of a connection, past which it is closed.
 const RESPONSE_QUEUE_CAPACITY: usize = 2 * MAX_OPEN_REQUESTS;
 
+/// A request whose response is owed.
+pub(super) struct OpenRequest {
+    /// The dispatcher's id.
+    pub(super) id: RequestId,
+    /// How far it has come.
+    pub(super) progress: Rc<RequestProgress>,
+}
+
+/// What became of what is owed to a message, when its response is there.
+pub(super) enum Settlement {
+    /// It is a request's, which was open.
+    Request(OpenRequest),
+    /// It is that of a health check or of an invalid request.
+    Other,
+    /// No response is owed any more.
+    NotOwed,
+}
+
 /// One client connection.
 pub(super) struct Connection {
     /// Its socket, while its task has it.
     socket: Weak<Async<TcpStream>>,
+    /// When it was accepted, Unix ms.
+    pub(super) accepted_at: f64,
     /// Its state machine.
     pub(super) state: RefCell<ConnectionState>,
     /// Whether all responses are written and only the client's close is awaited, so that it may be dropped.
@@ -29,8 +49,8 @@
     responses: Sender<ConnectionMessage>,
     /// Whether the writer has bytes in hand.
     pub(super) is_writing: Cell<bool>,
-    /// Open requests: the dispatcher's id by message id.
-    open_requests: RefCell<HashMap<u64, RequestId>>,
+    /// Open requests by message id.
+    open_requests: RefCell<HashMap<u64, OpenRequest>>,
     /// Responses owed to health checks and to invalid requests.
     other_responses_owed: Cell<usize>,
 }
@@ -41,6 +61,7 @@
         let (responses, receiver) = async_channel::bounded(RESPONSE_QUEUE_CAPACITY);
         let connection = Connection {
             socket: Rc::downgrade(socket),
+            accepted_at: now,
             state: RefCell::new(ConnectionState::new(now)),
             is_lingering: Cell::new(false),
             responses,
@@ -151,7 +172,7 @@
 
     /// Returns where the response to a message goes.
     pub(super) fn reply_handle(&self, message_id: u64) -> ReplyHandle {
-        ReplyHandle { mailbox: self.responses.clone(), tag: message_id, class: None }
+        ReplyHandle { mailbox: self.responses.clone(), tag: message_id, class: None, progress: None }
     }
 
     /// Returns whether a request with this message id is open.
@@ -165,18 +186,18 @@
     }
 
     /// Opens a request.
-    pub(super) fn open_request(&self, message_id: u64, id: RequestId) {
-        self.open_requests.borrow_mut().insert(message_id, id);
+    pub(super) fn open_request(&self, message_id: u64, request: OpenRequest) {
+        self.open_requests.borrow_mut().insert(message_id, request);
     }
 
-    /// Closes a request whose client no longer waits, and returns its id.
-    pub(super) fn cancel_request(&self, message_id: u64) -> Option<RequestId> {
+    /// Closes a request whose client no longer waits, and returns it.
+    pub(super) fn cancel_request(&self, message_id: u64) -> Option<OpenRequest> {
         self.open_requests.borrow_mut().remove(&message_id)
     }
 
-    /// Closes all requests and returns their ids.
-    pub(super) fn cancel_all_requests(&self) -> Vec<RequestId> {
-        self.open_requests.borrow_mut().drain().map(|(_, id)| id).collect()
+    /// Closes all requests and returns them.
+    pub(super) fn cancel_all_requests(&self) -> Vec<OpenRequest> {
+        self.open_requests.borrow_mut().drain().map(|(_, request)| request).collect()
     }
 
     /// Records that a response is owed to a health check or an invalid request.
@@ -184,17 +205,17 @@
         self.other_responses_owed.set(self.other_responses_owed.get() + 1);
     }
 
-    /// Settles what is owed to a message, and returns whether its response has to be written. A request that the
-    /// client cancelled is owed none.
-    pub(super) fn settle(&self, message_id: u64, response: &Response) -> bool {
-        if self.open_requests.borrow_mut().remove(&message_id).is_some() {
-            return true;
+    /// Settles what is owed to a message, whose response has to be written if it is owed. A request that the client
+    /// cancelled is owed none.
+    pub(super) fn settle(&self, message_id: u64, response: &Response) -> Settlement {
+        if let Some(request) = self.open_requests.borrow_mut().remove(&message_id) {
+            return Settlement::Request(request);
         }
         match response {
-            Response::Completed(_) | Response::Rejected { .. } | Response::Failed => false,
+            Response::Completed(_) | Response::Rejected { .. } | Response::Failed => Settlement::NotOwed,
             Response::Invalid | Response::Health(_) => {
                 self.other_responses_owed.set(self.other_responses_owed.get().saturating_sub(1));
-                true
+                Settlement::Other
             }
         }
     }
--- a/src/server/frontend/connection_task.rs
+++ b/src/server/frontend/connection_task.rs
@@ -4,6 +4,7 @@
 use super::connection_state::LINGER_TIMEOUT_MS;
 use super::context::FrontendContext;
 use super::error::ConnectionError;
+use super::late_requests::RequestEnd;
 use super::reader::{READ_BUFFER_BYTES, read_requests};
 use super::writer::{WriteEnd, write_responses};
 use crate::server::messages::{ConnectionMessage, DispatcherMessage};
@@ -65,8 +66,9 @@
         }
     };
     let end = catch_panic(or(reader, writer.as_mut())).await;
-    connection.finish(context.clock.now());
-    cancel_open_requests(connection, context).await;
+    let ended_at = context.clock.now();
+    connection.finish(ended_at);
+    cancel_open_requests(connection, context, ended_at).await;
     let responses_written = match end {
         Err(panic) => {
             // A fault of the server in this task: it costs this client its connection and has no other effect.
@@ -87,10 +89,11 @@
 }
 
 /// Tells the dispatcher that the client waits for none of its requests any more.
-async fn cancel_open_requests(connection: &Connection, context: &FrontendContext) {
-    for id in connection.cancel_all_requests() {
+async fn cancel_open_requests(connection: &Connection, context: &FrontendContext, now: f64) {
+    for request in connection.cancel_all_requests() {
+        context.log_if_late(connection, &request.progress, now, RequestEnd::ConnectionEnded);
         // The dispatcher's queue closes only at the end of the process.
-        let _ = context.dispatcher.send(DispatcherMessage::ClientGone(id)).await;
+        let _ = context.dispatcher.send(DispatcherMessage::ClientGone(request.id)).await;
     }
 }
 
--- a/src/server/frontend/context.rs
+++ b/src/server/frontend/context.rs
@@ -17,7 +17,7 @@
 
 /// Window in which log lines of one kind are limited, ms.
 pub(super) const LOG_WINDOW_MS: f64 = 1000.0;
-/// The most log lines about faulty connections in one window.
+/// The most log lines of one kind in one window.
 const MAX_LOG_LINES: u32 = 20;
 
 /// What all connections share.
@@ -48,6 +48,8 @@
     pub request_ids: Rc<RequestIdSequence>,
     /// Log lines about faulty connections in the current window.
     pub fault_log: Cell<LogWindow>,
+    /// Log lines about requests that ended late in the current window.
+    pub late_request_log: Cell<LogWindow>,
 }
 
 /// A window in which log lines are counted.
@@ -100,7 +102,7 @@
 
     /// Logs why a connection was closed, at most [`MAX_LOG_LINES`] lines a window.
     pub(super) fn log_connection_error(&self, error: &dyn std::error::Error) {
-        if self.may_log(self.clock.now()) {
+        if may_log(&self.fault_log, self.clock.now()) {
             warn!(self.log, "client connection closed on error";
                 "component" => "frontend", "reason" => error.to_string());
         }
@@ -110,7 +112,7 @@
     pub(super) fn log_discarded_bytes(&self, connection: &Connection, length: usize) {
         let Some((since, reason)) = connection.state.borrow().finishing_since() else { return };
         let now = self.clock.now();
-        if reason == FinishReason::ClosedByTask || !self.may_log(now) {
+        if reason == FinishReason::ClosedByTask || !may_log(&self.fault_log, now) {
             return;
         }
         warn!(self.log, "bytes on an ended connection discarded"; "component" => "frontend",
@@ -118,15 +120,20 @@
             "client" => connection.client_address());
     }
 
-    /// Counts a log line about a connection, and returns whether it may be written.
-    fn may_log(&self, now: f64) -> bool {
-        let mut window = self.fault_log.get();
-        if now - window.started_at > LOG_WINDOW_MS {
-            window = LogWindow { started_at: now, lines: 0 };
-        }
-        let may_log = window.lines < MAX_LOG_LINES;
-        window.lines += 1;
-        self.fault_log.set(window);
-        may_log
+    /// Counts a log line about a request that ended late, and returns whether it may be written.
+    pub(super) fn may_log_late_request(&self, now: f64) -> bool {
+        may_log(&self.late_request_log, now)
+    }
+}
+
+/// Counts a log line in its window, and returns whether it may be written.
+fn may_log(lines_of_kind: &Cell<LogWindow>, now: f64) -> bool {
+    let mut window = lines_of_kind.get();
+    if now - window.started_at > LOG_WINDOW_MS {
+        window = LogWindow { started_at: now, lines: 0 };
     }
+    let may_log = window.lines < MAX_LOG_LINES;
+    window.lines += 1;
+    lines_of_kind.set(window);
+    may_log
 }
--- /dev/null
+++ b/src/server/frontend/late_requests.rs
@@ -0,0 +1,68 @@
+//! Log lines of requests that end late: how old they were at each stage, so that it is seen which one was late.
+
+use super::connection::Connection;
+use super::context::FrontendContext;
+use crate::server::messages::RequestProgress;
+use slog::warn;
+use std::fmt;
+
+/// Time from a response's leaving the dispatcher to its writing past which it counts as late, ms.
+const LATE_WRITE_MS: f64 = 500.0;
+
+/// How a request ended for its connection.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum RequestEnd {
+    /// Its response is being written.
+    Written,
+    /// Its client withdrew it.
+    Withdrawn,
+    /// Its connection ended without a response.
+    ConnectionEnded,
+}
+
+impl fmt::Display for RequestEnd {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            RequestEnd::Written => "written",
+            RequestEnd::Withdrawn => "withdrawn",
+            RequestEnd::ConnectionEnded => "its connection ended",
+        })
+    }
+}
+
+/// The age of a request at a stage, in whole ms.
+struct Age(Option<f64>);
+
+impl fmt::Display for Age {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self.0 {
+            Some(ms) => write!(f, "{}", ms.round()),
+            None => f.write_str("never"),
+        }
+    }
+}
+
+impl FrontendContext {
+    /// Logs a request that ends at `now`, if that is past its due time or its response waited long for its writing.
+    pub(super) fn log_if_late(
+        &self,
+        connection: &Connection,
+        progress: &RequestProgress,
+        now: f64,
+        end: RequestEnd,
+    ) {
+        let request = &progress.request;
+        let waits_since = progress.answered_at().unwrap_or(now);
+        let is_late = now > request.due_at || now - waits_since > LATE_WRITE_MS;
+        if !is_late || !self.may_log_late_request(now) {
+            return;
+        }
+        let age = |at: Option<f64>| Age(at.map(|at| at - request.received_at));
+        warn!(self.log, "request answered late"; "component" => "frontend",
+            "client" => connection.client_address(), "end" => %end,
+            "due_ms" => %age(Some(request.due_at)), "ended_ms" => %age(Some(now)),
+            "answered_ms" => %age(progress.answered_at()), "decided_ms" => %age(progress.decided_at()),
+            "read_ms" => %age(Some(request.read_at)), "accepted_ms" => %age(Some(request.accepted_at)),
+            "attempt" => format!("{:016x}", request.attempt));
+    }
+}
--- a/src/server/frontend/mod.rs
+++ b/src/server/frontend/mod.rs
@@ -13,6 +13,7 @@
 mod connection_task;
 mod context;
 mod error;
+mod late_requests;
 mod listener;
 mod protocol;
 mod reader;
--- a/src/server/frontend/reader.rs
+++ b/src/server/frontend/reader.rs
@@ -1,17 +1,19 @@
 //! The reading side of a connection: bytes to messages to the dispatcher.
 
-use super::connection::Connection;
+use super::connection::{Connection, OpenRequest};
 use super::connection_state::ReadProgress;
 use super::context::FrontendContext;
 use super::error::ConnectionError;
+use super::late_requests::RequestEnd;
 use super::request_decoder::{ClientMessage, decode_request, parse_message};
 use crate::codec::msgpack::{Decoder, Value};
 use crate::server::fault_injection::{self, PanicPoint, SlowPoint, StopPoint};
-use crate::server::messages::DispatcherMessage;
+use crate::server::messages::{DispatcherMessage, IncomingRequest, ReadRequest, RequestProgress};
 use async_io::Async;
 use futures_lite::AsyncReadExt;
 use futures_lite::future::yield_now;
 use std::net::TcpStream;
+use std::rc::Rc;
 
 /// Bytes read at once.
 pub(super) const READ_BUFFER_BYTES: usize = 4 * 1024;
@@ -29,7 +31,8 @@
     context: &FrontendContext,
     mut stream: &Async<TcpStream>,
 ) -> Result<(), ConnectionError> {
-    let mut reader = RequestReader { connection, context, decoder: Decoder::default(), messages_read: 0 };
+    let mut reader =
+        RequestReader { connection, context, decoder: Decoder::default(), messages_read: 0, read_at: 0.0 };
     let mut buffer = vec![0; READ_BUFFER_BYTES];
     loop {
         match stream.read(&mut buffer).await {
@@ -42,7 +45,8 @@
             Ok(length) => reader.decoder.feed(&buffer[..length]),
         }
         fault_injection::pass(PanicPoint::ConnectionRead);
-        connection.state.borrow_mut().record_activity(context.clock.now());
+        reader.read_at = context.clock.now();
+        connection.state.borrow_mut().record_activity(reader.read_at);
         reader.handle_buffered().await?;
     }
 }
@@ -52,6 +56,8 @@
     context: &'a FrontendContext,
     decoder: Decoder,
     messages_read: u64,
+    /// When the bytes in the buffer were read, Unix ms.
+    read_at: f64,
 }
 
 impl RequestReader<'_> {
@@ -132,16 +138,32 @@
         } else {
             None
         };
-        let Some(request) = request else { return self.reject_invalid(message_id).await };
-        self.connection.open_request(message_id, request.id);
+        let Some(mut request) = request else { return self.reject_invalid(message_id).await };
+        let progress = self.progress_of(&request);
+        request.reply.progress = Some(progress.clone());
+        self.connection.open_request(message_id, OpenRequest { id: request.id, progress });
         fault_injection::pass_stop(StopPoint::RequestRead);
         self.send(DispatcherMessage::Request(Box::new(request))).await;
     }
 
+    fn progress_of(&self, request: &IncomingRequest) -> Rc<RequestProgress> {
+        let class = &self.context.classes[request.class];
+        let due_at = request.received_at + request.timeout_ms.unwrap_or(class.client_timeout_ms);
+        Rc::new(RequestProgress::new(ReadRequest {
+            attempt: request.attempt,
+            received_at: request.received_at,
+            due_at,
+            accepted_at: self.connection.accepted_at,
+            read_at: self.read_at,
+        }))
+    }
+
     async fn handle_cancel(&self, message_ids: Vec<u64>) {
         for message_id in message_ids {
-            if let Some(id) = self.connection.cancel_request(message_id) {
-                let _ = self.context.dispatcher.send(DispatcherMessage::ClientGone(id)).await;
+            if let Some(request) = self.connection.cancel_request(message_id) {
+                let (progress, end) = (&request.progress, RequestEnd::Withdrawn);
+                self.context.log_if_late(self.connection, progress, self.read_at, end);
+                let _ = self.context.dispatcher.send(DispatcherMessage::ClientGone(request.id)).await;
             }
         }
     }
--- a/src/server/frontend/writer.rs
+++ b/src/server/frontend/writer.rs
@@ -1,8 +1,9 @@
 //! The writing side of a connection: responses to bytes.
 
-use super::connection::Connection;
+use super::connection::{Connection, Settlement};
 use super::context::FrontendContext;
 use super::error::ConnectionError;
+use super::late_requests::RequestEnd;
 use super::response_encoder::{encode_response, encode_shutdown};
 use crate::server::fault_injection::{self, StopPoint};
 use crate::server::messages::ConnectionMessage;
@@ -41,12 +42,13 @@
     while let Some(message) = responses.next().await {
         buffer.clear();
         buffer.shrink_to(WRITE_BUFFER_BYTES);
+        let now = context.clock.now();
         let mut next = Some(message);
         while let Some(message) = next {
-            encode(connection, &message, &mut buffer);
+            encode(connection, context, now, &message, &mut buffer);
             next = if buffer.len() < WRITE_BUFFER_BYTES { responses.try_recv().ok() } else { None };
         }
-        connection.state.borrow_mut().record_activity(context.clock.now());
+        connection.state.borrow_mut().record_activity(now);
         let timed_out = async {
             context.wheel.sleep(WRITE_TIMEOUT_MS).await;
             Err(ErrorKind::TimedOut.into())
@@ -66,13 +68,22 @@
     WriteEnd::ResponsesWritten
 }
 
-fn encode(connection: &Connection, message: &ConnectionMessage, buffer: &mut Vec<u8>) {
-    match message {
-        ConnectionMessage::Shutdown => encode_shutdown(buffer),
-        ConnectionMessage::Response { tag, response, advertised_share } => {
-            if connection.settle(*tag, response) {
-                encode_response(*tag, response, *advertised_share, buffer);
-            }
+fn encode(
+    connection: &Connection,
+    context: &FrontendContext,
+    now: f64,
+    message: &ConnectionMessage,
+    buffer: &mut Vec<u8>,
+) {
+    let ConnectionMessage::Response { tag, response, advertised_share } = message else {
+        return encode_shutdown(buffer);
+    };
+    match connection.settle(*tag, response) {
+        Settlement::Request(request) => {
+            context.log_if_late(connection, &request.progress, now, RequestEnd::Written);
         }
+        Settlement::Other => {}
+        Settlement::NotOwed => return,
     }
+    encode_response(*tag, response, *advertised_share, buffer);
 }
--- a/src/server/messages/connection.rs
+++ b/src/server/messages/connection.rs
@@ -1,5 +1,6 @@
 //! Messages to the task of a client connection, and the responses that they carry.
 
+use super::request_progress::RequestProgress;
 use async_channel::Sender;
 use std::rc::Rc;
 
@@ -48,4 +49,7 @@
     pub tag: u64,
     /// The class of the request, by position; `None` where the response is to something else, or the class is not known.
     pub class: Option<usize>,
+    /// How far the request has come; `None` where the response is to something else, or the request came from another
+    /// process.
+    pub progress: Option<Rc<RequestProgress>>,
 }
--- a/tests/swap.rs
+++ b/tests/swap.rs
@@ -76,7 +76,7 @@
             account: None,
             shareable: false,
             body: Vec::new(),
-            reply: ReplyHandle { mailbox: mailbox.clone(), tag: id, class: None },
+            reply: ReplyHandle { mailbox: mailbox.clone(), tag: id, class: None, progress: None },
         };
         let guard = tasks.distributed.guard_lookup();
         tasks
--- a/tests/upgrade_check.rs
+++ b/tests/upgrade_check.rs
@@ -39,6 +39,7 @@
         ended_ms: written_ms + 10,
         outcome,
         error: None,
+        client_end: None,
     }
 }
 
--- a/tests/upgrade_support/attempts.rs
+++ b/tests/upgrade_support/attempts.rs
@@ -3,7 +3,7 @@
 use crate::upgrade_support::connection::{Connection, Outgoing};
 use crate::upgrade_support::load::{PlannedAttempt, PlannedRequest, Way};
 use crate::upgrade_support::messages::{RequestFields, Response, encode_request, encode_withdrawal};
-use crate::upgrade_support::records::{AttemptRecord, Outcome, Records};
+use crate::upgrade_support::records::{AttemptRecord, ClientEnd, Outcome, Records};
 use crate::upgrade_support::settings::CLIENT_TIMEOUT_MS;
 use async_executor::LocalExecutor;
 use async_io::Timer;
@@ -111,6 +111,7 @@
                 ended_ms: unix_ms(),
                 outcome,
                 error,
+                client_end: connection.as_ref().and_then(|connection| client_end(connection, outcome)),
             };
             self.records.lock().unwrap_or_else(PoisonError::into_inner).attempts.push(record);
             if let Some(connection) = connection.filter(|connection| !self.is_shared(connection)) {
@@ -217,6 +218,11 @@
     (outcome_of(connection, id, request, end, written_ms.get()), error)
 }
 
+/// Returns the client's end of the connection of an attempt, for one without a response.
+fn client_end(connection: &Connection, outcome: Outcome) -> Option<ClientEnd> {
+    matches!(outcome, Outcome::Unanswered | Outcome::Lost).then(|| connection.client_end())
+}
+
 fn outcome_of(
     connection: &Connection,
     id: u64,
--- a/tests/upgrade_support/connection.rs
+++ b/tests/upgrade_support/connection.rs
@@ -2,6 +2,7 @@
 
 use crate::upgrade_support::connection_ends::ConnectionEnd;
 use crate::upgrade_support::messages::{Response, ServerMessage, decode};
+use crate::upgrade_support::records::{ClientEnd, Closing};
 use async_channel::{Receiver, Sender};
 use async_io::{Async, Timer};
 use dunlinspread_fakes::unix_ms;
@@ -46,6 +47,8 @@
     server_end: ConnectionEnd,
     /// When it was seen to have ended.
     ended_ms: Cell<Option<u64>>,
+    /// How it ended.
+    closing: Cell<Option<Closing>>,
 }
 
 impl Connection {
@@ -71,6 +74,7 @@
             shutdown_seen: Cell::new(false),
             server_end,
             ended_ms: Cell::new(None),
+            closing: Cell::new(None),
         }))
     }
 
@@ -86,6 +90,17 @@
         Some(self.server_end.came_at_ms().map_or(seen_ms, |came_ms| came_ms.min(seen_ms)))
     }
 
+    /// Returns what its end at the client looks like now.
+    pub fn client_end(&self) -> ClientEnd {
+        let stream = self.stream.get_ref();
+        ClientEnd {
+            port: stream.local_addr().map_or(0, |address| address.port()),
+            // Of a broken connection nothing can be read any more.
+            unread_bytes: rustix::io::ioctl_fionread(stream).unwrap_or(0),
+            closing: self.closing.get(),
+        }
+    }
+
     /// Returns how many second responses it carried.
     pub fn duplicate_responses(&self) -> u64 {
         self.duplicate_responses.get()
@@ -127,7 +142,8 @@
 
     /// Reads and writes until either side ends the connection.
     pub async fn serve(&self) {
-        or(self.read(), self.write()).await;
+        let closing = or(self.read(), self.write()).await;
+        self.closing.set(Some(closing));
         self.ended_ms.set(Some(unix_ms()));
         self.outgoing.close();
         let _ = self.stream.get_ref().shutdown(std::net::Shutdown::Both);
@@ -143,12 +159,13 @@
         }
     }
 
-    async fn read(&self) {
+    async fn read(&self) -> Closing {
         let (mut buffer, mut chunk) = (Vec::new(), vec![0; READ_BYTES]);
         loop {
             match (&self.stream).read(&mut chunk).await {
-                Ok(count) if count > 0 => buffer.extend_from_slice(&chunk[..count]),
-                _ => return,
+                Ok(0) => return Closing::ByServer,
+                Ok(count) => buffer.extend_from_slice(&chunk[..count]),
+                Err(error) => return Closing::Broken(error.kind()),
             }
             while let Some((message, length)) = decode(&buffer) {
                 buffer.drain(..length);
@@ -176,17 +193,18 @@
     }
 
     /// Writes until the queue is closed and empty.
-    async fn write(&self) {
+    async fn write(&self) -> Closing {
         while let Ok(message) = self.queued.recv().await {
             for (index, piece) in message.pieces.iter().enumerate() {
                 if index > 0 {
                     Timer::after(message.pause).await;
                 }
-                if (&self.stream).write_all(piece).await.is_err() {
-                    return;
+                if let Err(error) = (&self.stream).write_all(piece).await {
+                    return Closing::Broken(error.kind());
                 }
             }
             message.written_ms.set(Some(unix_ms()));
         }
+        Closing::ByClient
     }
 }
--- a/tests/upgrade_support/records.rs
+++ b/tests/upgrade_support/records.rs
@@ -2,6 +2,7 @@
 
 use crate::upgrade_support::load::PlannedRequest;
 use std::fmt;
+use std::io::ErrorKind;
 use std::sync::Arc;
 
 /// What became of an attempt, as its client saw it.
@@ -25,6 +26,28 @@
     Lost,
 }
 
+/// What a client's end of a connection looked like when an attempt on it ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ClientEnd {
+    /// Its port, by which log lines name it.
+    pub port: u16,
+    /// Bytes of the server that lay in the client's system and that the client had not read.
+    pub unread_bytes: u64,
+    /// How the connection had ended, if it had.
+    pub closing: Option<Closing>,
+}
+
+/// How a connection ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Closing {
+    /// The server shut its sending side.
+    ByServer,
+    /// It broke.
+    Broken(ErrorKind),
+    /// The client had nothing more to send.
+    ByClient,
+}
+
 /// One writing of an attempt to a connection. An attempt that was turned away is written again, once.
 #[derive(Clone, Debug)]
 pub struct AttemptRecord {
@@ -44,6 +67,8 @@
     pub outcome: Outcome,
     /// The name of the error, for one that failed.
     pub error: Option<String>,
+    /// The client's end of its connection at the end of the attempt, for one without a response.
+    pub client_end: Option<ClientEnd>,
 }
 
 impl fmt::Display for AttemptRecord {
@@ -52,7 +77,7 @@
         let AttemptRecord { call, request, connected_ms, written_ms, ended_ms, outcome, error, .. } = self;
         let (class, key) = (request.class, request.key.as_deref().unwrap_or("none"));
         write!(f, "{outcome:?} {call:016x} {class}, key {key}, connected {connected_ms:?}, ")?;
-        write!(f, "written {written_ms:?}, ended {ended_ms}, error {error:?}")
+        write!(f, "written {written_ms:?}, ended {ended_ms}, error {error:?}, {:?}", self.client_end)
     }
 }
 
