Fail a request without effects that is due after its run began

What callers saw: `Backoff`, "this try never ran", for requests of a class without effects whose run had begun 2 to 38 ms before.

Cause: the admission controller rejects what is due and without effects in whatever state it is, and the dispatcher let a rejection pass for such a class.

Now a request that has left the queue, or whose run was ever requested, fails. The controller decides as before.

Evidence: the exchange due_while_running forces a run that outlasts its request's time, in the worker pool and at an upstream call.

--- a/src/server/dispatcher/responses.rs
+++ b/src/server/dispatcher/responses.rs
@@ -2,7 +2,7 @@
 
 use super::request::{ExecutionState, Request};
 use super::state::Dispatcher;
-use crate::admission::{Event, Outcome, RequestId, RetrySafety};
+use crate::admission::{Event, Outcome, RequestId};
 use crate::server::messages::Response;
 use std::rc::Rc;
 
@@ -29,11 +29,10 @@
         self.remove_if_idle(id);
     }
 
-    /// Returns whether a run of the request, or of another attempt of its key, may have had its effect.
+    /// Returns whether the request may have run, or another attempt of its key: a rejection promises that neither did.
     fn may_have_run(&self, request: &Request) -> bool {
-        let has_effect = self.settings.classes[request.class].retry_safety != RetrySafety::Idempotent;
         let left_queue = !matches!(request.state, ExecutionState::Queued);
-        left_queue && has_effect || self.keys.has_run(request)
+        request.run_requested || left_queue || self.keys.has_run(request)
     }
 
     /// Gives a request that waited for the result of another attempt that result, or its failure.
