Take a run that the worker pool doesn't know for no failed one

Cause: a run that the worker pool had ended at its upstream call, since its client was gone, is asked to go on where the pool's word comes before the connection's. The pool answers `unknown` or `gone`, and the run was told to the controller as a failed one. A run prevented by its key was told as a failed one as well.

The controller is now told `Outcome::Lost`, which no code of it counts as a failed run; the request fails and its key stays taken as before.

--- a/src/admission/event.rs
+++ b/src/admission/event.rs
@@ -70,6 +70,9 @@
     Cancelled,
     /// Nothing was started, because the request had ended already.
     NotStarted,
+    /// The run is unknown to whoever should run it, or was not asked for. It may have taken effect, and says nothing of
+    /// how runs fare.
+    Lost,
 }
 
 /// An event that an instance is told.
--- a/src/server/dispatcher/pool_events.rs
+++ b/src/server/dispatcher/pool_events.rs
@@ -85,7 +85,8 @@
         let run_outcome = match command {
             // It never ran: that is no sign of a sick machine, and its key stays free for other attempts.
             RejectedCommand::Run => RunOutcome::NotStarted,
-            RejectedCommand::Resume => RunOutcome::Failed,
+            // It ran until it was cut, perhaps at an upstream call whose request the worker pool took for over.
+            RejectedCommand::Resume => RunOutcome::Lost,
             _ => return,
         };
         self.on_run_ended(id, run_outcome, 0.0, Vec::new());
--- a/src/server/dispatcher/runs.rs
+++ b/src/server/dispatcher/runs.rs
@@ -33,7 +33,7 @@
                 warn!(self.log, "run prevented"; "reason" => %duplicate_run);
                 self.respond(id, Response::Failed);
                 self.remove(id);
-                let outcome = Outcome::Error;
+                let outcome = Outcome::Lost;
                 return self.events.push_back(Event::RunEnded { id, outcome, took_ms: 0.0 });
             }
         }
@@ -81,7 +81,7 @@
         // "Not started" is true of the run only while its start is the first unconfirmed command: a run that was stopped
         // at an upstream call and told to continue has run, and its key must not become free.
         let disproved = reported == RunOutcome::NotStarted && !request.is_start_unconfirmed();
-        let run_outcome = if disproved { RunOutcome::Failed } else { reported };
+        let run_outcome = if disproved { RunOutcome::Lost } else { reported };
         request.unconfirmed.clear();
         let preemption = self.settings.preemption;
         let was_preempted = run_outcome == RunOutcome::Stopped && preemption != Preemption::Off;
@@ -137,5 +137,6 @@
         RunOutcome::Failed => Outcome::Error,
         RunOutcome::Stopped => Outcome::Cancelled,
         RunOutcome::NotStarted => Outcome::NotStarted,
+        RunOutcome::Lost => Outcome::Lost,
     }
 }
--- a/src/server/messages/worker_pool.rs
+++ b/src/server/messages/worker_pool.rs
@@ -75,6 +75,8 @@
     Stopped,
     /// Nothing was started, because the request was finished.
     NotStarted,
+    /// The pool knows nothing of it any more; it may have had its effect.
+    Lost,
 }
 
 /// The kind of a command that the pool rejected.
--- a/tests/allowances.rs
+++ b/tests/allowances.rs
@@ -129,7 +129,8 @@
         Unreachable,
         ConnectionLost,
         Cancelled,
-        NotStarted
+        NotStarted,
+        Lost
     )
 }
 
--- a/tests/progress.rs
+++ b/tests/progress.rs
@@ -116,6 +116,20 @@
     assert_eq!(healths(&actions), vec![true], "it finds out by itself");
 }
 
+/// Guards against taking runs that the worker pool does not know for failed ones: of few runs they are a large share at once.
+#[test]
+fn runs_that_are_lost_say_nothing_about_the_health() {
+    for (outcome, expected) in [(Outcome::Lost, vec![]), (Outcome::Error, vec![false])] {
+        let mut driver = Driver::new(settings());
+        for _ in 0..2 {
+            let (id, actions) = driver.arrive(1);
+            assert!(runs(&actions, id));
+            driver.end(id, outcome);
+        }
+        assert_eq!(healths(&driver.tick(0.1, 0.0)), expected, "{outcome:?}");
+    }
+}
+
 /// Guards against taking the lag of this process for a stall of the runs: what they reported after the gauges were read lies
 /// unread behind them.
 #[test]
