Run a request anew whose run the worker pool doesn't keep

What callers saw: a request without effects whose connection had ended under its run, and that was sent again under its id, failed.

Cause: the worker pool says `cut` of a run that it paused and of one that ended at its upstream call. The dispatcher took both for a pause, and had the request's run go on, which the pool doesn't know.

A run that is cut at its call is not taken for paused any more, and where the pool knows no run to go on with, a request that may run again is run from the beginning.

--- a/src/server/dispatcher/pool_events.rs
+++ b/src/server/dispatcher/pool_events.rs
@@ -82,13 +82,12 @@
             warn!(self.log, "worker pool rejected a command"; "command" => %command);
         }
         let Some(id) = self.requests.id_of_attempt(attempt) else { return };
-        let run_outcome = match command {
+        match command {
             // It never ran: that is no sign of a sick machine, and its key stays free for other attempts.
-            RejectedCommand::Run => RunOutcome::NotStarted,
+            RejectedCommand::Run => self.on_run_ended(id, RunOutcome::NotStarted, 0.0, Vec::new()),
             // It ran until it was cut, perhaps at an upstream call whose request the worker pool took for over.
-            RejectedCommand::Resume => RunOutcome::Lost,
-            _ => return,
-        };
-        self.on_run_ended(id, run_outcome, 0.0, Vec::new());
+            RejectedCommand::Resume => self.on_resume_rejected(id),
+            _ => {}
+        }
     }
 }
--- a/src/server/dispatcher/request.rs
+++ b/src/server/dispatcher/request.rs
@@ -143,6 +143,11 @@
         }
     }
 
+    /// Returns whether its run waits for an upstream call.
+    pub(super) fn is_at_call(&self) -> bool {
+        matches!(self.state, ExecutionState::AwaitingUpstreamCall(_) | ExecutionState::CallingUpstream(_))
+    }
+
     /// Returns whether a run was requested for it: it runs, is paused or waits for an upstream call.
     pub(super) fn has_run_in_pool(&self) -> bool {
         !matches!(self.state, ExecutionState::Queued | ExecutionState::AwaitingResult { .. })
--- a/src/server/dispatcher/runs.rs
+++ b/src/server/dispatcher/runs.rs
@@ -2,7 +2,7 @@
 
 use super::request::ExecutionState;
 use super::state::Dispatcher;
-use crate::admission::{Event, Outcome, Preemption, RequestId};
+use crate::admission::{Event, Outcome, Preemption, RequestId, RetrySafety};
 use crate::server::messages::{PoolCommand, Response, RunOutcome};
 use dunlinspread_idempotency::{ReuseOutcome, RunResult};
 use slog::warn;
@@ -40,15 +40,33 @@
         let Some(request) = self.requests.get_mut(id) else { return };
         request.state = ExecutionState::Running;
         request.run_requested = true;
-        let (attempt, class, body) = (request.attempt, request.class, request.body.clone());
+        let attempt = request.attempt;
         if self.abandoned_runs.take(attempt) {
             // The worker pool would start nothing for an attempt whose run it keeps, and report nothing either.
             return self.request_command(id, PoolCommand::Resume { attempt });
         }
+        self.request_new_run(id);
+    }
+
+    /// Asks the worker pool for a run from the beginning.
+    fn request_new_run(&mut self, id: RequestId) {
+        let Some(request) = self.requests.get(id) else { return };
+        let (attempt, class, body) = (request.attempt, request.class, request.body.clone());
         self.status.telemetry().record_attempt(class);
         self.request_command(id, PoolCommand::Run { attempt, class, body });
     }
 
+    /// The worker pool keeps no run to resume: a request that may run again and is still owed a response is run anew.
+    pub(super) fn on_resume_rejected(&mut self, id: RequestId) {
+        let Some(request) = self.requests.get_mut(id) else { return };
+        let is_idempotent = self.settings.classes[request.class].retry_safety == RetrySafety::Idempotent;
+        if !is_idempotent || request.reply.is_none() {
+            return self.on_run_ended(id, RunOutcome::Lost, 0.0, Vec::new());
+        }
+        request.unconfirmed.clear();
+        self.request_new_run(id);
+    }
+
     /// Stops or pauses a run.
     pub(super) fn preempt(&mut self, id: RequestId) {
         let Some(request) = self.requests.get(id) else { return };
@@ -83,6 +101,7 @@
         let disproved = reported == RunOutcome::NotStarted && !request.is_start_unconfirmed();
         let run_outcome = if disproved { RunOutcome::Lost } else { reported };
         request.unconfirmed.clear();
+        let was_at_call = request.is_at_call();
         let preemption = self.settings.preemption;
         let was_preempted = run_outcome == RunOutcome::Stopped && preemption != Preemption::Off;
         if was_preempted && request.reply.is_some() {
@@ -90,7 +109,8 @@
             request.state = if restarts { ExecutionState::Queued } else { ExecutionState::Paused };
             return self.dispatch_event(Event::RunEnded { id, outcome: Outcome::Cancelled, took_ms });
         }
-        if run_outcome == RunOutcome::Stopped && preemption == Preemption::Suspend {
+        // What ends at its call is not kept by the worker pool.
+        if run_outcome == RunOutcome::Stopped && preemption == Preemption::Suspend && !was_at_call {
             self.abandoned_runs.add(request.attempt);
         }
         let result = (run_outcome == RunOutcome::Completed).then(|| Rc::from(result));
