Log lines that clients cause are counted by kind and reason and told once a window

Cause: all lines about faulty connections shared one window of 20 lines a second (`FrontendContext::may_log`), and what was past it was dropped without a count, whatever its reason; `connections near limit` and `accepting paused` shared one line a second, and `upstream call failed` one for all kinds of error.

Change: `repeated_lines.rs`, a state machine without log and clock, has a window for each kind and reason, which is an enum and nothing that a client sent. Lines that each name a client or a panic (discarded bytes, apart for early and late ones; panics of connections) keep their 20 a second, but of their own kind; the dispatcher's keep five, `run prevented` is among them now. No clock is read at a turn of a connection that logs nothing.

Not forced by a test of the process: counts of the dispatcher and the upstream client.

--- a/src/daemon/wiring.rs
+++ b/src/daemon/wiring.rs
@@ -11,7 +11,7 @@
 use crate::server::control::{ControlEndpoint, ControlOptions};
 use crate::server::dispatcher::{Dispatcher, DispatcherEnvironment, Mailboxes, server_identity};
 use crate::server::distributed_config::DistributedSettings;
-use crate::server::frontend::{FrontendContext, Listener};
+use crate::server::frontend::{ClientLog, FrontendContext, Listener};
 use crate::server::messages::{
     DispatcherMessage, ListenerMessage, RegistryMessage, UpstreamMessage, WorkerPoolMessage,
 };
@@ -299,10 +299,9 @@
             dispatcher: self.dispatcher.clone(),
             task_times: self.task_times.clone(),
             log: self.log.clone(),
+            client_log: ClientLog::new(self.log.clone()),
             bills_accounts: loaded.operator.ledger.is_some(),
             request_ids: self.request_ids.clone(),
-            fault_log: Cell::default(),
-            late_request_log: Cell::default(),
         }))
     }
 
--- a/src/server/dispatcher/actions.rs
+++ b/src/server/dispatcher/actions.rs
@@ -27,7 +27,7 @@
             Action::SetTimer { token, delay_ms } => {
                 self.schedule(delay_ms, DispatcherMessage::Timer(token));
             }
-            Action::Log(text) => self.log_controller(&text),
+            Action::Log(text) => self.repeating_log.controller_note(now, &text),
         }
     }
 
@@ -63,10 +63,4 @@
     fn set_idle_timeout(&self, idle_ms: f64) {
         self.tell_listener(ListenerMessage::SetIdleTimeout(idle_ms));
     }
-
-    fn log_controller(&mut self, text: &str) {
-        if self.controller_lines.allow() {
-            info!(self.log, "admission controller"; "text" => text);
-        }
-    }
 }
--- a/src/server/dispatcher/event_loop.rs
+++ b/src/server/dispatcher/event_loop.rs
@@ -74,6 +74,7 @@
     fn notify_if_idle(&mut self) {
         if self.idle.is_some() && self.requests.len() + self.handing_over.len() == 0 {
             if let Some(idle) = self.idle.take() {
+                self.repeating_log.tell_all_repeated();
                 // The channel has room for this one message.
                 let _ = idle.try_send(());
             }
--- a/src/server/dispatcher/pool_events.rs
+++ b/src/server/dispatcher/pool_events.rs
@@ -78,9 +78,7 @@
 
     /// The worker pool rejected a command. A run that it does not know would never end by itself.
     fn on_command_rejected(&mut self, command: &RejectedCommand, attempt: u64) {
-        if self.rejected_command_lines.allow() {
-            warn!(self.log, "worker pool rejected a command"; "command" => %command);
-        }
+        self.repeating_log.rejected_command(self.clock.now(), command);
         let Some(id) = self.requests.id_of_attempt(attempt) else { return };
         match command {
             // It never ran: that is no sign of a sick machine, and its key stays free for other attempts.
--- a/src/server/dispatcher/runs.rs
+++ b/src/server/dispatcher/runs.rs
@@ -5,7 +5,6 @@
 use crate::admission::{Event, Outcome, Preemption, RequestId, RetrySafety};
 use crate::server::messages::{PoolCommand, Response, RunOutcome};
 use dunlinspread_idempotency::{ReuseOutcome, RunResult};
-use slog::warn;
 use std::rc::Rc;
 
 impl Dispatcher {
@@ -30,7 +29,7 @@
             // The superseded run outlasted its own window, and its duplicates would no longer be found.
             Ok(waiters) => waiters.into_iter().for_each(|waiter| self.finish_reuse(waiter, None)),
             Err(duplicate_run) => {
-                warn!(self.log, "run prevented"; "reason" => %duplicate_run);
+                self.repeating_log.run_prevented(self.clock.now(), &duplicate_run);
                 self.respond(id, Response::Failed);
                 self.remove(id);
                 let outcome = Outcome::Lost;
--- a/src/server/dispatcher/state.rs
+++ b/src/server/dispatcher/state.rs
@@ -5,8 +5,8 @@
 use super::gauge_poll::GaugePoll;
 use super::handover_state::{HandingOver, TakingOver};
 use super::idempotency_keys::IdempotencyKeys;
-use super::log_limit::LogLimit;
 use super::pool_link::PoolLink;
+use super::repeating_log::RepeatingLog;
 use super::request::ExecutionState;
 use super::request_table::RequestTable;
 use crate::admission::{AdmissionController, Event, RequestId, Settings};
@@ -91,8 +91,6 @@
     pub(super) usage: Option<Box<Billing>>,
     /// How often the time of the usage ledger advances, ms.
     pub(super) usage_tick_ms: f64,
-    pub(super) controller_lines: LogLimit,
-    pub(super) rejected_command_lines: LogLimit,
     pub(super) status: Arc<ServingStatus>,
     pub(super) handing_over: HandingOver,
     pub(super) taking_over: TakingOver,
@@ -105,6 +103,8 @@
     executor: Rc<LocalExecutor<'static>>,
     own_mailbox: Sender<DispatcherMessage>,
     pub(super) log: Logger,
+    /// The lines that may come with each request or command.
+    pub(super) repeating_log: RepeatingLog,
 }
 
 impl Dispatcher {
@@ -134,8 +134,6 @@
             advertised_share: None,
             usage: None,
             usage_tick_ms: 0.0,
-            controller_lines: LogLimit::default(),
-            rejected_command_lines: LogLimit::default(),
             status,
             handing_over: HandingOver::new(),
             taking_over: TakingOver::new(request_ids),
@@ -145,6 +143,7 @@
             wheel,
             executor,
             own_mailbox,
+            repeating_log: RepeatingLog::new(log.clone()),
             log,
         }
     }
--- a/src/server/dispatcher/timers.rs
+++ b/src/server/dispatcher/timers.rs
@@ -46,12 +46,12 @@
         let _ = done.try_send(());
     }
 
-    /// Removes expired keys and resets the limits of the log.
+    /// Removes expired keys, and tells which log lines were repeated.
     pub(super) fn on_sweep(&mut self) {
         self.schedule(SWEEP_INTERVAL_MS, DispatcherMessage::SweepKeys);
-        self.controller_lines.reset();
-        self.rejected_command_lines.reset();
-        self.keys.sweep(self.clock.now());
+        let now = self.clock.now();
+        self.repeating_log.tell_repeated(now);
+        self.keys.sweep(now);
         self.sweep_forwarded();
     }
 }
--- /dev/null
+++ b/src/server/frontend/client_log.rs
@@ -0,0 +1,184 @@
+//! The log lines that clients can cause, as often as they like: those that repeat are counted.
+
+use super::connection::Connection;
+use super::connection_state::{FinishReason, MIN_LINGER_MS};
+use super::error::ConnectionError;
+use super::late_requests::{Age, RequestEnd};
+use crate::server::messages::RequestProgress;
+use crate::server::repeated_lines::{LineKind, Repeated, RepeatedLines};
+use crate::server::supervisor::Panic;
+use slog::{Logger, error, warn};
+use std::cell::RefCell;
+use std::io;
+
+/// The most lines in a window that name the single client or panic: each is evidence of its own.
+const SINGLE_EVENTS_PER_WINDOW: u32 = 20;
+
+/// The kind of a line, which says what its repetitions have in common.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum ClientLine {
+    /// A connection was closed on this error.
+    ConnectionError(ConnectionError),
+    /// Bytes came on a connection that had ended.
+    DiscardedBytes {
+        /// Why it had ended.
+        reason: FinishReason,
+        /// Whether they came later than the protocol has a request sent again.
+        late: bool,
+    },
+    /// A request ended late.
+    LateRequest(RequestEnd),
+    /// There are nearly as many connections as there may be.
+    NearLimit,
+    /// A connection could not be accepted; the system's number of the error.
+    AcceptingPaused(Option<i32>),
+    /// The task of a connection panicked.
+    TaskPanicked,
+}
+
+impl LineKind for ClientLine {
+    fn lines_per_window(self) -> u32 {
+        match self {
+            ClientLine::DiscardedBytes { .. } | ClientLine::LateRequest(_) | ClientLine::TaskPanicked => {
+                SINGLE_EVENTS_PER_WINDOW
+            }
+            _ => 1,
+        }
+    }
+}
+
+impl ClientLine {
+    fn message(self) -> &'static str {
+        match self {
+            ClientLine::ConnectionError(_) => "client connection closed on error",
+            ClientLine::DiscardedBytes { .. } => "bytes on an ended connection discarded",
+            ClientLine::LateRequest(_) => "request answered late",
+            ClientLine::NearLimit => "connections near limit",
+            ClientLine::AcceptingPaused(_) => "accepting paused",
+            ClientLine::TaskPanicked => "connection task panicked",
+        }
+    }
+}
+
+/// Writes the lines that clients cause.
+pub struct ClientLog {
+    log: Logger,
+    lines: RefCell<RepeatedLines<ClientLine>>,
+}
+
+impl ClientLog {
+    /// Returns one that writes to `log`.
+    pub fn new(log: Logger) -> ClientLog {
+        ClientLog { log, lines: RefCell::default() }
+    }
+
+    /// A connection was closed on an error.
+    pub(super) fn connection_error(&self, now: f64, error: ConnectionError) {
+        let line = ClientLine::ConnectionError(error);
+        if self.admits(now, line) {
+            warn!(self.log, "{}", line.message(); "component" => "frontend", "reason" => %error);
+        }
+    }
+
+    /// Bytes came on a connection that this server had ended; a request among them is not accepted.
+    pub(super) fn discarded_bytes(&self, now: f64, connection: &Connection, length: usize) {
+        let Some((ended_at, reason)) = connection.state.borrow().finishing_since() else { return };
+        if reason == FinishReason::ClosedByTask {
+            return;
+        }
+        let ended_ms_ago = now - ended_at;
+        let line = ClientLine::DiscardedBytes { reason, late: ended_ms_ago > MIN_LINGER_MS };
+        if self.admits(now, line) {
+            warn!(self.log, "{}", line.message(); "component" => "frontend",
+                "reason" => %reason, "ended_ms_ago" => ended_ms_ago.round(), "bytes" => length,
+                "client" => connection.client_address());
+        }
+    }
+
+    /// A request ended late.
+    pub(super) fn late_request(
+        &self,
+        now: f64,
+        connection: &Connection,
+        progress: &RequestProgress,
+        end: RequestEnd,
+    ) {
+        let line = ClientLine::LateRequest(end);
+        if !self.admits(now, line) {
+            return;
+        }
+        let request = &progress.request;
+        let age = |at| Age::of(progress, at);
+        warn!(self.log, "{}", line.message(); "component" => "frontend",
+            "client" => connection.client_address(), "end" => %end,
+            "due_ms" => %age(Some(request.due_at)), "ended_ms" => %age(Some(now)),
+            "answered_ms" => %age(progress.answered_at()), "decided_ms" => %age(progress.decided_at()),
+            "read_ms" => %age(Some(request.read_at)), "accepted_ms" => %age(Some(request.accepted_at)),
+            "attempt" => format!("{:016x}", request.attempt));
+    }
+
+    /// A connection was added past the part that is kept free.
+    pub(super) fn near_limit(&self, now: f64, open: usize, limit: usize) {
+        let line = ClientLine::NearLimit;
+        if self.admits(now, line) {
+            warn!(self.log, "{}", line.message(); "component" => "frontend", "open" => open, "limit" => limit);
+        }
+    }
+
+    /// A connection could not be accepted.
+    pub(super) fn accepting_paused(&self, now: f64, error: &io::Error, open: usize) {
+        let line = ClientLine::AcceptingPaused(error.raw_os_error());
+        if self.admits(now, line) {
+            warn!(self.log, "{}", line.message(); "component" => "frontend",
+                "error" => error.to_string(), "open" => open);
+        }
+    }
+
+    /// The task of a connection panicked.
+    pub(super) fn task_panicked(&self, now: f64, panic: &Panic) {
+        let line = ClientLine::TaskPanicked;
+        if self.admits(now, line) {
+            error!(self.log, "{}", line.message(); "component" => "frontend", "error" => %panic);
+        }
+    }
+
+    /// Tells the repetitions of the windows that are over.
+    pub(super) fn tell_repeated(&self, now: f64) {
+        let ended = self.lines.borrow_mut().end_windows(now);
+        ended.into_iter().for_each(|repeated| self.write_repeated(repeated));
+    }
+
+    /// Tells all repetitions: the listener ends.
+    pub(super) fn tell_all_repeated(&self) {
+        let ended = self.lines.borrow_mut().end_all();
+        ended.into_iter().for_each(|repeated| self.write_repeated(repeated));
+    }
+
+    /// Counts a line, and returns whether it has to be written.
+    fn admits(&self, now: f64, line: ClientLine) -> bool {
+        self.tell_repeated(now);
+        self.lines.borrow_mut().admit(now, line)
+    }
+
+    fn write_repeated(&self, repeated: Repeated<ClientLine>) {
+        let Repeated { kind, count } = repeated;
+        match kind {
+            ClientLine::ConnectionError(error) => warn!(self.log, "{}", kind.message();
+                "component" => "frontend", "reason" => %error, "repeated" => count),
+            ClientLine::DiscardedBytes { reason, late } => warn!(self.log, "{}", kind.message();
+                "component" => "frontend", "reason" => %reason, "late" => late, "repeated" => count),
+            ClientLine::LateRequest(end) => warn!(self.log, "{}", kind.message();
+                "component" => "frontend", "end" => %end, "repeated" => count),
+            ClientLine::NearLimit => warn!(self.log, "{}", kind.message();
+                "component" => "frontend", "repeated" => count),
+            ClientLine::AcceptingPaused(number) => warn!(self.log, "{}", kind.message();
+                "component" => "frontend", "error" => number.map(os_error_text), "repeated" => count),
+            ClientLine::TaskPanicked => error!(self.log, "{}", kind.message();
+                "component" => "frontend", "repeated" => count),
+        }
+    }
+}
+
+fn os_error_text(number: i32) -> String {
+    io::Error::from_raw_os_error(number).to_string()
+}
--- a/src/server/frontend/connection_table.rs
+++ b/src/server/frontend/connection_table.rs
@@ -3,13 +3,12 @@
 use super::connection::Connection;
 use super::connection_state::ConnectionPolicy;
 use super::connection_task;
-use super::context::{FrontendContext, LOG_WINDOW_MS};
+use super::context::FrontendContext;
 use crate::server::fault_injection::{self, StopPoint};
 use crate::server::messages::ListenerMessage;
 use async_channel::Sender;
 use async_executor::{LocalExecutor, Task};
 use async_io::Async;
-use slog::warn;
 use std::collections::HashMap;
 use std::net::TcpStream;
 use std::rc::Rc;
@@ -41,7 +40,6 @@
     max_connections: usize,
     last_number: u64,
     entries: HashMap<u64, Entry>,
-    logged_at: f64,
 }
 
 impl ConnectionTable {
@@ -59,7 +57,6 @@
             max_connections,
             last_number: 0,
             entries: HashMap::new(),
-            logged_at: f64::NEG_INFINITY,
         }
     }
 
@@ -103,10 +100,7 @@
         if eviction == Eviction::Allowed {
             self.evict(now, 1);
         }
-        if self.may_log(now) {
-            warn!(self.context.log, "connections near limit"; "component" => "frontend",
-                "open" => self.len(), "limit" => self.max_connections);
-        }
+        self.context.client_log.near_limit(now, self.len(), self.max_connections);
     }
 
     /// Removes a connection and ends its task.
@@ -135,15 +129,6 @@
         }
     }
 
-    /// Returns whether a log line about the number of connections may be written now.
-    pub(super) fn may_log(&mut self, now: f64) -> bool {
-        let may_log = now - self.logged_at > LOG_WINDOW_MS;
-        if may_log {
-            self.logged_at = now;
-        }
-        may_log
-    }
-
     /// Returns the number of connections up to which none has to be evicted.
     fn comfortable_len(&self) -> usize {
         self.max_connections - self.max_connections / FREE_DIVISOR
--- a/src/server/frontend/connection_task.rs
+++ b/src/server/frontend/connection_task.rs
@@ -13,7 +13,6 @@
 use async_io::Async;
 use futures_lite::AsyncReadExt;
 use futures_lite::future::or;
-use slog::error;
 use std::cell::Cell;
 use std::future::Future;
 use std::net::{Shutdown, TcpStream};
@@ -72,13 +71,12 @@
     let responses_written = match end {
         Err(panic) => {
             // A fault of the server in this task: it costs this client its connection and has no other effect.
-            return error!(context.log, "connection task panicked";
-                "component" => "frontend", "error" => %panic);
+            return context.client_log.task_panicked(context.clock.now(), &panic);
         }
         Ok(ConnectionEnd::ResponsesWritten) => true,
         Ok(end) => {
-            if let ConnectionEnd::Faulty(error) = &end {
-                context.log_connection_error(error);
+            if let ConnectionEnd::Faulty(error) = end {
+                context.client_log.connection_error(context.clock.now(), error);
             }
             !writer_ended.get() && flush(context, writer).await
         }
@@ -118,7 +116,7 @@
             match stream.read(&mut buffer).await {
                 Ok(0) | Err(_) => return,
                 Ok(length) => {
-                    context.log_discarded_bytes(connection, length);
+                    context.client_log.discarded_bytes(context.clock.now(), connection, length);
                     remaining = remaining.saturating_sub(length);
                 }
             }
--- a/src/server/frontend/context.rs
+++ b/src/server/frontend/context.rs
@@ -1,7 +1,6 @@
 //! State and settings shared by all client connections.
 
-use super::connection::Connection;
-use super::connection_state::FinishReason;
+use super::client_log::ClientLog;
 use crate::admission::Class;
 use crate::server::distributed_config::DistributedSettings;
 use crate::server::messages::DispatcherMessage;
@@ -10,16 +9,10 @@
 use crate::server::task_times::TaskTimes;
 use crate::server::timer_wheel::{Clock, TimerWheel};
 use async_channel::Sender;
-use slog::{Logger, warn};
-use std::cell::Cell;
+use slog::Logger;
 use std::rc::Rc;
 use std::sync::Arc;
 
-/// Window in which log lines of one kind are limited, ms.
-pub(super) const LOG_WINDOW_MS: f64 = 1000.0;
-/// The most log lines of one kind in one window.
-const MAX_LOG_LINES: u32 = 20;
-
 /// What all connections share.
 pub struct FrontendContext {
     /// The settings of the classes, in order.
@@ -42,23 +35,12 @@
     pub task_times: Rc<TaskTimes>,
     /// The log.
     pub log: Logger,
+    /// The log lines that clients can cause.
+    pub client_log: ClientLog,
     /// Whether requests name the account that they are billed to.
     pub bills_accounts: bool,
     /// The ids of requests.
     pub request_ids: Rc<RequestIdSequence>,
-    /// Log lines about faulty connections in the current window.
-    pub fault_log: Cell<LogWindow>,
-    /// Log lines about requests that ended late in the current window.
-    pub late_request_log: Cell<LogWindow>,
-}
-
-/// A window in which log lines are counted.
-#[derive(Clone, Copy, Debug, Default)]
-pub struct LogWindow {
-    /// When the window began, Unix ms.
-    pub started_at: f64,
-    /// Log lines asked for in the window.
-    pub lines: u32,
 }
 
 /// What the method of a request stands for.
@@ -99,41 +81,4 @@
         }
         self.tenants.position(name?.as_bytes())
     }
-
-    /// Logs why a connection was closed, at most [`MAX_LOG_LINES`] lines a window.
-    pub(super) fn log_connection_error(&self, error: &dyn std::error::Error) {
-        if may_log(&self.fault_log, self.clock.now()) {
-            warn!(self.log, "client connection closed on error";
-                "component" => "frontend", "reason" => error.to_string());
-        }
-    }
-
-    /// Logs that bytes came on a connection that this server had ended; a request among them is not accepted.
-    pub(super) fn log_discarded_bytes(&self, connection: &Connection, length: usize) {
-        let Some((since, reason)) = connection.state.borrow().finishing_since() else { return };
-        let now = self.clock.now();
-        if reason == FinishReason::ClosedByTask || !may_log(&self.fault_log, now) {
-            return;
-        }
-        warn!(self.log, "bytes on an ended connection discarded"; "component" => "frontend",
-            "reason" => %reason, "ended_ms_ago" => (now - since).round(), "bytes" => length,
-            "client" => connection.client_address());
-    }
-
-    /// Counts a log line about a request that ended late, and returns whether it may be written.
-    pub(super) fn may_log_late_request(&self, now: f64) -> bool {
-        may_log(&self.late_request_log, now)
-    }
-}
-
-/// Counts a log line in its window, and returns whether it may be written.
-fn may_log(lines_of_kind: &Cell<LogWindow>, now: f64) -> bool {
-    let mut window = lines_of_kind.get();
-    if now - window.started_at > LOG_WINDOW_MS {
-        window = LogWindow { started_at: now, lines: 0 };
-    }
-    let may_log = window.lines < MAX_LOG_LINES;
-    window.lines += 1;
-    lines_of_kind.set(window);
-    may_log
 }
--- a/src/server/frontend/late_requests.rs
+++ b/src/server/frontend/late_requests.rs
@@ -3,7 +3,6 @@
 use super::connection::Connection;
 use super::context::FrontendContext;
 use crate::server::messages::RequestProgress;
-use slog::warn;
 use std::fmt;
 
 /// Time from a response's leaving the dispatcher to its writing past which it counts as late, ms.
@@ -31,7 +30,14 @@
 }
 
 /// The age of a request at a stage, in whole ms.
-struct Age(Option<f64>);
+pub(super) struct Age(Option<f64>);
+
+impl Age {
+    /// Returns the age of a request at that time, Unix ms; `None` if it never came to the stage.
+    pub(super) fn of(progress: &RequestProgress, at: Option<f64>) -> Age {
+        Age(at.map(|at| at - progress.request.received_at))
+    }
+}
 
 impl fmt::Display for Age {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
@@ -54,15 +60,8 @@
         let request = &progress.request;
         let waits_since = progress.answered_at().unwrap_or(now);
         let is_late = now > request.due_at || now - waits_since > LATE_WRITE_MS;
-        if !is_late || !self.may_log_late_request(now) {
-            return;
+        if is_late {
+            self.client_log.late_request(now, connection, progress, end);
         }
-        let age = |at: Option<f64>| Age(at.map(|at| at - request.received_at));
-        warn!(self.log, "request answered late"; "component" => "frontend",
-            "client" => connection.client_address(), "end" => %end,
-            "due_ms" => %age(Some(request.due_at)), "ended_ms" => %age(Some(now)),
-            "answered_ms" => %age(progress.answered_at()), "decided_ms" => %age(progress.decided_at()),
-            "read_ms" => %age(Some(request.read_at)), "accepted_ms" => %age(Some(request.accepted_at)),
-            "attempt" => format!("{:016x}", request.attempt));
     }
 }
--- a/src/server/frontend/listener.rs
+++ b/src/server/frontend/listener.rs
@@ -89,7 +89,7 @@
                 }
             }
             if task.is_finished() {
-                return;
+                return task.context.client_log.tell_all_repeated();
             }
         }
     }
@@ -154,10 +154,7 @@
             Err(error) => {
                 // Out of descriptors, or the connection was reset before it was accepted.
                 self.accept_paused_until = now + ACCEPT_PAUSE_MS;
-                if self.connections.may_log(now) {
-                    warn!(self.context.log, "accepting paused"; "component" => "frontend",
-                        "error" => error.to_string(), "open" => self.connections.len());
-                }
+                self.context.client_log.accepting_paused(now, &error, self.connections.len());
             }
         }
     }
@@ -188,6 +185,7 @@
     fn sweep(&mut self, now: f64) {
         self.last_sweep_at = now;
         self.context.task_times.reset();
+        self.context.client_log.tell_repeated(now);
         let policy = ConnectionPolicy {
             idle_timeout_ms: self.idle_timeout_ms,
             notify_all: self.handed_over || self.finish_at.is_some(),
--- a/src/server/frontend/mod.rs
+++ b/src/server/frontend/mod.rs
@@ -7,6 +7,7 @@
 //! - The frontend makes no decision about a request and answers none by itself.
 //! - A faulty or slow connection has no effect on another.
 
+mod client_log;
 mod connection;
 pub mod connection_state;
 mod connection_table;
@@ -21,5 +22,6 @@
 mod response_encoder;
 mod writer;
 
-pub use context::{FrontendContext, LogWindow};
+pub use client_log::ClientLog;
+pub use context::FrontendContext;
 pub use listener::Listener;
--- a/src/server/frontend/reader.rs
+++ b/src/server/frontend/reader.rs
@@ -39,7 +39,7 @@
             // A close and a reset are the client's own affair.
             Ok(0) | Err(_) => return Ok(()),
             Ok(length) if !connection.accepts_requests() => {
-                context.log_discarded_bytes(connection, length);
+                context.client_log.discarded_bytes(context.clock.now(), connection, length);
                 continue;
             }
             Ok(length) => reader.decoder.feed(&buffer[..length]),
--- a/src/server/messages/worker_pool.rs
+++ b/src/server/messages/worker_pool.rs
@@ -105,6 +105,21 @@
     Unrecognized(String),
 }
 
+impl RejectedCommand {
+    /// Returns the kind of the command, one of a few words.
+    pub fn kind(&self) -> &'static str {
+        match self {
+            RejectedCommand::Run => "run",
+            RejectedCommand::Suspend => "suspend",
+            RejectedCommand::Resume => "resume",
+            RejectedCommand::UpstreamReply => "upstream reply",
+            RejectedCommand::SkipUpstreamCall => "skip upstream call",
+            RejectedCommand::ReadGauges => "read gauges",
+            RejectedCommand::Unrecognized(_) => "unrecognized",
+        }
+    }
+}
+
 /// An event of the worker pool or of the link to it.
 #[derive(Clone, Debug, PartialEq)]
 pub enum PoolEvent {
--- a/src/server/mod.rs
+++ b/src/server/mod.rs
@@ -12,6 +12,7 @@
 pub mod messages;
 pub mod name_table;
 pub mod registry;
+pub mod repeated_lines;
 pub mod request_ids;
 pub mod serving_status;
 pub mod supervisor;
--- a/src/server/upstream/call.rs
+++ b/src/server/upstream/call.rs
@@ -1,6 +1,8 @@
 //! One call to the upstream service.
 
+use super::call_log::CallLog;
 use super::connection_pool::ConnectionPool;
+use super::error::CallError;
 use super::protocol;
 use crate::admission::Outcome;
 use crate::codec::http;
@@ -11,14 +13,10 @@
 use async_io::Async;
 use futures_lite::future::or;
 use futures_lite::{AsyncReadExt, AsyncWriteExt};
-use slog::{Logger, error, warn};
 use std::cell::{Cell, RefCell};
-use std::io;
 use std::net::{SocketAddr, TcpStream};
 use std::rc::Rc;
 
-/// The least time between two log lines about failed calls, ms.
-const LOG_INTERVAL_MS: f64 = 1000.0;
 /// Bytes read at once.
 const READ_BUFFER_BYTES: usize = 8 * 1024;
 
@@ -32,45 +30,8 @@
     pub(super) clock: Clock,
     /// The timers.
     pub(super) wheel: Rc<TimerWheel>,
-    /// The log.
-    pub(super) log: Logger,
-    /// When a failed call was last logged, ms.
-    pub(super) logged_at: Cell<f64>,
-}
-
-/// Why a call has no reply.
-#[derive(Debug, thiserror::Error)]
-pub(super) enum CallError {
-    /// All connections are in use until the call's deadline.
-    #[error("waiting for a connection: all are in use")]
-    NoFreeConnection,
-    /// The service can't be reached.
-    #[error("connecting: {0}")]
-    Connect(io::Error),
-    /// The request could not be written.
-    #[error("writing the request: {0}")]
-    Write(io::Error),
-    /// The reply could not be read.
-    #[error("reading the reply: {0}")]
-    Read(io::Error),
-    /// The service closed the connection before the reply was whole.
-    #[error("reading the reply: closed by the upstream service")]
-    Closed,
-    /// The reply is no HTTP or past its limits.
-    #[error("reading the reply: {0}")]
-    Decode(http::Error),
-}
-
-impl CallError {
-    /// Returns the outcome of a call with this error. Before the first byte is written it is proved that no call ran.
-    pub(super) fn outcome(&self) -> Outcome {
-        match self {
-            CallError::NoFreeConnection | CallError::Connect(_) => Outcome::Unreachable,
-            CallError::Write(_) | CallError::Read(_) | CallError::Closed | CallError::Decode(_) => {
-                Outcome::ConnectionLost
-            }
-        }
-    }
+    /// The log of failed calls.
+    pub(super) log: CallLog,
 }
 
 /// The outcome of a call, with the body of its reply.
@@ -103,7 +64,7 @@
             match self.exchange(call, time_left_ms, &request_sent).await {
                 Ok(result) => result,
                 Err(error) => {
-                    self.log_error(&error);
+                    self.log.call_failed(self.clock.now(), &error);
                     CallResult::without_reply(error.outcome())
                 }
             }
@@ -111,22 +72,13 @@
         match catch_panic(or(exchange, timed_out)).await {
             Ok(result) => result,
             Err(panic) => {
-                error!(self.log, "upstream call task panicked"; "component" => "upstream", "error" => %panic);
+                self.log.task_panicked(self.clock.now(), &panic);
                 let outcome = if request_sent.get() { Outcome::ConnectionLost } else { Outcome::Unreachable };
                 CallResult::without_reply(outcome)
             }
         }
     }
 
-    /// Logs why a call failed, at most one line in [`LOG_INTERVAL_MS`].
-    pub(super) fn log_error(&self, error: &CallError) {
-        let now = self.clock.now();
-        if now - self.logged_at.get() > LOG_INTERVAL_MS {
-            self.logged_at.set(now);
-            warn!(self.log, "upstream call failed"; "component" => "upstream", "error" => error.to_string());
-        }
-    }
-
     async fn exchange(
         &self,
         call: &UpstreamCall,
--- a/src/server/upstream/client.rs
+++ b/src/server/upstream/client.rs
@@ -1,7 +1,9 @@
 //! The task that queues calls to the upstream service and starts them.
 
-use super::call::{CallContext, CallError};
+use super::call::CallContext;
+use super::call_log::CallLog;
 use super::connection_pool::ConnectionPool;
+use super::error::CallError;
 use crate::admission::RequestId;
 use crate::server::messages::{DispatcherMessage, UpstreamCall, UpstreamMessage};
 use crate::server::timer_wheel::{Clock, TimerWheel};
@@ -80,8 +82,7 @@
             connections: RefCell::new(ConnectionPool::default()),
             clock: settings.clock,
             wheel: settings.wheel,
-            log: settings.log,
-            logged_at: Cell::new(f64::NEG_INFINITY),
+            log: CallLog::new(settings.log),
         };
         UpstreamClient {
             context: Rc::new(context),
@@ -110,15 +111,16 @@
                     self.start_waiting();
                 }
                 Some(None) => return,
-                None => self.expire_waiting().await,
+                None => self.on_deadline().await,
             }
         }
     }
 
-    /// Sleeps until the first deadline of a waiting call.
+    /// Sleeps until the first deadline of a waiting call, or until the log has something to tell.
     async fn next_deadline(&self) {
         let now = self.context.clock.now();
-        match self.waiting.iter().map(WaitingCall::deadline).reduce(f64::min) {
+        let deadlines = self.waiting.iter().map(WaitingCall::deadline);
+        match deadlines.chain(self.context.log.next_repeated()).reduce(f64::min) {
             Some(deadline) => self.context.wheel.sleep(deadline - now).await,
             None => pending().await,
         }
@@ -144,15 +146,20 @@
         }
     }
 
-    /// Reports waiting calls whose deadline has passed: they never ran.
-    async fn expire_waiting(&mut self) {
+    async fn on_deadline(&mut self) {
         let now = self.context.clock.now();
+        self.context.log.tell_repeated(now);
+        self.expire_waiting(now).await;
+    }
+
+    /// Reports waiting calls whose deadline has passed: they never ran.
+    async fn expire_waiting(&mut self, now: f64) {
         let waiting = std::mem::take(&mut self.waiting);
         let (expired, waiting): (VecDeque<_>, _) = waiting.into_iter().partition(|w| now >= w.deadline());
         self.waiting = waiting;
         for WaitingCall { requested_at, call } in expired {
             let error = CallError::NoFreeConnection;
-            self.context.log_error(&error);
+            self.context.log.call_failed(now, &error);
             let message = DispatcherMessage::UpstreamCallEnded {
                 id: call.id,
                 outcome: error.outcome(),
