Exit once nothing is owed: the last log lines have a bounded time

What callers saw: nothing lost by it alone. A process whose log nobody reads never ended by itself and was ended by its kill.

Cause: after `shutdown complete` the process waited without a limit for its log's thread, which waits for standard error, and dropped the server (for a control endpoint: joined its thread) before it exited.

Change: the process exits right after the end of `serve`, with the same code. The server is not dropped, and what is left of the log, and the report of an error, have half of the time up to the kill, 1 s where nobody kills.

--- a/src/daemon/logging.rs
+++ b/src/daemon/logging.rs
@@ -1,13 +1,18 @@
 //! The log: its form, its level and its thread.
 
-use super::log_writer::{FormatWriter, LogWriter, WholeLines};
+use super::log_writer::{self, FormatWriter, LogWriter, WholeLines};
 use crate::operator::{LogFormat, LogLevel, LogSettings};
 use slog::{Drain, Level, Logger, o};
 use slog_async::{AsyncGuard, OverflowStrategy};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::mpsc::channel;
+use std::time::Duration;
 
-/// A logger, and what flushes its lines.
+/// The name of the thread that waits for the end of the log.
+const THREAD_NAME: &str = "log-end";
+
+/// A logger, and what ends it.
 pub(super) struct Log {
     /// The logger.
     pub(super) logger: Logger,
@@ -16,10 +21,21 @@
 }
 
 impl Log {
-    /// Writes the lines that wait, and ends the log's thread.
-    pub(super) fn flush(self) {
-        self.end_expected.store(true, Ordering::Relaxed);
-        drop(self.flush_guard);
+    /// Writes the lines that wait and what made the process fail, and ends the log's thread. What standard error does not
+    /// take within `time_limit`, because nobody reads it, is lost.
+    pub(super) fn end(self, error: Option<String>, time_limit: Duration) {
+        let (sender, ended) = channel();
+        let write_rest = move || {
+            self.end_expected.store(true, Ordering::Relaxed);
+            drop(self.flush_guard);
+            error.iter().for_each(|error| log_writer::report(error));
+            // Nobody waits any more once the time is up.
+            let _ = sender.send(());
+        };
+        // Both the log's thread and the report may wait for standard error.
+        if std::thread::Builder::new().name(THREAD_NAME.to_owned()).spawn(write_rest).is_ok() {
+            let _ = ended.recv_timeout(time_limit);
+        }
     }
 }
 
--- a/src/daemon/process.rs
+++ b/src/daemon/process.rs
@@ -2,8 +2,9 @@
 
 use super::command_line::{Command, CommandLine, ConfigFiles, LoadedConfig};
 use super::error::DaemonError;
+use super::logging::Log;
 use super::reload::ConfigReloader;
-use super::shutdown::run_until_shutdown;
+use super::shutdown::{KillTime, run_until_shutdown};
 use super::signals::ProcessSignals;
 use super::{ledger, log_writer, logging, wiring};
 use crate::operator::LogSettings;
@@ -11,8 +12,20 @@
 use clap::Parser;
 use slog::{Logger, info};
 use std::ffi::OsString;
+use std::mem::ManuallyDrop;
 use std::process::ExitCode;
 use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+/// The part of the time up to the kill, as a divisor, in which the rest of the log can be written.
+const LOG_TIME_DIVISOR: u32 = 2;
+/// Time for the log of a process that nobody kills, because a task failed or the start did not succeed.
+const LOG_TIME_AFTER_FAILURE: Duration = Duration::from_secs(1);
+/// Shortest time for the last lines of the log, also where the kill is near.
+const MIN_LOG_TIME: Duration = Duration::from_millis(5);
+/// The exit codes of a process that served.
+const EXIT_SUCCESS: i32 = 0;
+const EXIT_FAILURE: i32 = 1;
 
 /// Runs the program with the arguments of a command line, the program's own name first.
 pub fn run(arguments: impl IntoIterator<Item = OsString>) -> ExitCode {
@@ -40,14 +53,21 @@
         executor.clone(),
         log.logger.clone(),
     )));
-    log.flush();
-    match served {
-        Ok(()) => ExitCode::SUCCESS,
-        Err(error) => {
-            log_writer::report(&error.to_string());
-            ExitCode::FAILURE
+    exit(log, served)
+}
+
+/// Writes the rest of the log and ends the process. Nothing else stands between the last that was owed and the exit: tasks,
+/// connections and threads are not ended one by one, the system takes back what they hold.
+fn exit(log: Log, served: Result<KillTime, DaemonError>) -> ! {
+    let (code, error, log_time) = match served {
+        Ok(kill_time) => {
+            let time_left = kill_time.0.saturating_duration_since(Instant::now());
+            (EXIT_SUCCESS, None, time_left / LOG_TIME_DIVISOR)
         }
-    }
+        Err(error) => (EXIT_FAILURE, Some(error.to_string()), LOG_TIME_AFTER_FAILURE),
+    };
+    log.end(error, log_time.max(MIN_LOG_TIME));
+    std::process::exit(code)
 }
 
 /// Serves until the shutdown is complete.
@@ -56,13 +76,14 @@
     loaded: LoadedConfig,
     executor: Rc<LocalExecutor<'static>>,
     log: Logger,
-) -> Result<(), DaemonError> {
+) -> Result<KillTime, DaemonError> {
     let mut signals = ProcessSignals::new(log.clone())?;
-    let server = wiring::start_server(&loaded, &executor, &log).await?;
+    // The process exits right after this function: to end the server's threads and mailboxes first would only take time.
+    let server = ManuallyDrop::new(wiring::start_server(&loaded, &executor, &log).await?);
     info!(log, "serving"; "listen" => server.listen.to_string(), "classes" => loaded.platform.classes.len());
     let has_ledger = loaded.operator.ledger.is_some();
     let mut reloader = ConfigReloader::new(files, loaded, server.mailboxes.clone(), log.clone());
-    run_until_shutdown(&server, &mut signals, &mut reloader, &log).await?;
+    let kill_time = run_until_shutdown(&server, &mut signals, &mut reloader, &log).await?;
     if has_ledger {
         ledger::close(&server.dispatcher, &log).await;
         // The store's writer works until here.
@@ -71,5 +92,5 @@
         }
     }
     info!(log, "shutdown complete");
-    Ok(())
+    Ok(kill_time)
 }
--- a/src/daemon/shutdown.rs
+++ b/src/daemon/shutdown.rs
@@ -19,6 +19,10 @@
 /// The process ends so long before the kill at the latest, ms.
 const EXIT_MARGIN_MS: f64 = 40.0;
 
+/// When the process is killed if it has not ended by itself.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct KillTime(pub(super) Instant);
+
 /// The steps of a shutdown, on the clock of the process.
 struct ShutdownSchedule {
     /// When the process is killed, Unix ms.
@@ -59,7 +63,7 @@
     pending().await
 }
 
-/// Serves until a shutdown is requested and complete.
+/// Serves until a shutdown is requested and complete. Returns when the process is killed.
 ///
 /// # Errors
 /// If a task fails: what it owed can't be delivered, and whoever restarts the process has to see that.
@@ -68,7 +72,7 @@
     signals: &mut ProcessSignals,
     reloader: &mut ConfigReloader,
     log: &Logger,
-) -> Result<(), DaemonError> {
+) -> Result<KillTime, DaemonError> {
     let task_failed = async {
         match server.failures.recv().await {
             Ok(failure) => Err(DaemonError::Task(failure)),
@@ -86,14 +90,14 @@
 }
 
 /// Drains the dispatcher, closes the connections, and returns once they are closed or the time is up. The time counts from
-/// when the request came, however late it is heard.
+/// when the request came, however late it is heard. Returns when the process is killed.
 async fn shut_down(
     server: &RunningServer,
     received_at: Instant,
     signals: &mut ProcessSignals,
     reloader: &mut ConfigReloader,
     log: &Logger,
-) -> Result<(), DaemonError> {
+) -> Result<KillTime, DaemonError> {
     let heard_after_ms = in_ms(received_at.elapsed());
     let stop_timeout = reloader.platform().stop_timeout;
     let schedule = ShutdownSchedule::new(server.clock.now() - heard_after_ms, stop_timeout);
@@ -117,7 +121,7 @@
     };
     let handle_signals = handle_after_shutdown_request(signals, reloader);
     or(or(connections_closed, time_up), handle_signals).await;
-    Ok(())
+    Ok(KillTime(received_at + stop_timeout))
 }
 
 /// Sleeps until that time, Unix ms.
--- a/tests/log_failures.rs
+++ b/tests/log_failures.rs
@@ -7,9 +7,10 @@
 use play::{Client, LoggedServer, PANIC_AT, sockets};
 use rustix::fs::{CWD, FileType, Mode, OFlags, mknodat};
 use std::fs::File;
-use std::io::{BufRead, BufReader};
+use std::io::{BufRead, BufReader, Write};
 use std::path::Path;
 use std::process::{Command, Stdio};
+use std::time::Duration;
 
 /// Bytes that are no message, which is logged.
 const NOISE: &[u8] = b"\xc1\xc1\xc1";
@@ -17,11 +18,13 @@
 const HEALTHY: &str = r"\x94\x01\x01\xc0\x92\xc3";
 /// An address that nobody listens on.
 const NOBODY: &str = "127.0.0.1:1";
+/// Time from the request to end to the kill.
+const STOP: Duration = Duration::from_millis(1000);
 const FORMATS: [&str; 2] = ["text", "json"];
 
 /// Returns what starts a server with a log in that format.
 fn command(format: &str) -> Command {
-    let stops = (r#""stop_ms":30000"#.to_owned(), r#""stop_ms":1000"#.to_owned());
+    let stops = (r#""stop_ms":30000"#.to_owned(), format!(r#""stop_ms":{}"#, STOP.as_millis()));
     let mut command = play::command(&play::config(NOBODY, NOBODY, NOBODY, &[stops]), "unlimited").0;
     command.args(["--log-format", format]);
     command
@@ -97,6 +100,35 @@
     }
 }
 
+/// Nobody reads the log, and it takes no byte any more: a process that owes nothing ends all the same, before its kill.
+#[test]
+fn a_log_that_nobody_reads_does_not_hold_up_the_end() {
+    for format in FORMATS {
+        let folder = tempfile::TempDir::new().expect("a folder");
+        let pipe = folder.path().join("log");
+        mknodat(CWD, &pipe, FileType::Fifo, Mode::RUSR | Mode::WUSR, 0).expect("a named pipe");
+        let _unread = open_reader(&pipe);
+        let mut server = LoggedServer::spawn(command(format).stderr(Stdio::from(open_full(&pipe))));
+        let address = sockets::listening_address(server.id());
+        assert_serves(&address);
+        let requested_at = server.request_end();
+        assert_eq!(server.end().code(), Some(0));
+        let took = requested_at.elapsed();
+        println!("{format}: ended {took:?} after the request, with {STOP:?} to the kill");
+        assert!(took < STOP, "{format}: ended {took:?} after the request");
+    }
+}
+
+/// Opens a pipe for writing and fills it, so that the next write waits for its reader.
+fn open_full(pipe: &Path) -> File {
+    let mut writer = File::options().write(true).open(pipe).expect("it has a reader");
+    let flags = rustix::fs::fcntl_getfl(&writer).expect("its flags");
+    rustix::fs::fcntl_setfl(&writer, flags | OFlags::NONBLOCK).expect("it does not wait");
+    while writer.write(b"\n").is_ok() {}
+    rustix::fs::fcntl_setfl(&writer, flags).expect("it waits");
+    writer
+}
+
 /// A panic while a line is written costs that line, and is said once.
 #[test]
 fn a_panic_over_a_line_costs_that_line() {
--- a/tests/play/process.rs
+++ b/tests/play/process.rs
@@ -1,6 +1,7 @@
 //! The server as a process with a configuration of its own.
 
 use super::HANG;
+use rustix::process::{Pid, Signal, kill_process};
 use std::io::{BufRead, BufReader};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, ExitStatus, Stdio};
@@ -141,6 +142,13 @@
         assert!(sent.expect("kill is there").success());
     }
 
+    /// Requests the end of the server, and returns when. No other process is started for it, which would take time of its own.
+    pub fn request_end(&self) -> Instant {
+        let requested_at = Instant::now();
+        kill_process(Pid::from_child(&self.process), Signal::TERM).expect("it runs");
+        requested_at
+    }
+
     /// Returns the id of the process.
     pub fn id(&self) -> u32 {
         self.process.id()
