Count no time without progress while commands of runs are unwritten

Cause: the time without progress begins when a run is chosen. While the process lags, the command lies unwritten, and the worker pool can't work on it. With a usual gap of 1 ms a lag of 45 ms was taken for stalled runs.

Each command now carries when it was given; the link's writer tells of waits of 5 ms or more, and the controller counts them as no time without progress. Suspensions and readings of the gauges are left out, as they wait in a real stall as well.

--- a/src/admission/controller.rs
+++ b/src/admission/controller.rs
@@ -91,6 +91,7 @@
             }
             Event::Reconfigured(changes) => self.on_reconfigured(&changes),
             Event::GaugesRequested => self.faults.record_gauges_request(now),
+            Event::CommandsDelayed { waited_ms } => self.faults.record_command_delay(now, waited_ms),
             Event::Timer { token: TIMER_TOKEN, gauges } => self.on_tick(now, gauges, actions),
             Event::Timer { .. } => {}
         }
--- a/src/admission/event.rs
+++ b/src/admission/event.rs
@@ -123,6 +123,11 @@
     /// The gauges of the next timer are requested. They come behind all that the runs reported until now, and
     /// before what they report from now on.
     GaugesRequested,
+    /// Commands that runs need to go on reached the worker pool late.
+    CommandsDelayed {
+        /// How long the first of them had waited, ms. No two such times overlap.
+        waited_ms: f64,
+    },
     /// A timer fired.
     Timer {
         /// The token given when the timer was set.
--- a/src/admission/fault_detection.rs
+++ b/src/admission/fault_detection.rs
@@ -85,6 +85,12 @@
         self.last_progress_at = now;
     }
 
+    /// Takes that commands of runs waited for so long to be written. The runs could make no progress in that time,
+    /// which is a lag of this process.
+    pub(super) fn record_command_delay(&mut self, now: f64, waited_ms: f64) {
+        self.last_progress_at = (self.last_progress_at + waited_ms.max(0.0)).min(now);
+    }
+
     /// Returns whether too many runs fail.
     pub(super) fn has_frequent_failures(&self) -> bool {
         self.failure_share.value() >= FAULTY_FAILURE_SHARE
--- a/src/server/dispatcher/pool_events.rs
+++ b/src/server/dispatcher/pool_events.rs
@@ -14,6 +14,9 @@
             PoolEvent::Restarted => self.on_pool_restarted(),
             PoolEvent::LinkUp(link) => self.on_link_up(link),
             PoolEvent::LinkDown => self.pool.set_down(),
+            PoolEvent::CommandsDelayed { waited_ms } => {
+                self.dispatch_event(Event::CommandsDelayed { waited_ms });
+            }
             PoolEvent::Gauges { tag, values } => {
                 let gauges = self.named_gauges(&values);
                 self.on_gauges(tag, gauges);
--- a/src/server/dispatcher/state.rs
+++ b/src/server/dispatcher/state.rs
@@ -125,7 +125,7 @@
             requests: RequestTable::default(),
             keys: IdempotencyKeys::new(config),
             abandoned_runs: AbandonedRuns::default(),
-            pool: PoolLink::new(mailboxes.worker_pool, log.clone()),
+            pool: PoolLink::new(mailboxes.worker_pool, clock, log.clone()),
             upstream: mailboxes.upstream,
             registry: mailboxes.registry,
             listener: mailboxes.listener,
--- a/src/server/messages/worker_pool.rs
+++ b/src/server/messages/worker_pool.rs
@@ -51,6 +51,8 @@
 pub struct LinkCommand {
     /// The number of the link.
     pub link: u64,
+    /// When it was given, Unix ms.
+    pub given_at: f64,
     /// The command.
     pub command: PoolCommand,
 }
@@ -136,6 +138,11 @@
     LinkUp(u64),
     /// The link ended.
     LinkDown,
+    /// Commands that runs need to go on were written late.
+    CommandsDelayed {
+        /// How long the first of them had waited since it was given, or since such commands were last written, ms.
+        waited_ms: f64,
+    },
     /// A run ended or was paused.
     RunEnded {
         /// The number of the attempt.
--- a/src/server/timer_wheel.rs
+++ b/src/server/timer_wheel.rs
@@ -97,6 +97,11 @@
         Sleep { wheel: self.clone(), tick, waker }
     }
 
+    /// Returns the clock that the wheel follows.
+    pub fn clock(&self) -> Clock {
+        self.clock
+    }
+
     /// Advances the wheel with the clock; it never returns.
     pub async fn advance(self: Rc<Self>) {
         loop {
--- a/src/server/worker_pool/link.rs
+++ b/src/server/worker_pool/link.rs
@@ -163,6 +163,9 @@
             classes: &self.classes,
             address: &mut self.address,
             wheel: &self.wheel,
+            dispatcher: &self.dispatcher,
+            oldest_given_at: None,
+            last_written_at: f64::NEG_INFINITY,
             reconnecting: &mut self.connecting,
         };
         let reader = LinkReader {
--- a/src/server/worker_pool/writer.rs
+++ b/src/server/worker_pool/writer.rs
@@ -4,9 +4,9 @@
 use super::connect::{CONNECT_RETRY_MS, ConnectAttempt, connect_after};
 use super::error::LinkError;
 use super::reader::MAX_LINE_BYTES;
-use crate::server::messages::WorkerPoolMessage;
+use crate::server::messages::{DispatcherMessage, LinkCommand, PoolCommand, PoolEvent, WorkerPoolMessage};
 use crate::server::timer_wheel::TimerWheel;
-use async_channel::Receiver;
+use async_channel::{Receiver, Sender};
 use async_io::Async;
 use futures_lite::AsyncWriteExt;
 use futures_lite::future::{or, pending};
@@ -16,6 +16,8 @@
 
 /// Time limit of a write, ms: longer than any pause of the machine.
 const WRITE_TIMEOUT_MS: f64 = 10_000.0;
+/// Waits of commands from which the dispatcher is told of them, ms: a lag of this process, beyond the usual turn of its loop.
+const MIN_REPORTED_WAIT_MS: f64 = 5.0;
 /// Bytes encoded before they are written.
 const WRITE_BUFFER_BYTES: usize = MAX_LINE_BYTES;
 
@@ -47,6 +49,12 @@
     pub(super) address: &'a mut SocketAddr,
     /// The timers.
     pub(super) wheel: &'a Rc<TimerWheel>,
+    /// Sender to the dispatcher.
+    pub(super) dispatcher: &'a Sender<DispatcherMessage>,
+    /// When the oldest command that a run needs to go on was given, of those that are encoded and not written, Unix ms.
+    pub(super) oldest_given_at: Option<f64>,
+    /// When such commands were last written, Unix ms.
+    pub(super) last_written_at: f64,
     /// The attempt to connect to the pool's new address. The present link is used until then: notices on their way are
     /// still read, and the new link begins after the last of them. If the link ends first, the attempt goes on.
     pub(super) reconnecting: &'a mut Option<ConnectAttempt>,
@@ -62,6 +70,7 @@
                 return LinkEnd::Failed(LinkError::Write(error));
             }
             buffer.clear();
+            self.report_delay().await;
             match self.next_event(messages).await {
                 WriterEvent::Message(message) => self.encode_batch(message, messages, &mut buffer),
                 WriterEvent::Reconnected(Ok(stream)) => {
@@ -83,6 +92,20 @@
         or(stream.write_all(text.as_bytes()), timed_out).await
     }
 
+    /// Tells the dispatcher if the commands that were just written had waited for long.
+    async fn report_delay(&mut self) {
+        let Some(given_at) = self.oldest_given_at.take() else { return };
+        let now = self.wheel.clock().now();
+        // Where batches waited one behind the other, their waits overlap.
+        let waited_ms = now - given_at.max(self.last_written_at);
+        self.last_written_at = now;
+        if waited_ms >= MIN_REPORTED_WAIT_MS {
+            let event = PoolEvent::CommandsDelayed { waited_ms };
+            // The mailbox closes only at the end of the process.
+            let _ = self.dispatcher.send(DispatcherMessage::Pool(event)).await;
+        }
+    }
+
     fn reconnect_after(&mut self, delay_ms: f64) {
         *self.reconnecting = Some(connect_after(delay_ms, *self.address, self.wheel.clone()));
     }
@@ -104,6 +127,19 @@
         or(reconnected, message).await
     }
 
+    /// Notes when a command was given that a run needs to go on. The first of a batch is the oldest.
+    fn note_given(&mut self, command: &LinkCommand) {
+        match command.command {
+            PoolCommand::Run { .. }
+            | PoolCommand::Resume { .. }
+            | PoolCommand::UpstreamReply { .. }
+            | PoolCommand::SkipUpstreamCall { .. } => {
+                self.oldest_given_at.get_or_insert(command.given_at);
+            }
+            PoolCommand::Suspend { .. } | PoolCommand::ReadGauges { .. } => {}
+        }
+    }
+
     /// Encodes a message and those that wait behind it, as far as the buffer's limit.
     fn encode_batch(
         &mut self,
@@ -115,6 +151,7 @@
         while let Some(message) = next {
             match message {
                 WorkerPoolMessage::Command(command) if command.link == self.link => {
+                    self.note_given(&command);
                     encode_command(&command.command, self.classes, buffer);
                 }
                 // For a link that ended.
--- a/tests/progress.rs
+++ b/tests/progress.rs
@@ -163,6 +163,34 @@
     );
 }
 
+/// Guards against taking a lag of this process between the choice of a run and the writing of its command for a stall: the
+/// worker pool can't have worked on it.
+#[test]
+fn what_waited_for_its_command_to_be_written_is_no_stall() {
+    const RUN_MS: f64 = 5.0;
+    const RUNS: usize = 2000;
+    /// Less than what shows that the process was suspended.
+    const LAG_MS: f64 = 45.0;
+    for (written_late, expected) in [(true, vec![]), (false, vec![false])] {
+        let mut driver = Driver::new(settings());
+        for _ in 0..RUNS {
+            let (id, _) = driver.arrive(0);
+            driver.now += 1.0;
+            driver.send(Event::RunEnded { id, outcome: Outcome::Ok, took_ms: RUN_MS });
+        }
+        driver.tick(1.0, 2.0);
+        driver.arrive(0);
+        driver.now += LAG_MS;
+        driver.send(Event::GaugesRequested);
+        if written_late {
+            driver.send(Event::CommandsDelayed { waited_ms: LAG_MS });
+        }
+        let gauges = Gauges { busy: Some(0.0), run_queue: Some(0.0), ..Gauges::default() };
+        let actions = driver.send(Event::Timer { token: 1, gauges });
+        assert_eq!(healths(&actions), expected, "written late: {written_late}");
+    }
+}
+
 /// A suspended machine brings timers in time, but neither events nor gauges.
 #[test]
 fn a_time_without_gauges_is_no_stall() {
