Read connections in turns, after all that follows from earlier reads

Callers saw requests unanswered past their time, health checks without an answer, and connections closed over requests that had been read, on servers with too little time on the cores.

Cause: the event loop looked at sockets and timers after 200 turns of tasks, and reads of hundreds of connections, of up to 32 messages each, stood in one queue with timers, reports of the worker pool, decisions and responses.

Now connections have their turns to read (ReadTurns) only while no task is ready, eight of them with up to eight messages each between two looks at sockets and timers. The dispatcher hands the thread on after 32 messages, the listener after 16 events.

--- a/src/daemon/process.rs
+++ b/src/daemon/process.rs
@@ -8,6 +8,8 @@
 use super::signals::ProcessSignals;
 use super::{ledger, log_writer, logging, wiring};
 use crate::operator::LogSettings;
+use crate::server::event_loop;
+use crate::server::read_turns::ReadTurns;
 use async_executor::LocalExecutor;
 use clap::Parser;
 use slog::{Logger, info};
@@ -47,12 +49,9 @@
     };
     let log = logging::start(&log_settings, &loaded.platform.name, loaded.platform.limits.log_lines);
     let executor = Rc::new(LocalExecutor::new());
-    let served = async_io::block_on(executor.run(serve(
-        command_line.files,
-        loaded,
-        executor.clone(),
-        log.logger.clone(),
-    )));
+    let read_turns = Rc::new(ReadTurns::default());
+    let serving = serve(command_line.files, loaded, executor.clone(), read_turns.clone(), log.logger.clone());
+    let served = async_io::block_on(event_loop::run(&executor, &read_turns, serving));
     exit(log, served)
 }
 
@@ -75,11 +74,12 @@
     files: ConfigFiles,
     loaded: LoadedConfig,
     executor: Rc<LocalExecutor<'static>>,
+    read_turns: Rc<ReadTurns>,
     log: Logger,
 ) -> Result<KillTime, DaemonError> {
     let mut signals = ProcessSignals::new(log.clone())?;
     // The process exits right after this function: to end the server's threads and mailboxes first would only take time.
-    let server = ManuallyDrop::new(wiring::start_server(&loaded, &executor, &log).await?);
+    let server = ManuallyDrop::new(wiring::start_server(&loaded, &executor, &read_turns, &log).await?);
     info!(log, "serving"; "listen" => server.listen.to_string(), "classes" => loaded.platform.classes.len());
     let has_ledger = loaded.operator.ledger.is_some();
     let mut reloader = ConfigReloader::new(files, loaded, server.mailboxes.clone(), log.clone());
--- a/src/daemon/wiring.rs
+++ b/src/daemon/wiring.rs
@@ -16,6 +16,7 @@
     DispatcherMessage, ListenerMessage, RegistryMessage, UpstreamMessage, WorkerPoolMessage,
 };
 use crate::server::name_table::NameTable;
+use crate::server::read_turns::ReadTurns;
 use crate::server::registry::RegistryReporter;
 use crate::server::request_ids::RequestIdSequence;
 use crate::server::serving_status::ServingStatus;
@@ -92,6 +93,7 @@
     status: Arc<ServingStatus>,
     request_ids: Rc<RequestIdSequence>,
     task_times: Rc<TaskTimes>,
+    read_turns: Rc<ReadTurns>,
     log: &'a Logger,
 }
 
@@ -102,6 +104,7 @@
 pub(super) async fn start_server(
     loaded: &LoadedConfig,
     executor: &Rc<LocalExecutor<'static>>,
+    read_turns: &Rc<ReadTurns>,
     log: &Logger,
 ) -> Result<RunningServer, DaemonError> {
     let LoadedConfig { platform: config, operator } = loaded;
@@ -123,6 +126,7 @@
         status,
         request_ids: Rc::default(),
         task_times: Rc::new(TaskTimes::from_environment()),
+        read_turns: read_turns.clone(),
         log,
     };
     let control = wiring.start_control()?;
@@ -296,6 +300,7 @@
             passes_deadline: self.config.settings.passes_deadline,
             clock: self.clock,
             wheel: self.wheel.clone(),
+            read_turns: self.read_turns.clone(),
             dispatcher: self.dispatcher.clone(),
             task_times: self.task_times.clone(),
             log: self.log.clone(),
--- a/src/server/dispatcher/event_loop.rs
+++ b/src/server/dispatcher/event_loop.rs
@@ -9,8 +9,12 @@
 use async_channel::Receiver;
 use dunlinspread_handover::PredecessorEvent;
 use futures_lite::StreamExt;
+use futures_lite::future::yield_now;
 use std::pin::pin;
 
+/// Messages handled before the other tasks have a turn, which write what was decided.
+const MESSAGES_PER_TURN: usize = 32;
+
 impl Dispatcher {
     /// Handles messages until the mailbox closes.
     pub async fn run(mut self, inbox: Receiver<DispatcherMessage>) {
@@ -19,12 +23,17 @@
             self.schedule(self.usage_tick_ms, DispatcherMessage::UsageTick);
         }
         let mut inbox = pin!(inbox);
+        let mut handled = 0;
         while let Some(message) = inbox.next().await {
             fault_injection::pass_slow(SlowPoint::DispatcherMessage);
             self.handle_message(message);
             self.flush_usage();
             self.tell_predecessor_health();
             self.notify_if_idle();
+            handled += 1;
+            if handled % MESSAGES_PER_TURN == 0 {
+                yield_now().await;
+            }
         }
     }
 
--- a/src/server/frontend/connection.rs
+++ b/src/server/frontend/connection.rs
@@ -102,7 +102,8 @@
 
     /// Returns whether the connection stays open for bytes that are still unread.
     fn is_held_open(&self, now: f64, cause: CloseCause) -> bool {
-        self.has_unread_bytes() && self.state.borrow_mut().hold_open_for_unread_bytes(now, cause)
+        let has_unread_bytes = self.state.borrow().awaits_turn() || self.has_unread_bytes();
+        has_unread_bytes && self.state.borrow_mut().hold_open_for_unread_bytes(now, cause)
     }
 
     /// Advances the state machine to `now`: notifies an idle client, and closes the connection if it stays and has sent
--- a/src/server/frontend/connection_state.rs
+++ b/src/server/frontend/connection_state.rs
@@ -131,6 +131,10 @@
     sent_request: bool,
     partial_message_since: Option<f64>,
     last_activity: f64,
+    /// When bytes were last read.
+    last_read_at: f64,
+    /// Whether its reader waits for a turn of the event loop.
+    awaits_turn: bool,
     /// Since when unread bytes have kept the connection from each close, without a request.
     held_open: HeldOpen,
 }
@@ -176,6 +180,8 @@
             sent_request: false,
             partial_message_since: None,
             last_activity: now,
+            last_read_at: now,
+            awaits_turn: false,
             held_open: HeldOpen::default(),
         }
     }
@@ -185,6 +191,7 @@
     pub fn exclude_stall(&mut self, stalled_ms: f64) {
         self.accepted_at += stalled_ms;
         self.last_activity += stalled_ms;
+        self.last_read_at += stalled_ms;
         self.partial_message_since = self.partial_message_since.map(|since| since + stalled_ms);
         self.held_open.exclude_stall(stalled_ms);
         match &mut self.phase {
@@ -198,11 +205,29 @@
         self.last_activity = now;
     }
 
+    /// Records that bytes were read.
+    pub fn record_bytes_read(&mut self, now: f64) {
+        self.last_read_at = now;
+        self.record_activity(now);
+    }
+
+    /// Records whether its reader waits for a turn of the event loop.
+    pub fn set_awaits_turn(&mut self, awaits_turn: bool) {
+        self.awaits_turn = awaits_turn;
+    }
+
+    /// Returns whether its reader waits for a turn of the event loop.
+    pub fn awaits_turn(&self) -> bool {
+        self.awaits_turn
+    }
+
     /// Records that bytes were found unread where the connection would be closed, and returns whether it stays open for
-    /// them: for [`UNREAD_GRACE_MS`], so that a client that sends no request can't stay by sending other bytes.
+    /// them: for [`UNREAD_GRACE_MS`], so that a client that sends no request can't stay by sending other bytes. Where its
+    /// reader waits for a turn, it stays in any case until it has been read once.
     pub fn hold_open_for_unread_bytes(&mut self, now: f64, cause: CloseCause) -> bool {
         let since = *self.held_open.since_mut(cause).get_or_insert(now);
-        let is_held_open = now - since < UNREAD_GRACE_MS;
+        let awaits_first_read = self.awaits_turn && self.last_read_at <= since;
+        let is_held_open = awaits_first_read || now - since < UNREAD_GRACE_MS;
         if is_held_open {
             self.last_activity = self.last_activity.max(now);
         }
--- a/src/server/frontend/context.rs
+++ b/src/server/frontend/context.rs
@@ -5,6 +5,7 @@
 use crate::server::distributed_config::DistributedSettings;
 use crate::server::messages::DispatcherMessage;
 use crate::server::name_table::NameTable;
+use crate::server::read_turns::ReadTurns;
 use crate::server::request_ids::RequestIdSequence;
 use crate::server::task_times::TaskTimes;
 use crate::server::timer_wheel::{Clock, TimerWheel};
@@ -29,6 +30,8 @@
     pub clock: Clock,
     /// The timers.
     pub wheel: Rc<TimerWheel>,
+    /// The turns in which connections are read.
+    pub read_turns: Rc<ReadTurns>,
     /// Sender to the dispatcher.
     pub dispatcher: Sender<DispatcherMessage>,
     /// How long the tasks of the event loop run.
--- a/src/server/frontend/listener.rs
+++ b/src/server/frontend/listener.rs
@@ -8,7 +8,7 @@
 use async_executor::LocalExecutor;
 use async_io::Async;
 use futures_lite::StreamExt;
-use futures_lite::future::{or, pending};
+use futures_lite::future::{or, pending, yield_now};
 use slog::{info, warn};
 use std::net::{TcpListener, TcpStream};
 use std::pin::pin;
@@ -18,6 +18,8 @@
 const SWEEP_INTERVAL_MS: f64 = 25.0;
 /// Delay of a sweep past which the event loop counts as stalled, ms.
 const STALL_THRESHOLD_MS: f64 = 500.0;
+/// Events handled before the other tasks have a turn.
+const EVENTS_PER_TURN: u64 = 16;
 /// Pause in accepting when descriptors run out and after a stall, ms.
 const ACCEPT_PAUSE_MS: f64 = 50.0;
 
@@ -70,6 +72,7 @@
         let mut receiver = pin!(receiver);
         let mut sweep_timer = wheel.sleep(SWEEP_INTERVAL_MS);
         let mut task = ListenerTask::new(self);
+        let mut handled = 0_u64;
         loop {
             let message = async { ListenerEvent::Message(receiver.next().await) };
             let sweep_due = async {
@@ -91,6 +94,10 @@
             if task.is_finished() {
                 return task.context.client_log.tell_all_repeated();
             }
+            handled += 1;
+            if handled % EVENTS_PER_TURN == 0 {
+                yield_now().await;
+            }
         }
     }
 }
--- a/src/server/frontend/reader.rs
+++ b/src/server/frontend/reader.rs
@@ -10,15 +10,14 @@
 use crate::server::fault_injection::{self, PanicPoint, SlowPoint, StopPoint};
 use crate::server::messages::{DispatcherMessage, IncomingRequest, ReadRequest, RequestProgress};
 use async_io::Async;
-use futures_lite::AsyncReadExt;
-use futures_lite::future::yield_now;
+use std::io::{self, ErrorKind, Read};
 use std::net::TcpStream;
 use std::rc::Rc;
 
 /// Bytes read at once.
 pub(super) const READ_BUFFER_BYTES: usize = 4 * 1024;
-/// Messages read from one connection before the other tasks have a turn.
-const MESSAGES_PER_TURN: u64 = 32;
+/// Messages handled in one turn of a connection.
+const MESSAGES_PER_TURN: u64 = 8;
 /// Time for the response to a message that can't be decoded to be written, ms.
 const ERROR_RESPONSE_MS: f64 = 50.0;
 
@@ -29,13 +28,13 @@
 pub(super) async fn read_requests(
     connection: &Connection,
     context: &FrontendContext,
-    mut stream: &Async<TcpStream>,
+    stream: &Async<TcpStream>,
 ) -> Result<(), ConnectionError> {
     let mut reader =
         RequestReader { connection, context, decoder: Decoder::default(), messages_read: 0, read_at: 0.0 };
     let mut buffer = vec![0; READ_BUFFER_BYTES];
     loop {
-        match stream.read(&mut buffer).await {
+        match read_in_turn(connection, context, stream, &mut buffer).await {
             // A close and a reset are the client's own affair.
             Ok(0) | Err(_) => return Ok(()),
             Ok(length) if !connection.accepts_requests() => {
@@ -46,11 +45,35 @@
         }
         fault_injection::pass(PanicPoint::ConnectionRead);
         reader.read_at = context.clock.now();
-        connection.state.borrow_mut().record_activity(reader.read_at);
+        connection.state.borrow_mut().record_bytes_read(reader.read_at);
         reader.handle_buffered().await?;
     }
 }
 
+/// Reads what has come, once it is the connection's turn.
+async fn read_in_turn(
+    connection: &Connection,
+    context: &FrontendContext,
+    stream: &Async<TcpStream>,
+    buffer: &mut [u8],
+) -> io::Result<usize> {
+    loop {
+        stream.readable().await?;
+        await_turn(connection, context).await;
+        match stream.get_ref().read(buffer) {
+            Err(error) if matches!(error.kind(), ErrorKind::WouldBlock | ErrorKind::Interrupted) => {}
+            read => return read,
+        }
+    }
+}
+
+/// Waits for the connection's turn.
+async fn await_turn(connection: &Connection, context: &FrontendContext) {
+    connection.state.borrow_mut().set_awaits_turn(true);
+    context.read_turns.next().await;
+    connection.state.borrow_mut().set_awaits_turn(false);
+}
+
 struct RequestReader<'a> {
     connection: &'a Connection,
     context: &'a FrontendContext,
@@ -117,8 +140,10 @@
         }
         self.messages_read += 1;
         if self.messages_read % MESSAGES_PER_TURN == 0 {
-            // A burst may not fill the queue of responses before the writer has had a turn.
-            yield_now().await;
+            // What was read is decided, and its responses are written, before more is handled.
+            await_turn(self.connection, self.context).await;
+            // A client whose messages are still being handled is not idle.
+            self.connection.state.borrow_mut().record_activity(self.context.clock.now());
         }
         Ok(())
     }
