Test: a shutdown beside a flood ends before its kill

The task that hears signals and carries out a shutdown is the one that the executor runs beside all others: it has a turn when the others had 200.

--- a/tests/event_loop_order.rs
+++ b/tests/event_loop_order.rs
@@ -16,12 +16,13 @@
     CLIENT_TIMEOUT, HeldSite, KEYED, TimedClient, UNKEYED, assert_answered_in,
 };
 use event_loop_support::{COSTS, SLOW_AT, STOP_AT, wait_for_core};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 use upgrade_support::check::{judge, print_attempts};
 use upgrade_support::clients::Clients;
 use upgrade_support::load::LoadSettings;
 use upgrade_support::messages::decode;
 use upgrade_support::records::{Outcome, Records};
+use upgrade_support::settings::STOP_MS;
 use upgrade_support::site::Site;
 use upgrade_support::{from_environment, run_for, wait_for};
 
@@ -32,14 +33,17 @@
 /// Time for which the good clients send.
 const LOAD_TIME: Duration = Duration::from_secs(3);
 
+fn load(seed: u64) -> LoadSettings {
+    LoadSettings { seed, rate: RATE, shared_connections: 8, withdrawals: false }
+}
+
 /// Has good clients send to a slowed server, and asserts that each request and each health check is answered in its time.
 fn assert_all_answered_under_load(seed: u64, is_flooded: bool) {
     let mut site = Site::start(seed);
     site.variables.push((SLOW_AT, COSTS.to_owned()));
     let mut process = site.start_first();
     let flood = is_flooded.then(|| Flood::start(site.listen));
-    let load = LoadSettings { seed, rate: RATE, shared_connections: 8, withdrawals: false };
-    let clients = Clients::start(site.listen, site.request_ends(), load);
+    let clients = Clients::start(site.listen, site.request_ends(), load(seed));
     run_for(LOAD_TIME);
     let records = clients.finish();
     let verdict = judge(&records, &site.started_runs());
@@ -75,6 +79,34 @@
     assert_all_answered_under_load(from_environment("DAILY_SEED", DEFAULT_SEED), true);
 }
 
+/// A server that is to end hears of it, answers what it owes and ends before its kill, however much there is to read.
+#[test]
+fn a_shutdown_beside_a_flood_ends_in_time() {
+    const KILL_AFTER: Duration = Duration::from_millis(STOP_MS);
+    let _core = wait_for_core();
+    let seed = from_environment("DAILY_SEED", DEFAULT_SEED);
+    let mut site = Site::start(seed);
+    site.variables.push((SLOW_AT, COSTS.to_owned()));
+    let mut process = site.start_first();
+    let flood = Flood::start(site.listen);
+    let clients = Clients::start(site.listen, site.request_ends(), load(seed));
+    run_for(Duration::from_millis(500));
+    process.signal("TERM");
+    let since = Instant::now();
+    while process.exit_status().is_none() && since.elapsed() < KILL_AFTER {
+        run_for(Duration::from_millis(1));
+    }
+    let (took, status) = (since.elapsed(), process.exit_status());
+    process.kill();
+    drop(flood);
+    let records = clients.finish();
+    let verdict = judge(&records, &site.started_runs());
+    println!("seed {seed}, {status:?} after {took:?}: {verdict}");
+    print_attempts(&records, &[Outcome::Lost, Outcome::Unanswered]);
+    assert!(status.is_some_and(|status| status.success()), "seed {seed}: not ended before its kill");
+    assert_eq!(verdict.broken_rules() + verdict.without_response(), 0, "seed {seed}: {verdict}");
+}
+
 /// Opens clients whose requests all run, and returns when the last one was asked.
 fn clients_with_runs(site: &HeldSite, timeout: Duration) -> Vec<TimedClient> {
     const CLIENTS: usize = 4;
