Tests: log lines of a process are kept by message, so that a flood pushes out no other

Change: `kept_log.rs` keeps the last 200 lines of each message in the order in which they came, and says how many earlier ones of a message are not among them.

--- /dev/null
+++ b/tests/upgrade_support/kept_log.rs
@@ -0,0 +1,57 @@
+//! The log lines of a process that are kept for the message of a failure: so many of each kind, so that a kind of which many
+//! come pushes out no other.
+
+use std::collections::{BTreeMap, VecDeque};
+
+/// Lines of one kind that are kept.
+pub const MAX_KEPT_OF_A_KIND: usize = 200;
+/// The levels, one of which comes right before the message.
+const LEVELS: [&str; 6] = [" TRCE ", " DEBG ", " INFO ", " WARN ", " ERRO ", " CRIT "];
+/// What separates the message from the fields.
+const END_OF_MESSAGE: &str = ", ";
+
+/// The lines of one kind.
+#[derive(Default)]
+struct LinesOfAKind {
+    /// The last ones, each with its number in the whole log.
+    last: VecDeque<(u64, String)>,
+    /// Lines before them.
+    dropped: u64,
+}
+
+/// The lines of a log that are kept.
+#[derive(Default)]
+pub struct KeptLog {
+    lines_taken: u64,
+    /// By message; what is no log line has the empty one.
+    by_message: BTreeMap<String, LinesOfAKind>,
+}
+
+impl KeptLog {
+    /// Takes the next line of the log.
+    pub fn take(&mut self, line: String) {
+        self.lines_taken += 1;
+        let kind = self.by_message.entry(message(&line).to_owned()).or_default();
+        if kind.last.len() == MAX_KEPT_OF_A_KIND {
+            kind.last.pop_front();
+            kind.dropped += 1;
+        }
+        kind.last.push_back((self.lines_taken, line));
+    }
+
+    /// Returns the kept lines in the order in which they came, and after them how many of each kind are not among them.
+    pub fn lines(&self) -> Vec<String> {
+        let mut kept: Vec<_> = self.by_message.values().flat_map(|kind| &kind.last).collect();
+        kept.sort_by_key(|(number, _)| *number);
+        let dropped = self.by_message.iter().filter(|(_, kind)| kind.dropped > 0);
+        let dropped =
+            dropped.map(|(message, kind)| format!("not kept: {} earlier of `{message}`", kind.dropped));
+        kept.into_iter().map(|(_, line)| line.clone()).chain(dropped).collect()
+    }
+}
+
+/// Returns the message of a log line, or nothing if it is none.
+fn message(line: &str) -> &str {
+    let after_level = LEVELS.iter().find_map(|level| line.split_once(level)).map(|(_, rest)| rest);
+    after_level.map_or("", |rest| rest.split(END_OF_MESSAGE).next().unwrap_or_default())
+}
--- a/tests/upgrade_support/mod.rs
+++ b/tests/upgrade_support/mod.rs
@@ -10,6 +10,7 @@
 pub mod connection_ends;
 pub mod health;
 pub mod http;
+pub mod kept_log;
 pub mod load;
 pub mod messages;
 pub mod operators;
--- a/tests/upgrade_support/process.rs
+++ b/tests/upgrade_support/process.rs
@@ -1,8 +1,8 @@
 //! One process of the server.
 
 use crate::upgrade_support::http::call;
+use crate::upgrade_support::kept_log::KeptLog;
 use crate::upgrade_support::{POLL_INTERVAL, TEST_TIMEOUT};
-use std::collections::VecDeque;
 use std::io::{BufRead, BufReader};
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
@@ -10,8 +10,6 @@
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::{Duration, Instant};
 
-/// Log lines that are kept for the message of a failure.
-const MAX_KEPT_LINES: usize = 400;
 /// What a log says if an address is taken by another program.
 const ADDRESS_IN_USE: &str = "ddress already in use";
 
@@ -36,7 +34,7 @@
     pub started_at: Instant,
     /// Its configuration file.
     pub config: PathBuf,
-    log: Arc<Mutex<VecDeque<String>>>,
+    log: Arc<Mutex<KeptLog>>,
 }
 
 impl ServerProcess {
@@ -57,7 +55,7 @@
             .spawn()
             .expect("the program starts");
         let lines = BufReader::new(child.stderr.take().expect("a log")).lines();
-        let log = Arc::new(Mutex::new(VecDeque::new()));
+        let log = Arc::new(Mutex::new(KeptLog::default()));
         let kept = log.clone();
         // The log is read to its end, so that the server can write it.
         std::thread::spawn(move || lines.map_while(Result::ok).for_each(|line| keep_line(&kept, line)));
@@ -121,9 +119,9 @@
         self.child.try_wait().expect("it can be asked")
     }
 
-    /// Returns the last lines of its log.
+    /// Returns the last lines of each kind of its log.
     pub fn log_lines(&self) -> Vec<String> {
-        self.log.lock().unwrap_or_else(PoisonError::into_inner).iter().cloned().collect()
+        self.log.lock().unwrap_or_else(PoisonError::into_inner).lines()
     }
 
     /// Sends a signal, by its name without `SIG`, unless the process has ended.
@@ -172,10 +170,6 @@
     }
 }
 
-fn keep_line(log: &Mutex<VecDeque<String>>, line: String) {
-    let mut log = log.lock().unwrap_or_else(PoisonError::into_inner);
-    if log.len() == MAX_KEPT_LINES {
-        log.pop_front();
-    }
-    log.push_back(line);
+fn keep_line(log: &Mutex<KeptLog>, line: String) {
+    log.lock().unwrap_or_else(PoisonError::into_inner).take(line);
 }
