Fail a request that is sent again after it ran instead of rejecting it

What callers saw: `Backoff`, "this try never ran", for a request whose run had been paused or ended as its connection closed, and that was sent again under its id.

Cause: the dispatcher forgets a request whose client is gone. Sent again it was new, and was rejected where it was due before its run went on or found no room.

The latest 1,024 attempts whose clients went after a run was requested are remembered, and fail instead. The set of attempts is the one that kept paused runs until now (recent_attempts.rs).

--- a/src/server/dispatcher/arrivals.rs
+++ b/src/server/dispatcher/arrivals.rs
@@ -62,8 +62,9 @@
         if can_bill && self.has_room() && key.is_none_or(|key| self.keys.has_room(key)) {
             return None;
         }
-        // A rejection would promise that no attempt of the key ran.
-        if key.is_some_and(|key| self.keys.is_in_use(key, incoming.received_at)) {
+        // A rejection would promise that neither this attempt nor another of its key ran.
+        let ran_before = self.withdrawn_runs.contains(incoming.attempt);
+        if ran_before || key.is_some_and(|key| self.keys.is_in_use(key, incoming.received_at)) {
             return Some(Response::Failed);
         }
         let sends_retry_after = !can_bill && self.settings.retry_after;
--- a/src/server/dispatcher/mod.rs
+++ b/src/server/dispatcher/mod.rs
@@ -11,7 +11,6 @@
 //! - With a usage ledger no final response leaves before it is billed.
 //! - The task waits for no other task, and knows no wire protocol.
 
-mod abandoned_runs;
 mod actions;
 mod arrivals;
 mod billing;
@@ -24,6 +23,7 @@
 mod idempotency_keys;
 mod pool_events;
 mod pool_link;
+mod recent_attempts;
 mod repeating_log;
 mod request;
 mod request_table;
--- a/src/server/dispatcher/abandoned_runs.rs
+++ b/src/server/dispatcher/recent_attempts.rs
@@ -1,19 +1,19 @@
-//! Runs that were paused and whose clients are gone: the worker pool keeps them, and starts none of the same attempt.
+//! Attempts that are over here and may come again: a client whose connection ended sends its request again under the same number.
 
 use std::collections::{HashSet, VecDeque};
 
 /// Attempts that are kept. A client sends an attempt again within a moment, or not at all.
 const MAX_ATTEMPTS: usize = 1024;
 
-/// The attempts whose runs the worker pool keeps paused for nobody, the latest of them.
+/// The latest attempts of a kind.
 #[derive(Default)]
-pub(super) struct AbandonedRuns {
+pub(super) struct RecentAttempts {
     attempts: HashSet<u64>,
     /// The same attempts, oldest first.
     order: VecDeque<u64>,
 }
 
-impl AbandonedRuns {
+impl RecentAttempts {
     /// Adds an attempt; the oldest one is forgotten if there are too many.
     pub(super) fn add(&mut self, attempt: u64) {
         if !self.attempts.insert(attempt) {
@@ -27,13 +27,18 @@
         }
     }
 
-    /// Forgets all attempts, as the worker pool has.
+    /// Forgets all attempts.
     pub(super) fn clear(&mut self) {
         self.attempts.clear();
         self.order.clear();
     }
 
-    /// Removes an attempt that came again, and returns whether its run is paused in the worker pool.
+    /// Returns whether the attempt is one of them.
+    pub(super) fn contains(&self, attempt: u64) -> bool {
+        self.attempts.contains(&attempt)
+    }
+
+    /// Removes an attempt that came again, and returns whether it was one of them.
     pub(super) fn take(&mut self, attempt: u64) -> bool {
         let was_kept = self.attempts.remove(&attempt);
         if was_kept {
--- a/src/server/dispatcher/responses.rs
+++ b/src/server/dispatcher/responses.rs
@@ -32,7 +32,8 @@
     /// Returns whether the request may have run, or another attempt of its key: a rejection promises that neither did.
     fn may_have_run(&self, request: &Request) -> bool {
         let left_queue = !matches!(request.state, ExecutionState::Queued);
-        request.run_requested || left_queue || self.keys.has_run(request)
+        let ran_before = self.withdrawn_runs.contains(request.attempt);
+        request.run_requested || left_queue || ran_before || self.keys.has_run(request)
     }
 
     /// Gives a request that waited for the result of another attempt that result, or its failure.
@@ -59,6 +60,9 @@
         if request.reply.take().is_none() {
             return;
         }
+        if request.run_requested {
+            self.withdrawn_runs.add(request.attempt);
+        }
         self.status.telemetry().record_client_gone();
         self.bill_cancelled(id);
         self.cancel_upstream_call(id);
--- a/src/server/dispatcher/state.rs
+++ b/src/server/dispatcher/state.rs
@@ -1,11 +1,11 @@
 //! The state of the dispatcher, and the two ways in which it acts: events for the admission controller, and messages to
 //! other tasks.
 
-use super::abandoned_runs::AbandonedRuns;
 use super::gauge_poll::GaugePoll;
 use super::handover_state::{HandingOver, TakingOver};
 use super::idempotency_keys::IdempotencyKeys;
 use super::pool_link::PoolLink;
+use super::recent_attempts::RecentAttempts;
 use super::repeating_log::RepeatingLog;
 use super::request::ExecutionState;
 use super::request_table::RequestTable;
@@ -77,7 +77,10 @@
     pub(super) events: VecDeque<Event>,
     pub(super) requests: RequestTable,
     pub(super) keys: IdempotencyKeys,
-    pub(super) abandoned_runs: AbandonedRuns,
+    /// The attempts whose runs the worker pool keeps paused for nobody. It starts none of the same attempt.
+    pub(super) abandoned_runs: RecentAttempts,
+    /// The attempts whose clients went after a run was requested.
+    pub(super) withdrawn_runs: RecentAttempts,
     pub(super) pool: PoolLink,
     pub(super) upstream: Option<Sender<UpstreamMessage>>,
     registry: Sender<RegistryMessage>,
@@ -124,7 +127,8 @@
             events: VecDeque::new(),
             requests: RequestTable::default(),
             keys: IdempotencyKeys::new(config),
-            abandoned_runs: AbandonedRuns::default(),
+            abandoned_runs: RecentAttempts::default(),
+            withdrawn_runs: RecentAttempts::default(),
             pool: PoolLink::new(mailboxes.worker_pool, clock, log.clone()),
             upstream: mailboxes.upstream,
             registry: mailboxes.registry,
