--- a/src/admission/event.rs
+++ b/src/admission/event.rs
@@ -70,8 +70,8 @@
     Cancelled,
     /// Nothing was started, because the request had ended already.
     NotStarted,
-    /// The run is unknown to whoever should run it, or was not asked for. It may have taken effect, and says nothing of
-    /// how runs fare.
+    /// The run is unknown to whoever should run it, or was not asked for. It may have taken effect, and says
+    /// nothing of how runs fare.
     Lost,
 }
 
--- a/src/admission/fault_detection.rs
+++ b/src/admission/fault_detection.rs
@@ -85,8 +85,8 @@
         self.last_progress_at = now;
     }
 
-    /// Takes that commands of runs waited for so long to be written. The runs could make no progress in that time,
-    /// which is a lag of this process.
+    /// Takes that commands of runs waited for so long to be written. The runs could make no progress in that
+    /// time, which is a lag of this process.
     pub(super) fn record_command_delay(&mut self, now: f64, waited_ms: f64) {
         self.last_progress_at = (self.last_progress_at + waited_ms.max(0.0)).min(now);
     }
