Finish connections only once all requests are answered, also when late

What callers saw: a process that stands still over the last steps of its shutdown closes a connection without the answer to a request that it had read.

Cause: the listener finished all connections by its own clock, "whatever is owed". When all steps come due in one turn, because the event loop stood still over them, the listener may come first, and the controller's last responses find their connections finished. Then the process exits.

Change: the listener finishes connections when it is told to. The shutdown tells it at the planned time, once the dispatcher has no request left; it waits for that until the exit is due, and at least 15 ms where it comes late.

--- a/src/daemon/shutdown.rs
+++ b/src/daemon/shutdown.rs
@@ -19,6 +19,10 @@
 /// The process ends so long before the kill at the latest, ms.
 const EXIT_MARGIN_MS: f64 = 40.0;
 
+/// Shortest time for the last answers of a process that comes late to its end, ms, also where the kill is due: some turns of
+/// the event loop.
+const MIN_ANSWER_TIME_MS: f64 = 15.0;
+
 /// When the process is killed if it has not ended by itself.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct KillTime(pub(super) Instant);
@@ -109,13 +113,15 @@
         if !server.status.is_handed_over() {
             sleep_until(server, schedule.before_stop(CLOSE_MARGIN_MS)).await;
         }
-        close_connections(server, schedule.before_stop(FINISH_MARGIN_MS)).await;
+        close_connections(server).await;
         if server.status.is_handed_over() {
             wait_until_idle(server).await;
         }
     };
     let time_up = async {
         let exit_at = schedule.before_stop(EXIT_MARGIN_MS);
+        sleep_until(server, schedule.before_stop(FINISH_MARGIN_MS)).await;
+        finish_connections(server, exit_at).await;
         sleep_until(server, exit_at).await;
         info!(log, "shutdown out of time"; "late_ms" => (server.clock.now() - exit_at).round());
     };
@@ -129,14 +135,25 @@
     server.wheel.sleep(time - server.clock.now()).await;
 }
 
-/// Closes the connections, which finish at `finish_at`, Unix ms, and waits for their end.
-async fn close_connections(server: &RunningServer, finish_at: f64) {
+/// Tells the clients to close their connections, and waits for the end of the last one.
+async fn close_connections(server: &RunningServer) {
     server.listener.may_end.set(true);
     // The listener's mailbox is open as long as the listener runs.
-    let _ = server.listener.sender.send(ListenerMessage::Shutdown { finish_at }).await;
+    let _ = server.listener.sender.send(ListenerMessage::Shutdown).await;
     let _ = server.listener.ended.recv().await;
 }
 
+/// Has the open connections finish, once all requests are answered: an event loop that comes late to this comes late to the
+/// last responses as well, and a connection that finishes before one loses it. At `exit_at`, Unix ms, it is done whatever is
+/// owed, but not without a few turns of the event loop.
+async fn finish_connections(server: &RunningServer, exit_at: f64) {
+    let time_left_ms = exit_at - server.clock.now();
+    let out_of_time = server.wheel.sleep(time_left_ms.max(MIN_ANSWER_TIME_MS));
+    or(wait_until_idle(server), out_of_time).await;
+    // Without a listener all connections are closed.
+    let _ = server.listener.sender.send(ListenerMessage::Finish).await;
+}
+
 /// Waits until no request is left: the successor waits for the ends of runs that were begun here.
 async fn wait_until_idle(server: &RunningServer) {
     let (idle, is_idle) = async_channel::bounded(1);
--- a/src/server/frontend/listener.rs
+++ b/src/server/frontend/listener.rs
@@ -58,8 +58,10 @@
     handed_over: bool,
     connections: ConnectionTable,
     idle_timeout_ms: f64,
-    /// When all connections finish, Unix ms; `None` until the server shuts down.
-    finish_at: Option<f64>,
+    /// Whether the server shuts down, so that the task ends with its last connection.
+    shuts_down: bool,
+    /// Whether the process ends, so that all connections finish.
+    finishes: bool,
     accept_paused_until: f64,
     last_sweep_at: f64,
 }
@@ -112,7 +114,8 @@
             accepts,
             handed_over: false,
             idle_timeout_ms,
-            finish_at: None,
+            shuts_down: false,
+            finishes: false,
             accept_paused_until: 0.0,
             last_sweep_at: context.clock.now(),
             context,
@@ -120,7 +123,7 @@
     }
 
     fn is_finished(&self) -> bool {
-        self.finish_at.is_some() && self.connections.is_empty()
+        self.shuts_down && self.connections.is_empty()
     }
 
     /// Accepts a connection. Without capacity, clients wait in the system's queue.
@@ -172,14 +175,18 @@
             ListenerMessage::ConnectionClosed(number) => self.connections.remove(number),
             ListenerMessage::StartAccepting => (self.accepts, self.handed_over) = (true, false),
             ListenerMessage::HandOver => (self.accepts, self.handed_over) = (false, true),
-            ListenerMessage::Shutdown { finish_at } => self.shut_down(now, finish_at),
+            ListenerMessage::Shutdown => self.shut_down(now),
+            ListenerMessage::Finish => {
+                self.finishes = true;
+                self.sweep(now);
+            }
         }
     }
 
     /// Closes the listening socket. What waits in the system's queue is accepted first: its clients see a connection
     /// and may have sent a request, which a close would lose. After a handover the other process accepts it.
-    fn shut_down(&mut self, now: f64, finish_at: f64) {
-        self.finish_at = Some(finish_at);
+    fn shut_down(&mut self, now: f64) {
+        self.shuts_down = true;
         if let Some(socket) = self.socket.take().filter(|_| self.accepts) {
             while let Ok((stream, _)) = socket.get_ref().accept() {
                 self.connections.add(now, stream, Eviction::Deferred);
@@ -195,8 +202,8 @@
         self.context.client_log.tell_repeated(now);
         let policy = ConnectionPolicy {
             idle_timeout_ms: self.idle_timeout_ms,
-            notify_all: self.handed_over || self.finish_at.is_some(),
-            finish_all: self.finish_at.is_some_and(|finish_at| now >= finish_at),
+            notify_all: self.handed_over || self.shuts_down,
+            finish_all: self.finishes,
         };
         self.connections.sweep(now, policy);
     }
--- a/src/server/messages/listener.rs
+++ b/src/server/messages/listener.rs
@@ -13,8 +13,7 @@
     /// ones to send nothing new.
     HandOver,
     /// Graceful shutdown: accept no new connections and notify the open ones.
-    Shutdown {
-        /// When open connections are closed, Unix ms. All requests are answered by then.
-        finish_at: f64,
-    },
+    Shutdown,
+    /// The process ends: close the open connections. All requests are answered, and responses that wait are still written.
+    Finish,
 }
--- /dev/null
+++ b/tests/late_ends.rs
@@ -0,0 +1,89 @@
+//! What a process owes is answered before its end, although it stands still over all steps of it.
+
+#[allow(unused_imports, reason = "each test program uses a part of it")]
+mod fleet;
+#[allow(dead_code, reason = "each test program uses a part of it")]
+mod play;
+
+use fleet::FakeWorkerPool;
+use play::{Client, LoggedServer, config};
+use std::process::ExitStatus;
+use std::time::{Duration, Instant};
+
+/// Time from the request to end to the kill.
+const STOP: Duration = Duration::from_millis(3000);
+/// How long the process stands still, before the request and again near its end.
+const STILL: [Duration; 3] =
+    [Duration::from_millis(120), Duration::from_millis(180), Duration::from_millis(240)];
+/// Connections that their clients keep open to the end.
+const RESTING: usize = 100;
+/// An address that nobody listens on.
+const NOBODY: &str = "127.0.0.1:1";
+/// A request whose run does not end before the process does.
+const REQUEST: &str = "route-sheet call=0000000000000001";
+
+/// When the process stands still again, before its kill.
+#[derive(Clone, Copy, Debug)]
+enum Moment {
+    /// Over all steps of its end, so that it comes late to all of them, 30 ms before the kill.
+    OverAllStepsUnforeseen,
+}
+
+impl Moment {
+    fn begins_before_kill(self, still: Duration) -> Duration {
+        match self {
+            Moment::OverAllStepsUnforeseen => still + Duration::from_millis(30),
+        }
+    }
+}
+
+/// What became of a process.
+struct End {
+    status: ExitStatus,
+    /// What the client of the request was told last.
+    response: String,
+}
+
+/// Plays the life of a process that stands still twice, the second time in its end.
+fn play_end(still_before: Duration, still: Duration, moment: Moment) -> End {
+    let pool = FakeWorkerPool::new();
+    pool.hold_runs();
+    let stop = (r#""stop_ms":30000"#.to_owned(), format!(r#""stop_ms":{}"#, STOP.as_millis()));
+    let config = config(&pool.address().to_string(), NOBODY, NOBODY, &[stop]);
+    let mut server = LoggedServer::start(&mut play::command(&config, "unlimited").0);
+    let resting: Vec<Client> = (0..RESTING).filter_map(|_| Client::resting(&server.address)).collect();
+    assert_eq!(resting.len(), RESTING);
+    let mut client = Client::new(&server.address);
+    client.ask(1, REQUEST);
+    pool.wait_running(1);
+    server.stand_still(still_before);
+    // The event loop has had a turn since.
+    Client::new(&server.address).check();
+    let requested_at = server.request_end();
+    let begins_at = requested_at + STOP - moment.begins_before_kill(still);
+    std::thread::sleep(begins_at.saturating_duration_since(Instant::now()));
+    let ended_before = server.has_ended().then(|| requested_at.elapsed());
+    let stood_still = server.stand_still(still);
+    let status = server.end();
+    let took = ended_before.unwrap_or_else(|| requested_at.elapsed());
+    println!("{still:?} {moment:?}: stood still for {stood_still:?}, ended {took:?} after the request");
+    for line in server.log_to_end() {
+        println!("  {line}");
+    }
+    End { status, response: client.response() }
+}
+
+fn assert_answered(still: Duration, end: &End) {
+    assert_eq!(end.status.code(), Some(0), "{still:?}");
+    assert!(end.response.starts_with(r"\x94\x01\x01"), "{still:?}: answered by `{}`", end.response);
+}
+
+/// Guards against an end of the process that comes first of all that it comes late to. The end has no bound here: the
+/// process may come to it too late.
+#[test]
+fn what_is_owed_is_answered_before_an_end_that_nobody_foresaw() {
+    for still in STILL {
+        let end = play_end(Duration::ZERO, still, Moment::OverAllStepsUnforeseen);
+        assert_answered(still, &end);
+    }
+}
--- a/tests/play/process.rs
+++ b/tests/play/process.rs
@@ -154,6 +154,24 @@
         self.process.id()
     }
 
+    /// Stops the process for so long, and returns for how long it was stopped. Nothing is done to one that has ended.
+    pub fn stand_still(&mut self, stop: Duration) -> Duration {
+        if self.has_ended() {
+            return Duration::ZERO;
+        }
+        let since = Instant::now();
+        // The process may end at any time; it stays until it is waited for.
+        let _ = kill_process(Pid::from_child(&self.process), Signal::STOP);
+        std::thread::sleep(stop);
+        let _ = kill_process(Pid::from_child(&self.process), Signal::CONT);
+        since.elapsed()
+    }
+
+    /// Returns whether the process has ended.
+    pub fn has_ended(&mut self) -> bool {
+        self.process.try_wait().expect("its state").is_some()
+    }
+
     /// Returns how the server ended, which is waited for.
     pub fn end(&mut self) -> ExitStatus {
         let since = Instant::now();
