--- a/tests/soak_support/run.rs
+++ b/tests/soak_support/run.rs
@@ -224,10 +224,18 @@
         self.keep_log(old);
     }
 
-    fn stop_serving(&mut self, time: Duration) {
+    /// Has the serving process stand still for at least that time, and returns for how long it surely did.
+    fn stop_serving(&mut self, time: Duration) -> Duration {
         self.serving.signal("STOP");
+        let (seed, serving) = (self.seed, &mut self.serving);
+        wait_for(seed, "it stands still or has ended", || {
+            serving.is_stopped() || serving.exit_status().is_some()
+        });
+        let since = Instant::now();
         self.pass(time);
+        let stood_still = since.elapsed();
         self.serving.signal("CONT");
+        stood_still
     }
 
     fn upgrade(&mut self, pause: Duration, kill: UpgradeKill) {
@@ -273,13 +281,12 @@
         }
         (0..ending.repeats).for_each(|_| self.serving.signal("TERM"));
         if let Some(time) = ending.stop {
-            self.stop_serving(time);
             // The time of a pause is not counted.
-            kill_at += time;
+            kill_at += self.stop_serving(time);
         }
         while self.serving.exit_status().is_none() && Instant::now() < kill_at {
             self.look_at(None);
-            run_for(LOOK_INTERVAL);
+            run_for(LOOK_INTERVAL.min(kill_at.saturating_duration_since(Instant::now())));
         }
         match self.serving.exit_status() {
             Some(status) => self.check_exit(status),
--- a/tests/upgrade_support/process.rs
+++ b/tests/upgrade_support/process.rs
@@ -3,6 +3,7 @@
 use crate::upgrade_support::http::call;
 use crate::upgrade_support::kept_log::KeptLog;
 use crate::upgrade_support::{POLL_INTERVAL, TEST_TIMEOUT};
+use rustix::process::{Pid, Signal, kill_process};
 use std::io::{BufRead, BufReader};
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
@@ -13,6 +14,11 @@
 /// What a log says if an address is taken by another program.
 const ADDRESS_IN_USE: &str = "ddress already in use";
 
+/// The signals that tests send, by name. They are sent by the system call: a program that sent them would come late on a busy
+/// machine, and what is measured from a signal with it.
+const SIGNALS: [(&str, Signal); 4] =
+    [("TERM", Signal::TERM), ("HUP", Signal::HUP), ("STOP", Signal::STOP), ("CONT", Signal::CONT)];
+
 /// What a log says once clients can connect.
 const SERVING: &str = "serving";
 
@@ -129,8 +135,8 @@
         if self.exit_status().is_some() {
             return;
         }
-        let sent = Command::new("kill").args(["-s", name, &self.id().to_string()]).status();
-        assert!(sent.expect("kill is there").success(), "signal {name} to process {}", self.id());
+        let (_, signal) = SIGNALS.iter().find(|(known, _)| *known == name).expect("a signal of the tests");
+        kill_process(Pid::from_child(&self.child), *signal).expect("it was not waited for");
     }
 
     /// Returns whether it is stopped by a signal.
