--- a/tests/client_log_lines.rs
+++ b/tests/client_log_lines.rs
@@ -1,14 +1,14 @@
-//! Log lines that clients cause, of the built program: what one client sends by the hundred hides nothing that another does,
-//! and each line is written or counted.
+//! Log lines that clients, commands and calls cause, of the built program: what one client sends by the hundred hides nothing
+//! that another does, and each line is written or counted.
 
 #[allow(dead_code, reason = "each test program uses a part of it")]
 mod play;
 
-use play::{Client, LoggedServer};
+use play::{Client, LoggedServer, Playback, Setup};
 
 /// An address that nobody listens on.
 const NOBODY: &str = "127.0.0.1:1";
-/// Connections that are closed for the same reason.
+/// Connections that are closed for the same reason, and commands that are rejected.
 const FLOOD: u64 = 60;
 /// A message longer than any may be.
 const TOO_LONG: &[u8] = b"\xc6\x7f\xff\xff\xff";
@@ -72,3 +72,52 @@
     assert_eq!(told, FLOOD, "{log:#?}");
     assert!(log.last().is_some_and(|line| line.contains("shutdown complete")), "{log:#?}");
 }
+
+/// Returns a server whose worker pool accepted its link.
+fn start_linked() -> Playback {
+    let mut server = Playback::start(&Setup::default());
+    assert!(server.expect("pool", "").contains("bind"));
+    server.send("pool", r#"{"op":"bound","end":"old","ms":5000}"#);
+    server
+}
+
+/// Reads log lines with these words until those with each field stand for so many, and no more.
+fn assert_told(server: &mut Playback, words: &str, expected: &[(&str, u64)]) {
+    let mut told = vec![0; expected.len()];
+    while told.iter().zip(expected).any(|(told, (_, count))| told < count) {
+        let line = server.expect("log", words);
+        println!("{line}");
+        for (told, (field, _)) in told.iter_mut().zip(expected) {
+            *told += if line.contains(field) { lines_told(&line) } else { 0 };
+        }
+    }
+    assert!(told.iter().zip(expected).all(|(told, (_, count))| told == count), "{told:?} of {expected:?}");
+}
+
+/// Each rejected command is written or counted, and its count is told though no line follows.
+#[test]
+fn rejected_commands_are_counted() {
+    const WORDS: &str = "worker pool rejected a command";
+    let mut server = start_linked();
+    for _ in 0..FLOOD {
+        server.send("pool", r#"{"op":"unknown","end":"pass","id":"ffff"}"#);
+    }
+    server.send("pool", r#"{"op":"unknown","end":"spawn","id":"ffff"}"#);
+    assert_told(&mut server, WORDS, &[("command: skip upstream call", FLOOD), ("command: run", 1)]);
+}
+
+/// Each failed call is written or counted, and the count is told though no call follows.
+#[test]
+fn failed_calls_are_counted() {
+    const CALLS: u64 = 3;
+    let mut server = start_linked();
+    server.send("a", "req 1 route-sheet");
+    server.expect("pool", "");
+    server.send("pool", r#"{"op":"blocked","seq":1,"id":"6100000000000001","body":"YXNr"}"#);
+    for _ in 0..CALLS {
+        server.expect("index", "");
+        server.send("index", r"SPAM\r\n\r\n");
+        server.send("index", "close");
+    }
+    assert_told(&mut server, "upstream call failed", &[("reading the reply", CALLS)]);
+}
