Soak: runs with series of signals

A further kind of run, `lives_with_series`: after each of the first three steps of a seed SIGHUP, SIGSTOP, SIGHUP and SIGCONT come in up to eight rounds, up to 30 ms apart.

Not played yet: a worker pool that comes back at another address, kills of the only process.

--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -2,7 +2,8 @@
 //! alone. Some seeds are tests of their own, so that one that fails is seen, and listed, without the others.
 //!
 //! A long soak is started by hand: `SOAK_SEED` sets the first seed and `SOAK_RUNS` the number of runs; `SOAK_WITHOUT` leaves
-//! parts out: `SOAK_SEED=101 SOAK_RUNS=50 cargo test --test soak whole_lives -- --nocapture`, or `wide_lives`.
+//! parts out: `SOAK_SEED=101 SOAK_RUNS=50 cargo test --test soak whole_lives -- --nocapture`, or `wide_lives` or
+//! `lives_with_series`.
 
 mod soak_support;
 mod upgrade_support;
@@ -17,6 +18,7 @@
 /// The first seed and the number of runs where the environment sets none.
 const DEFAULT_SEED: u64 = 9;
 const DEFAULT_WIDE_SEED: u64 = 3;
+const DEFAULT_SERIES_SEED: u64 = 1;
 const DEFAULT_RUNS: u64 = 1;
 
 /// The kinds of runs.
@@ -24,6 +26,7 @@
 enum Kind {
     Whole,
     Wide,
+    Series,
 }
 
 impl Kind {
@@ -31,6 +34,7 @@
         match self {
             Kind::Whole => Schedule::draw(seed, left_out),
             Kind::Wide => Schedule::draw_wide(seed, left_out),
+            Kind::Series => Schedule::draw_with_series(seed, left_out),
         }
     }
 
@@ -39,6 +43,7 @@
         match self {
             Kind::Whole => "whole_lives",
             Kind::Wide => "wide_lives",
+            Kind::Series => "lives_with_series",
         }
     }
 }
@@ -59,6 +64,12 @@
     assert_all_hold(Kind::Wide, DEFAULT_WIDE_SEED);
 }
 
+/// The same with series of signals, close together: reloads, and stops within which a reload comes.
+#[test]
+fn lives_with_series_of_signals_break_no_rule() {
+    assert_all_hold(Kind::Series, DEFAULT_SERIES_SEED);
+}
+
 /// Plays the seeds that the environment names, or the default one, and asserts that all rules held in each run.
 fn assert_all_hold(kind: Kind, default_seed: u64) {
     let first = from_environment("SOAK_SEED", default_seed);
--- a/tests/soak_support/run.rs
+++ b/tests/soak_support/run.rs
@@ -173,6 +173,17 @@
             Step::EvacuateInUpgrade(time) => self.evacuate_in_upgrade(time),
             Step::ThreeProcesses { pause } => self.hand_on_twice(pause),
             Step::Burst => self.burst(),
+            Step::SignalSeries { rounds, gap } => {
+                (0..rounds).for_each(|_| self.send_series(gap));
+                self.allow_bad_health(from_ms, GOOD_HEALTH_WITHIN_MS);
+            }
+        }
+    }
+
+    fn send_series(&mut self, gap: Duration) {
+        for signal in ["HUP", "STOP", "HUP", "CONT"] {
+            self.serving.signal(signal);
+            run_for(gap);
         }
     }
 
--- a/tests/soak_support/schedule.rs
+++ b/tests/soak_support/schedule.rs
@@ -23,6 +23,13 @@
 const WIDE_STEPS: usize = 3;
 /// Keeps what a wide run draws apart from the other draws of its seed.
 const WIDE_STREAM: u64 = 1;
+/// Steps of a run with series of signals.
+const SIGNAL_STEPS: usize = 3;
+/// Keeps what such a run draws apart from the other draws of its seed.
+const SIGNAL_STREAM: u64 = 2;
+/// The most rounds of a series of signals, and the longest time between two of them, ms.
+const MAX_SIGNAL_ROUNDS: u32 = 8;
+const MAX_SIGNAL_GAP_MS: u64 = 30;
 /// The longest time from a new process's readiness to the shutdown request to the old one, ms.
 const MAX_UPGRADE_PAUSE_MS: u64 = 800;
 /// The part of the runs that have a crowd.
@@ -65,6 +72,8 @@
     ThreeProcesses { pause: Duration },
     /// Requests past what the event loop bears, for a second.
     Burst,
+    /// SIGHUP, SIGSTOP, SIGHUP, SIGCONT, so many times, with this time between two signals.
+    SignalSeries { rounds: u32, gap: Duration },
 }
 
 /// The signals at the end: SIGTERM, with others around it, until the kill.
@@ -117,6 +126,16 @@
             (0..WIDE_STEPS).map(|_| (draw_ms(&mut rng, MAX_PAUSE_MS), draw_wide_step(&mut rng))).collect();
         Schedule { steps: played(steps, left_out), ..Schedule::draw(seed, left_out) }
     }
+
+    /// Draws a run with series of signals: the crowd, the first steps and the end of its seed, a series after each step.
+    pub fn draw_with_series(seed: u64, left_out: &LeftOut) -> Schedule {
+        let mut rng = ChaCha8Rng::seed_from_u64(seed);
+        rng.set_stream(SIGNAL_STREAM);
+        let drawn = Schedule::draw(seed, left_out);
+        let steps = drawn.steps.into_iter().take(SIGNAL_STEPS);
+        let steps = steps.flat_map(|step| [step, (Duration::ZERO, draw_signal_series(&mut rng))]).collect();
+        Schedule { steps: played(steps, left_out), crowd: drawn.crowd, ending: drawn.ending }
+    }
 }
 
 /// Returns the steps without those of parts that are left out.
@@ -128,7 +147,7 @@
 /// Returns the parts that a step belongs to.
 fn parts(step: &Step) -> &'static [Part] {
     match step {
-        Step::Reload(_) | Step::Stop(_) => &[Part::Signals],
+        Step::Reload(_) | Step::Stop(_) | Step::SignalSeries { .. } => &[Part::Signals],
         Step::Evacuate(_) => &[Part::Evacuation],
         Step::MovePeers | Step::RegistryDown(_) | Step::BreakPoolLink | Step::StallPool(_) => &[Part::Peers],
         Step::Upgrade { kill: UpgradeKill::Nobody, .. } => &[Part::Upgrades],
@@ -165,6 +184,11 @@
     *steps.choose(rng).expect("there are some")
 }
 
+fn draw_signal_series(rng: &mut ChaCha8Rng) -> Step {
+    let rounds = rng.random_range(1..=MAX_SIGNAL_ROUNDS);
+    Step::SignalSeries { rounds, gap: draw_ms(rng, MAX_SIGNAL_GAP_MS) }
+}
+
 fn draw_ending(rng: &mut ChaCha8Rng) -> Ending {
     let stop = draw_ms(rng, MAX_STOP_MS);
     Ending {
