Give each connection one read in a pass of the event loop

Cause: reads waited until everything that followed from earlier ones was done. The admission controller refuses what can't be done in time only once it is read, and a refusal costs less than a run.

Now the loop works in passes: a look at sockets and timers, one turn of up to four messages for each connection with bytes to read, 32 other turns. The dispatcher hands the thread on after 16 messages.

--- a/src/admission/timer_lag.rs
+++ b/src/admission/timer_lag.rs
@@ -1,13 +1,15 @@
-//! How late the timer comes: on a machine that is short of time on the cores, everything that is due is late by
-//! as much.
+//! How late the timer comes: on a machine that is short of time on the cores, everything that is due is late
+//! by as much.
 
 use super::timing::{SYMPTOM_SPAN_MS, TIMER_PERIOD_MS, decay_per_timer};
 
 /// Lateness past which it is not made up for, ms: answers would come far too early once the lag is over.
 const MAX_LAG_MS: f64 = 500.0;
+/// Lateness that counts at once, ms. A later timer may follow a suspension of the process, which is over then,
+/// unless the timer before was late as well.
+const AT_ONCE_MS: f64 = 100.0;
 
-/// The lag of the timer: the greatest lateness of late that two timers in a row had. A single late one follows a
-/// suspension of the process, which is over then.
+/// The lag of the timer: its greatest lateness of late.
 pub(super) struct TimerLag {
     last_timer_at: f64,
     last_late_ms: f64,
@@ -23,9 +25,9 @@
     /// Takes a timer.
     pub(super) fn record_timer(&mut self, now: f64) {
         let late_ms = now - self.last_timer_at - TIMER_PERIOD_MS;
-        let sustained_ms = late_ms.min(self.last_late_ms);
+        let counted_ms = late_ms.min(self.last_late_ms.max(AT_ONCE_MS));
         let before_ms = self.lag_ms * decay_per_timer(SYMPTOM_SPAN_MS);
-        self.lag_ms = before_ms.max(sustained_ms).min(MAX_LAG_MS);
+        self.lag_ms = before_ms.max(counted_ms).min(MAX_LAG_MS);
         self.last_late_ms = late_ms;
         self.last_timer_at = now;
     }
--- a/src/server/dispatcher/event_loop.rs
+++ b/src/server/dispatcher/event_loop.rs
@@ -13,7 +13,7 @@
 use std::pin::pin;
 
 /// Messages handled before the other tasks have a turn, which write what was decided.
-const MESSAGES_PER_TURN: usize = 32;
+const MESSAGES_PER_TURN: usize = 16;
 
 impl Dispatcher {
     /// Handles messages until the mailbox closes.
--- a/src/server/event_loop.rs
+++ b/src/server/event_loop.rs
@@ -1,4 +1,4 @@
-//! The order in which the event loop works: first everything that follows from what was read, then one further read.
+//! The order in which the event loop works: sockets and timers, a bounded share of reads, a bounded share of everything else.
 
 use super::read_turns::ReadTurns;
 use async_executor::LocalExecutor;
@@ -6,16 +6,16 @@
 use futures_lite::future::yield_now;
 use std::future::Future;
 
-/// Turns of tasks between two looks at sockets and timers.
-const TURNS_BETWEEN_LOOKS: usize = 200;
-/// Connections that have a turn to read between two looks at sockets and timers.
-const READS_BETWEEN_LOOKS: usize = 8;
+/// Turns of tasks in a pass, beside those of the connections that read.
+const TURNS_IN_PASS: usize = 32;
+/// Connections that have a turn to read in a pass.
+const READS_IN_PASS: usize = 256;
 
 /// Runs the tasks of the executor until the future completes, and returns its result.
 ///
-/// Some connections have their turn to read once no task is ready, and all that follows from what they read comes before
-/// the next ones. Sockets and timers are looked at in between: what the worker pool reports and what is due waits for no
-/// more than these reads.
+/// It works in passes, each of which begins with a look at sockets and timers. In a pass every connection with bytes to
+/// read has one turn, so that what is due and what the worker pool reports waits for one turn of each, and what comes is
+/// read before it is too late to refuse it. The future has a turn in each pass.
 pub async fn run<T>(
     executor: &LocalExecutor<'_>,
     read_turns: &ReadTurns,
@@ -26,20 +26,12 @@
 
 async fn run_tasks<T>(executor: &LocalExecutor<'_>, read_turns: &ReadTurns) -> T {
     loop {
-        let mut has_read = false;
-        for _ in 0..TURNS_BETWEEN_LOOKS {
-            if executor.try_tick() {
-                continue;
-            }
-            if read_turns.is_empty() {
-                executor.tick().await;
-            } else if has_read {
-                break;
-            } else {
-                read_turns.grant(READS_BETWEEN_LOOKS);
-                has_read = true;
-            }
+        let turns = TURNS_IN_PASS + read_turns.grant(READS_IN_PASS);
+        let is_idle = (0..turns).any(|_| !executor.try_tick());
+        if is_idle && read_turns.is_empty() {
+            executor.tick().await;
+        } else {
+            yield_now().await;
         }
-        yield_now().await;
     }
 }
--- a/src/server/frontend/reader.rs
+++ b/src/server/frontend/reader.rs
@@ -17,7 +17,7 @@
 /// Bytes read at once.
 pub(super) const READ_BUFFER_BYTES: usize = 4 * 1024;
 /// Messages handled in one turn of a connection.
-const MESSAGES_PER_TURN: u64 = 8;
+const MESSAGES_PER_TURN: u64 = 4;
 /// Time for the response to a message that can't be decoded to be written, ms.
 const ERROR_RESPONSE_MS: f64 = 50.0;
 
@@ -140,7 +140,7 @@
         }
         self.messages_read += 1;
         if self.messages_read % MESSAGES_PER_TURN == 0 {
-            // What was read is decided, and its responses are written, before more is handled.
+            // Others read, and what was read is decided, before more is handled.
             await_turn(self.connection, self.context).await;
             // A client whose messages are still being handled is not idle.
             self.connection.state.borrow_mut().record_activity(self.context.clock.now());
--- a/src/server/read_turns.rs
+++ b/src/server/read_turns.rs
@@ -1,5 +1,5 @@
-//! The turns in which the bytes of clients are read: one connection after the other, and only while no other task of the
-//! event loop has work. What was read is thus decided, and what was decided is written, before more is read.
+//! The turns in which the bytes of clients are read: in each pass of the event loop one for each connection, so that nobody
+//! reads more by sending more, and decisions, timers and responses wait for no more than that.
 
 use std::cell::{Cell, RefCell};
 use std::collections::VecDeque;
@@ -43,8 +43,8 @@
         ReadTurn { reader }
     }
 
-    /// Gives a turn to the readers that have waited longest, so many at most.
-    pub fn grant(&self, turns: usize) {
+    /// Gives a turn to the readers that have waited longest, so many at most, and returns their number.
+    pub fn grant(&self, turns: usize) -> usize {
         let mut granted = 0;
         while granted < turns {
             let Some(reader) = self.waiting.borrow_mut().pop_front() else { break };
@@ -53,6 +53,7 @@
                 granted += 1;
             }
         }
+        granted
     }
 
     /// Returns whether no reader waits.
