Count no lag at a start, and none against latency objectives

Cause, found on review: the first timer of a server that starts beside an older worker pool was late by the pool's age, so that the lag of the timer counted 100 ms and more; and the margin for the lag was used for latency objectives too, by which runs that had just begun were answered and stopped.

A connection that ended before its run did is remembered too, so that its request isn't rejected when it is sent again; the writer of commands no longer waits for room in the dispatcher's mailbox to report a delay.

tests/rules.rs a_start_beside_an_older_worker_pool_is_no_lag failed before.

--- a/src/admission/controller.rs
+++ b/src/admission/controller.rs
@@ -59,7 +59,7 @@
             memory: MemoryBudget::new(&settings),
             overload: OverloadDetector::default(),
             faults: FaultDetector::new(now),
-            timer_lag: TimerLag::new(now),
+            timer_lag: TimerLag::default(),
             threshold: PriorityThreshold::default(),
             traffic: RecentTraffic::default(),
             tenant_quota: TenantQuota::new(&settings),
--- a/src/admission/deadlines.rs
+++ b/src/admission/deadlines.rs
@@ -38,7 +38,8 @@
     /// Returns the requests that have to be answered now, in the order of their ids.
     pub(super) fn overdue(&self) -> Vec<RequestId> {
         let due = self.requests.due();
-        let mut overdue: Vec<RequestId> = due.with_deadline_by(self.answered_by()).collect();
+        let mut overdue: Vec<RequestId> =
+            due.with_deadline_by(self.answered_by(self.lag_margin_ms())).collect();
         for group in due.groups() {
             if let Some(time) = self.hopeless_before(group) {
                 overdue.extend(due.with_objective_before(group, time));
@@ -64,7 +65,7 @@
             }
             Phase::Running if self.settings.preemption == Preemption::Off => None,
             Phase::Running | Phase::AwaitingCall => {
-                (worthless_late && is_idempotent(class)).then_some(self.answered_by())
+                (worthless_late && is_idempotent(class)).then_some(self.answered_by(self.margin_ms()))
             }
         }
     }
@@ -75,12 +76,20 @@
         self.requests.ready().arrived_after(time).filter(is_unanswered)
     }
 
-    /// Returns the time up to which a deadline is due now: the margin covers the lateness of the timer and
-    /// of the response.
-    fn answered_by(&self) -> f64 {
-        let margin_ms = (MARGIN_LAGS * self.timer_lag_ms).max(MARGIN_TICKS * self.settings.tick_ms);
+    /// Returns the time up to which what is due is answered now, with a margin beside the timer's period.
+    fn answered_by(&self, margin_ms: f64) -> f64 {
         self.now + (TIMER_PERIOD_MS + margin_ms)
     }
+
+    /// Returns the margin for the lateness of a timer on a machine that has time, ms.
+    fn margin_ms(&self) -> f64 {
+        MARGIN_TICKS * self.settings.tick_ms
+    }
+
+    /// Returns the margin that covers the lag of the timer and of the response as well, ms.
+    fn lag_margin_ms(&self) -> f64 {
+        self.margin_ms().max(MARGIN_LAGS * self.timer_lag_ms)
+    }
 }
 
 /// Returns whether a run of the class may be stopped.
--- a/src/server/dispatcher/runs.rs
+++ b/src/server/dispatcher/runs.rs
@@ -125,6 +125,10 @@
     fn answer_run(&mut self, id: RequestId, result: Option<Rc<[u8]>>, took_ms: f64) {
         let Some(request) = self.requests.get_mut(id) else { return };
         let reply = request.reply.take();
+        if reply.as_ref().is_some_and(|reply| reply.mailbox.is_closed()) {
+            // Its connection ended: the client sends it again, and has to be told that it ran.
+            self.withdrawn_runs.add(request.attempt);
+        }
         self.cancel_upstream_call(id);
         let response = result.map_or(Response::Failed, Response::Completed);
         match reply {
--- a/src/server/worker_pool/writer.rs
+++ b/src/server/worker_pool/writer.rs
@@ -70,7 +70,7 @@
                 return LinkEnd::Failed(LinkError::Write(error));
             }
             buffer.clear();
-            self.report_delay().await;
+            self.report_delay();
             match self.next_event(messages).await {
                 WriterEvent::Message(message) => self.encode_batch(message, messages, &mut buffer),
                 WriterEvent::Reconnected(Ok(stream)) => {
@@ -93,17 +93,20 @@
     }
 
     /// Tells the dispatcher if the commands that were just written had waited for long.
-    async fn report_delay(&mut self) {
-        let Some(given_at) = self.oldest_given_at.take() else { return };
+    fn report_delay(&mut self) {
+        let Some(given_at) = self.oldest_given_at else { return };
         let now = self.wheel.clock().now();
         // Where batches waited one behind the other, their waits overlap.
         let waited_ms = now - given_at.max(self.last_written_at);
-        self.last_written_at = now;
         if waited_ms >= MIN_REPORTED_WAIT_MS {
-            let event = PoolEvent::CommandsDelayed { waited_ms };
-            // The mailbox closes only at the end of the process.
-            let _ = self.dispatcher.send(DispatcherMessage::Pool(event)).await;
+            let event = DispatcherMessage::Pool(PoolEvent::CommandsDelayed { waited_ms });
+            if self.dispatcher.try_send(event).is_err() {
+                // No command waits for room in the dispatcher's mailbox: the next report covers this wait as well.
+                return;
+            }
         }
+        self.oldest_given_at = None;
+        self.last_written_at = now;
     }
 
     fn reconnect_after(&mut self, delay_ms: f64) {
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -53,6 +53,21 @@
     assert_eq!(answers(&driver.run_until(2990.0), id), 1);
 }
 
+/// A server that starts beside a worker pool that has been up for long is not late by that.
+#[test]
+fn a_start_beside_an_older_worker_pool_is_no_lag() {
+    const POOL_UP_MS: f64 = 5000.0;
+    let mut driver = Driver::new(settings());
+    driver.now = POOL_UP_MS;
+    driver.tick(1.0, 2.0);
+    let due_at = driver.now + 400.0;
+    let arrival = Arrival { deadline: Some(due_at), ..driver.arrival(1) };
+    let id = arrival.id;
+    driver.send(Event::Arrival(arrival));
+    assert_eq!(answers(&driver.run_until(due_at - 150.0), id), 0);
+    assert_eq!(answers(&driver.run_until(due_at), id), 1);
+}
+
 #[test]
 fn age_counts_where_no_deadline_is_passed() {
     let mut driver = Driver::new(settings());
