--- a/tests/upgrade_support/attempts.rs
+++ b/tests/upgrade_support/attempts.rs
@@ -3,6 +3,7 @@
 use crate::upgrade_support::connection::{Connection, Outgoing};
 use crate::upgrade_support::load::{PlannedAttempt, PlannedRequest, Way};
 use crate::upgrade_support::messages::{RequestFields, Response, encode_request, encode_withdrawal};
+use crate::upgrade_support::open_connections::OpenConnections;
 use crate::upgrade_support::records::{AttemptRecord, ClientEnd, Outcome, Records};
 use crate::upgrade_support::settings::CLIENT_TIMEOUT_MS;
 use async_executor::LocalExecutor;
@@ -20,8 +21,6 @@
 const CLOSE_CROSSING_MS: u64 = 50;
 /// Requests that are sent on a shared connection before it is replaced.
 const MAX_REQUESTS_PER_CONNECTION: u64 = 40;
-/// Connections that clients may have open: half of the server's descriptor limit.
-const MAX_CONNECTIONS: usize = 512;
 /// What the machine's workers put before a body to make its result.
 const RESULT_PREFIX: &[u8] = b"done:";
 
@@ -46,7 +45,7 @@
     shared_connections: usize,
     shared: RefCell<Vec<SharedConnection>>,
     sent: Cell<u64>,
-    open_connections: Rc<Cell<usize>>,
+    open_connections: OpenConnections,
     executor: Rc<LocalExecutor<'static>>,
     records: Arc<Mutex<Records>>,
     request_ends: RequestEnds,
@@ -61,7 +60,8 @@
         records: Arc<Mutex<Records>>,
         request_ends: RequestEnds,
     ) -> AttemptSender {
-        let (shared, sent, open_connections) = (RefCell::default(), Cell::new(0), Rc::default());
+        let (shared, sent) = (RefCell::default(), Cell::new(0));
+        let open_connections = OpenConnections::of(address);
         AttemptSender {
             address,
             shared_connections,
@@ -74,15 +74,14 @@
         }
     }
 
-    /// Opens a connection and serves it in the background.
+    /// Opens a connection and serves it in the background; `None` if the server does not let it in, or there are too many.
     pub async fn connect(&self) -> Option<Rc<Connection>> {
+        let counted = self.open_connections.begin()?;
         let connection = Connection::open(self.address).await.ok()?;
         let (served, records) = (connection.clone(), self.records.clone());
-        let open_connections = self.open_connections.clone();
-        open_connections.set(open_connections.get() + 1);
         let serving = async move {
             served.serve().await;
-            open_connections.set(open_connections.get() - 1);
+            drop(counted);
             let mut records = records.lock().unwrap_or_else(PoisonError::into_inner);
             records.duplicate_responses += served.duplicate_responses();
         };
@@ -132,7 +131,7 @@
     async fn choose_connection(&self, way: &Way) -> Option<Rc<Connection>> {
         match way {
             // Without room for another, requests share what is there.
-            _ if self.open_connections.get() >= MAX_CONNECTIONS => self.choose_shared().await,
+            _ if self.open_connections.is_full() => self.choose_shared().await,
             Way::Shared => self.choose_shared().await,
             Way::Fresh | Way::Pieces { .. } => self.connect().await,
             Way::AfterIdle(time) => {
@@ -148,7 +147,7 @@
         self.drop_unusable();
         self.sent.set(self.sent.get() + 1);
         let has_all = self.shared.borrow().len() >= self.shared_connections;
-        if !has_all {
+        if !has_all && !self.open_connections.is_full() {
             let connection = self.connect().await?;
             // Spread, so that the connections are not replaced all at once.
             let requests_left = 1 + self.sent.get() * 7 % MAX_REQUESTS_PER_CONNECTION;
@@ -157,7 +156,7 @@
             return Some(connection);
         }
         let mut shared = self.shared.borrow_mut();
-        let index = self.sent.get() as usize % shared.len();
+        let index = (self.sent.get() as usize).checked_rem(shared.len())?;
         shared[index].requests_left -= 1;
         Some(shared[index].connection.clone())
     }
@@ -202,7 +201,7 @@
     connection.send(Outgoing { pieces, pause, written_ms: written_ms.clone() });
     let response = async { responded.recv().await.map_or(WaitEnd::Ended, WaitEnd::Responded) };
     let timeout = async {
-        Timer::after(Duration::from_secs_f64(CLIENT_TIMEOUT_MS / 1000.0)).await;
+        wait_from_writing(written_ms, CLIENT_TIMEOUT_MS as u64).await;
         WaitEnd::TimedOut
     };
     let withdrawal = async {
@@ -218,6 +217,18 @@
     (outcome_of(connection, id, request, end, written_ms.get()), error)
 }
 
+/// Waits for so long from when the request was written, which a client under load does late.
+async fn wait_from_writing(written_ms: &Cell<Option<u64>>, timeout_ms: u64) {
+    let began_ms = unix_ms();
+    loop {
+        let waited_ms = unix_ms().saturating_sub(written_ms.get().unwrap_or(began_ms));
+        if waited_ms >= timeout_ms {
+            return;
+        }
+        Timer::after(Duration::from_millis(timeout_ms - waited_ms)).await;
+    }
+}
+
 /// Returns the client's end of the connection of an attempt, for one without a response.
 fn client_end(connection: &Connection, outcome: Outcome) -> Option<ClientEnd> {
     matches!(outcome, Outcome::Unanswered | Outcome::Lost).then(|| connection.client_end())
--- a/tests/upgrade_support/mod.rs
+++ b/tests/upgrade_support/mod.rs
@@ -13,6 +13,7 @@
 pub mod kept_log;
 pub mod load;
 pub mod messages;
+pub mod open_connections;
 pub mod operators;
 pub mod process;
 pub mod records;
--- /dev/null
+++ b/tests/upgrade_support/open_connections.rs
@@ -0,0 +1,43 @@
+//! How many connections the clients of a server have, all of them together.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex, OnceLock, PoisonError};
+
+/// Connections that the clients of a server may have open or be opening: half of its descriptor limit.
+const MAX_CONNECTIONS: usize = 512;
+
+/// The number of connections that the clients of one server have open or are opening.
+#[derive(Clone, Default)]
+pub struct OpenConnections(Arc<AtomicUsize>);
+
+impl OpenConnections {
+    /// Returns those of the server at an address.
+    pub fn of(server: SocketAddr) -> OpenConnections {
+        static SERVERS: OnceLock<Mutex<HashMap<SocketAddr, OpenConnections>>> = OnceLock::new();
+        let mut servers = SERVERS.get_or_init(Mutex::default).lock().unwrap_or_else(PoisonError::into_inner);
+        servers.entry(server).or_default().clone()
+    }
+
+    /// Returns whether there may be no more.
+    pub fn is_full(&self) -> bool {
+        self.0.load(Ordering::Relaxed) >= MAX_CONNECTIONS
+    }
+
+    /// Counts a further connection until what is returned is dropped; `None` if there may be no more.
+    pub fn begin(&self) -> Option<OpenConnection> {
+        let add = |open: usize| (open < MAX_CONNECTIONS).then_some(open + 1);
+        self.0.fetch_update(Ordering::Relaxed, Ordering::Relaxed, add).ok()?;
+        Some(OpenConnection(self.0.clone()))
+    }
+}
+
+/// A connection that is counted.
+pub struct OpenConnection(Arc<AtomicUsize>);
+
+impl Drop for OpenConnection {
+    fn drop(&mut self) {
+        self.0.fetch_sub(1, Ordering::Relaxed);
+    }
+}
