--- a/src/server/frontend/client_log.rs
+++ b/src/server/frontend/client_log.rs
@@ -3,7 +3,7 @@
 use super::connection::Connection;
 use super::connection_state::{FinishReason, MIN_LINGER_MS};
 use super::error::ConnectionError;
-use super::late_requests::{Age, RequestEnd};
+use super::late_requests::{Age, RequestEnd, is_late};
 use crate::server::messages::RequestProgress;
 use crate::server::repeated_lines::{LineKind, Repeated, RepeatedLines};
 use crate::server::supervisor::Panic;
@@ -95,8 +95,8 @@
         }
     }
 
-    /// A request ended late.
-    pub(super) fn late_request(
+    /// A request ended, perhaps late.
+    pub(super) fn request_ended(
         &self,
         now: f64,
         connection: &Connection,
@@ -104,7 +104,7 @@
         end: RequestEnd,
     ) {
         let line = ClientLine::LateRequest(end);
-        if !self.admits(now, line) {
+        if !is_late(progress, now) || !self.admits(now, line) {
             return;
         }
         let request = &progress.request;
--- a/src/server/frontend/connection_task.rs
+++ b/src/server/frontend/connection_task.rs
@@ -89,7 +89,7 @@
 /// Tells the dispatcher that the client waits for none of its requests any more.
 async fn cancel_open_requests(connection: &Connection, context: &FrontendContext, now: f64) {
     for request in connection.cancel_all_requests() {
-        context.log_if_late(connection, &request.progress, now, RequestEnd::ConnectionEnded);
+        context.client_log.request_ended(now, connection, &request.progress, RequestEnd::ConnectionEnded);
         // The dispatcher's queue closes only at the end of the process.
         let _ = context.dispatcher.send(DispatcherMessage::ClientGone(request.id)).await;
     }
--- a/src/server/frontend/late_requests.rs
+++ b/src/server/frontend/late_requests.rs
@@ -1,7 +1,5 @@
-//! Log lines of requests that end late: how old they were at each stage, so that it is seen which one was late.
+//! Requests that end late: when they do, and how old they were at each stage, so that it is seen which one was late.
 
-use super::connection::Connection;
-use super::context::FrontendContext;
 use crate::server::messages::RequestProgress;
 use std::fmt;
 
@@ -48,20 +46,8 @@
     }
 }
 
-impl FrontendContext {
-    /// Logs a request that ends at `now`, if that is past its due time or its response waited long for its writing.
-    pub(super) fn log_if_late(
-        &self,
-        connection: &Connection,
-        progress: &RequestProgress,
-        now: f64,
-        end: RequestEnd,
-    ) {
-        let request = &progress.request;
-        let waits_since = progress.answered_at().unwrap_or(now);
-        let is_late = now > request.due_at || now - waits_since > LATE_WRITE_MS;
-        if is_late {
-            self.client_log.late_request(now, connection, progress, end);
-        }
-    }
+/// Returns whether a request that ends at `now` is late: past its due time, or its response waited long for its writing.
+pub(super) fn is_late(progress: &RequestProgress, now: f64) -> bool {
+    let waits_since = progress.answered_at().unwrap_or(now);
+    now > progress.request.due_at || now - waits_since > LATE_WRITE_MS
 }
--- a/src/server/frontend/reader.rs
+++ b/src/server/frontend/reader.rs
@@ -187,7 +187,7 @@
         for message_id in message_ids {
             if let Some(request) = self.connection.cancel_request(message_id) {
                 let (progress, end) = (&request.progress, RequestEnd::Withdrawn);
-                self.context.log_if_late(self.connection, progress, self.read_at, end);
+                self.context.client_log.request_ended(self.read_at, self.connection, progress, end);
                 let _ = self.context.dispatcher.send(DispatcherMessage::ClientGone(request.id)).await;
             }
         }
--- a/src/server/frontend/writer.rs
+++ b/src/server/frontend/writer.rs
@@ -80,7 +80,7 @@
     };
     match connection.settle(*tag, response) {
         Settlement::Request(request) => {
-            context.log_if_late(connection, &request.progress, now, RequestEnd::Written);
+            context.client_log.request_ended(now, connection, &request.progress, RequestEnd::Written);
         }
         Settlement::Other => {}
         Settlement::NotOwed => return,
