Log when a late request was held and forwarded in an upgrade

The line `request answered late` told when a request was read, decided, answered and written, but not that a transfer to a successor held it, or that it was forwarded: a wait in an upgrade could not be told from one in the queue of the dispatcher.

--- a/src/server/dispatcher/handing_over.rs
+++ b/src/server/dispatcher/handing_over.rs
@@ -114,7 +114,7 @@
             let Some(mut request) = self.requests.remove(id) else { continue };
             self.keys.finish_attempt(id, &request);
             if let Some(reply) = request.reply.take() {
-                self.handing_over.held.push(request.into_incoming(id, reply));
+                self.hold(request.into_incoming(id, reply));
             }
             self.events.push_back(Event::ClientGone(id));
         }
@@ -196,17 +196,28 @@
             return Some(incoming);
         }
         if self.handing_over.is_transferring() {
-            self.handing_over.held.push(incoming);
+            self.hold(incoming);
         } else {
             self.forward(incoming);
         }
         None
     }
 
+    /// Holds a request until the transfer ends.
+    fn hold(&mut self, incoming: IncomingRequest) {
+        if let Some(progress) = &incoming.reply.progress {
+            progress.set_held(self.clock.now());
+        }
+        self.handing_over.held.push(incoming);
+    }
+
     /// Passes a request on to the successor, which counts it from now on.
     fn forward(&mut self, incoming: IncomingRequest) {
         self.status.telemetry().record_client_gone();
         let (request, mut reply) = forwarded_request(incoming);
+        if let Some(progress) = &reply.progress {
+            progress.set_forwarded(self.clock.now());
+        }
         reply.class = None;
         self.handing_over.forwarded.insert(request.request, reply);
         self.handing_over.send(ToSuccessor::Request(request));
--- a/src/server/frontend/client_log.rs
+++ b/src/server/frontend/client_log.rs
@@ -112,7 +112,8 @@
         warn!(self.log, "{}", line.message(); "component" => "frontend",
             "client" => connection.client_address(), "end" => %end,
             "due_ms" => %age(Some(request.due_at)), "ended_ms" => %age(Some(now)),
-            "answered_ms" => %age(progress.answered_at()), "decided_ms" => %age(progress.decided_at()),
+            "answered_ms" => %age(progress.answered_at()), "forwarded_ms" => %age(progress.forwarded_at()),
+            "held_ms" => %age(progress.held_at()), "decided_ms" => %age(progress.decided_at()),
             "read_ms" => %age(Some(request.read_at)), "accepted_ms" => %age(Some(request.accepted_at)),
             "attempt" => format!("{:016x}", request.attempt));
     }
--- a/src/server/messages/request_progress.rs
+++ b/src/server/messages/request_progress.rs
@@ -1,4 +1,4 @@
-//! How far a request has come: when it was read, decided and answered.
+//! How far a request has come: when it was read, decided, held or forwarded in an upgrade, and answered.
 
 use std::cell::Cell;
 
@@ -23,13 +23,21 @@
     /// What was known when it was read.
     pub request: ReadRequest,
     decided_at: Cell<Option<f64>>,
+    held_at: Cell<Option<f64>>,
+    forwarded_at: Cell<Option<f64>>,
     answered_at: Cell<Option<f64>>,
 }
 
 impl RequestProgress {
     /// Returns the progress of a request that was read.
     pub fn new(request: ReadRequest) -> RequestProgress {
-        RequestProgress { request, decided_at: Cell::new(None), answered_at: Cell::new(None) }
+        RequestProgress {
+            request,
+            decided_at: Cell::new(None),
+            held_at: Cell::new(None),
+            forwarded_at: Cell::new(None),
+            answered_at: Cell::new(None),
+        }
     }
 
     /// Records that the dispatcher decided whether to admit it.
@@ -37,6 +45,16 @@
         self.decided_at.set(Some(now));
     }
 
+    /// Records that it is held until a transfer to a successor ends.
+    pub fn set_held(&self, now: f64) {
+        self.held_at.set(Some(now));
+    }
+
+    /// Records that it was forwarded to the successor.
+    pub fn set_forwarded(&self, now: f64) {
+        self.forwarded_at.set(Some(now));
+    }
+
     /// Records that its final response was given to its connection.
     pub fn set_answered(&self, now: f64) {
         self.answered_at.set(Some(now));
@@ -47,6 +65,16 @@
         self.decided_at.get()
     }
 
+    /// Returns since when it was held during a transfer to a successor; `None` if it was not.
+    pub fn held_at(&self) -> Option<f64> {
+        self.held_at.get()
+    }
+
+    /// Returns when it was forwarded to the successor; `None` if it was not.
+    pub fn forwarded_at(&self) -> Option<f64> {
+        self.forwarded_at.get()
+    }
+
     /// Returns when its final response was given to its connection; `None` if it was not.
     pub fn answered_at(&self) -> Option<f64> {
         self.answered_at.get()
