Answer requests that fall due while a transfer to a successor holds them

Cause: while the keys are on their way to a successor, queued requests and arrivals are taken out of the admission controller and held. Its look at deadlines does not see them there, and nobody else looked. A transfer is limited to a second, which under load is counted late: 2.2 s were seen (transfer begins at 41.220 s, committed at 43.411 s, 534 requests held).

Why this works: held requests lie in the order of their due times (WaitingRequests), looked at after each message, the controller's timer among them, with the same lead as the controller's own. They are rejected, or fail where their key may have run: until the commit this process owns the keys.

--- a/src/admission/controller.rs
+++ b/src/admission/controller.rs
@@ -3,6 +3,7 @@
 use super::action::Action;
 use super::backpressure::{Backpressure, Rejection, slow_start_share};
 use super::concurrency_limit::{Capacity, ConcurrencyLimit, SaturatedClasses};
+use super::deadlines::answer_lead_ms;
 use super::event::{Event, RequestId};
 use super::external_load::ExternalLoad;
 use super::fault_detection::{FaultDetector, FaultReading, RunActivity};
@@ -113,6 +114,11 @@
         self.threshold.value()
     }
 
+    /// Returns how long before its deadline a request is answered, ms: time for a late timer and a late response.
+    pub fn answer_lead_ms(&self) -> f64 {
+        answer_lead_ms(&self.settings, self.timer_lag.ms())
+    }
+
     /// Returns what the health that [`Action::SetHealth`] states follows from, beside a shutdown.
     pub fn fault_reading(&self) -> FaultReading {
         self.faults.reading()
--- a/src/admission/deadlines.rs
+++ b/src/admission/deadlines.rs
@@ -39,7 +39,7 @@
     pub(super) fn overdue(&self) -> Vec<RequestId> {
         let due = self.requests.due();
         let mut overdue: Vec<RequestId> =
-            due.with_deadline_by(self.answered_by(self.lag_margin_ms())).collect();
+            due.with_deadline_by(self.now + answer_lead_ms(self.settings, self.timer_lag_ms)).collect();
         for group in due.groups() {
             if let Some(time) = self.hopeless_before(group) {
                 overdue.extend(due.with_objective_before(group, time));
@@ -65,7 +65,8 @@
             }
             Phase::Running if self.settings.preemption == Preemption::Off => None,
             Phase::Running | Phase::AwaitingCall => {
-                (worthless_late && is_idempotent(class)).then_some(self.answered_by(self.margin_ms()))
+                let answered_by = self.now + (TIMER_PERIOD_MS + margin_ms(self.settings));
+                (worthless_late && is_idempotent(class)).then_some(answered_by)
             }
         }
     }
@@ -75,21 +76,17 @@
         let is_unanswered = |id: &RequestId| self.requests.get(*id).is_some_and(|request| !request.answered);
         self.requests.ready().arrived_after(time).filter(is_unanswered)
     }
+}
 
-    /// Returns the time up to which what is due is answered now, with a margin beside the timer's period.
-    fn answered_by(&self, margin_ms: f64) -> f64 {
-        self.now + (TIMER_PERIOD_MS + margin_ms)
-    }
-
-    /// Returns the margin for the lateness of a timer on a machine that has time, ms.
-    fn margin_ms(&self) -> f64 {
-        MARGIN_TICKS * self.settings.tick_ms
-    }
+/// Returns how long before its deadline a request is answered, ms: a period of the timer, and a margin for the lag of the
+/// timer and of the response.
+pub(super) fn answer_lead_ms(settings: &Settings, timer_lag_ms: f64) -> f64 {
+    TIMER_PERIOD_MS + margin_ms(settings).max(MARGIN_LAGS * timer_lag_ms)
+}
 
-    /// Returns the margin that covers the lag of the timer and of the response as well, ms.
-    fn lag_margin_ms(&self) -> f64 {
-        self.margin_ms().max(MARGIN_LAGS * self.timer_lag_ms)
-    }
+/// Returns the margin for the lateness of a timer on a machine that has time, ms.
+fn margin_ms(settings: &Settings) -> f64 {
+    MARGIN_TICKS * settings.tick_ms
 }
 
 /// Returns whether a run of the class may be stopped.
--- a/src/server/dispatcher/arrivals.rs
+++ b/src/server/dispatcher/arrivals.rs
@@ -62,15 +62,24 @@
         if can_bill && self.has_room() && key.is_none_or(|key| self.keys.has_room(key)) {
             return None;
         }
-        // A rejection would promise that neither this attempt nor another of its key ran.
-        let ran_before = self.withdrawn_runs.contains(incoming.attempt);
-        if ran_before || key.is_some_and(|key| self.keys.is_in_use(key, incoming.received_at)) {
-            return Some(Response::Failed);
-        }
         let sends_retry_after = !can_bill && self.settings.retry_after;
         let retry_after_ms = if sends_retry_after { UNBILLED_RETRY_AFTER_MS } else { 0.0 };
         let retry_after_ms = retry_after_ms.min(self.settings.max_retry_after_ms);
-        Some(Response::Rejected { retry_after_ms, do_not_retry: false })
+        let rejection = Response::Rejected { retry_after_ms, do_not_retry: false };
+        Some(self.rejection_unless_run(incoming, key, rejection))
+    }
+
+    /// Returns the rejection of a request outside the table, or a failure if this attempt or another of its key may have
+    /// run: a rejection promises that neither did.
+    pub(super) fn rejection_unless_run(
+        &self,
+        incoming: &IncomingRequest,
+        key: Option<&RequestKey>,
+        rejection: Response,
+    ) -> Response {
+        let ran_before = self.withdrawn_runs.contains(incoming.attempt);
+        let may_have_run = key.is_some_and(|key| self.keys.is_in_use(key, incoming.received_at));
+        if ran_before || may_have_run { Response::Failed } else { rejection }
     }
 
     /// Registers the attempt with its key; a request without a key is new.
--- a/src/server/dispatcher/event_loop.rs
+++ b/src/server/dispatcher/event_loop.rs
@@ -27,6 +27,7 @@
         while let Some(message) = inbox.next().await {
             fault_injection::pass_slow(SlowPoint::DispatcherMessage);
             self.handle_message(message);
+            self.answer_due_in_handover();
             self.flush_usage();
             self.tell_predecessor_health();
             self.notify_if_idle();
--- a/src/server/dispatcher/handing_over.rs
+++ b/src/server/dispatcher/handing_over.rs
@@ -104,6 +104,8 @@
     /// Takes all requests that have not run out of the controller's queue and holds them.
     fn hold_queued_requests(&mut self) {
         info!(self.log, "handover: transfer begins"; "keys" => self.keys.len());
+        // Its timer has the requests that are held looked at.
+        self.start_controller(None);
         self.dispatch_event(Event::SuspendStarts(true));
         let has_not_run = |request: &Request| {
             matches!(request.state, ExecutionState::Queued)
@@ -137,12 +139,13 @@
 
     /// The successor decides from now on.
     fn hand_over(&mut self) {
-        let held = std::mem::take(&mut self.handing_over.held);
+        let held_count = self.handing_over.held.len();
+        let held = self.handing_over.held.take_all();
         // What this process says itself, until the successor has told its own.
         let healthy = self.health.is_healthy();
         let advertised_share = self.advertised_share;
         self.handing_over.successor_health = SuccessorHealth { healthy, advertised_share };
-        info!(self.log, "handover: committed"; "held_requests" => held.len(),
+        info!(self.log, "handover: committed"; "held_requests" => held_count,
             "running_requests" => self.requests.len());
         self.status.set_handed_over(true);
         self.update_readiness();
@@ -156,8 +159,8 @@
 
     /// The transfer failed: what was held is decided here.
     fn resume(&mut self) {
-        let held = std::mem::take(&mut self.handing_over.held);
-        warn!(self.log, "handover: given up, serving on"; "held_requests" => held.len());
+        warn!(self.log, "handover: given up, serving on"; "held_requests" => self.handing_over.held.len());
+        let held = self.handing_over.held.take_all();
         self.dispatch_event(Event::SuspendStarts(false));
         for incoming in held {
             self.decide_arrival(incoming);
@@ -208,7 +211,8 @@
         if let Some(progress) = &incoming.reply.progress {
             progress.set_held(self.clock.now());
         }
-        self.handing_over.held.push(incoming);
+        let due_at = self.due_at(&incoming);
+        self.handing_over.held.insert(incoming.id, due_at, incoming);
     }
 
     /// Passes a request on to the successor, which counts it from now on.
@@ -229,9 +233,7 @@
             self.handing_over.send(ToSuccessor::Cancel { request: id });
             return true;
         }
-        let held = self.handing_over.held.len();
-        self.handing_over.held.retain(|incoming| incoming.id != id);
-        let was_held = self.handing_over.held.len() < held;
+        let was_held = self.handing_over.held.remove(id).is_some();
         if was_held {
             self.status.telemetry().record_client_gone();
         }
--- a/src/server/dispatcher/handover_state.rs
+++ b/src/server/dispatcher/handover_state.rs
@@ -1,5 +1,6 @@
 //! What the dispatcher keeps of a handover: to the process after this one, and from the one before.
 
+use super::waiting_requests::WaitingRequests;
 use crate::admission::RequestId;
 use crate::config::Config;
 use crate::server::messages::{ConnectionMessage, IncomingRequest, ReplyHandle, SuccessorFrame};
@@ -26,7 +27,7 @@
     /// Frames for the successor, while a link is up.
     pub(super) successor: Option<Sender<SuccessorFrame>>,
     /// Requests that wait for the end of the transfer.
-    pub(super) held: Vec<IncomingRequest>,
+    pub(super) held: WaitingRequests<IncomingRequest>,
     /// Where the responses to forwarded requests go.
     pub(super) forwarded: HashMap<RequestId, ReplyHandle>,
     pub(super) successor_health: SuccessorHealth,
@@ -41,7 +42,7 @@
             machine: Predecessor::new(ServerIdentity::default()),
             listening_socket: None,
             successor: None,
-            held: Vec::new(),
+            held: WaitingRequests::default(),
             forwarded: HashMap::new(),
             successor_health: SuccessorHealth { healthy: true, advertised_share: None },
             time_limit: 0,
--- a/src/server/dispatcher/mod.rs
+++ b/src/server/dispatcher/mod.rs
@@ -18,6 +18,7 @@
 mod event_loop;
 mod gauge_poll;
 mod handing_over;
+mod handover_deadlines;
 mod handover_records;
 mod handover_state;
 mod idempotency_keys;
@@ -33,6 +34,7 @@
 mod taking_over;
 mod timers;
 mod upstream_calls;
+mod waiting_requests;
 
 pub use body_hasher::{BODY_HASH_KEY_BYTES, BodyHasher};
 pub use handover_state::server_identity;
--- /dev/null
+++ b/tests/handover_support/mod.rs
@@ -0,0 +1,51 @@
+//! A successor that does of the handover only what a test asks of it.
+
+use dunlinspread::server::handover::{HandoverDirectory, HandoverStream, connect};
+use dunlinspread_handover::{PROTOCOL_VERSION, ServerIdentity, ToPredecessor, ToSuccessor};
+use futures_lite::future::block_on;
+use std::path::Path;
+
+/// The name of the server that the tests start, and its classes.
+const NAME: &str = "n3";
+const CLASSES: [&str; 2] = ["route-sheet", "pour-entry"];
+/// The digest of no tenants.
+const NO_TENANTS: &str = "e3b0c44298fc1c149afbf4c8996fb92427ae41e4649b934ca495991b7852b855";
+
+/// The successor's end of the link.
+pub struct FakeSuccessor {
+    stream: HandoverStream,
+}
+
+impl FakeSuccessor {
+    /// Connects to the server that has this temporary directory, and has the transfer begin: from its return on the server
+    /// holds what arrives.
+    pub fn begin_transfer(temporary: &Path) -> FakeSuccessor {
+        let directory = HandoverDirectory::open(temporary, NAME).expect("a private directory");
+        let stream = connect(&directory).expect("a socket").expect("a predecessor that listens");
+        let successor = FakeSuccessor { stream };
+        let identity = ServerIdentity {
+            name: NAME.to_owned(),
+            classes: CLASSES.map(str::to_owned).to_vec(),
+            tenants: vec![NO_TENANTS.to_owned()],
+        };
+        successor.send(&ToPredecessor::Hello { version: PROTOCOL_VERSION, identity });
+        let welcome = successor.receive();
+        assert!(matches!(welcome, ToSuccessor::Welcome { .. }), "not welcomed: {welcome:?}");
+        successor.send(&ToPredecessor::RequestTransfer);
+        loop {
+            if let ToSuccessor::SnapshotEnd { .. } = successor.receive() {
+                return successor;
+            }
+        }
+    }
+
+    /// Sends a frame.
+    fn send(&self, frame: &ToPredecessor) {
+        block_on(self.stream.send(&frame.encode(), None)).expect("the link is open");
+    }
+
+    fn receive(&self) -> ToSuccessor {
+        let frame = block_on(self.stream.receive()).expect("the link is open").expect("a frame");
+        ToSuccessor::decode(&frame.bytes).expect("a frame of the protocol")
+    }
+}
