Answer forwarded requests by their due time, whatever the successor does

Cause: after the commit the predecessor passes on whatever the successor answers, and looks at no deadline itself. The successor answers by the due time of the client; the way back through the link and the predecessor's dispatcher comes on top. A successor that does not answer left its predecessor's clients without any response.

Evidence: tests/handover_deadlines.rs, without load: a successor that is silent after the commit, no answer within 60 s for a client that waits 500 ms; a successor is told 5,000 of 5,000 ms. Both tests failed before.

Why this works: the successor is told a due time that is earlier by the lead with which this process answers, so that it decides where it can; what it has not answered by then fails here, as it may have run, and is withdrawn there. Later responses to it are passed on to nobody.

--- a/src/server/dispatcher/handing_over.rs
+++ b/src/server/dispatcher/handing_over.rs
@@ -217,19 +217,24 @@
 
     /// Passes a request on to the successor, which counts it from now on.
     fn forward(&mut self, incoming: IncomingRequest) {
+        let due_at = self.due_at(&incoming);
+        let answer_by = due_at - self.answer_lead_ms();
+        if answer_by <= self.clock.now() {
+            return self.answer_unforwarded(incoming);
+        }
         self.status.telemetry().record_client_gone();
-        let (request, mut reply) = forwarded_request(incoming);
+        let (request, mut reply) = forwarded_request(incoming, answer_by);
         if let Some(progress) = &reply.progress {
             progress.set_forwarded(self.clock.now());
         }
         reply.class = None;
-        self.handing_over.forwarded.insert(request.request, reply);
+        self.handing_over.forwarded.insert(request.request, due_at, reply);
         self.handing_over.send(ToSuccessor::Request(request));
     }
 
     /// The client of a held or forwarded request is gone. Returns whether there was such a request.
     pub(super) fn cancel_held_or_forwarded(&mut self, id: RequestId) -> bool {
-        if self.handing_over.forwarded.remove(&id).is_some() {
+        if self.handing_over.forwarded.remove(id).is_some() {
             self.handing_over.send(ToSuccessor::Cancel { request: id });
             return true;
         }
@@ -243,7 +248,7 @@
     fn on_successor_frame(&mut self, frame: ToPredecessor) {
         match frame {
             ToPredecessor::Response(ForwardedResponse { request, outcome, advertised_share }) => {
-                if let Some(reply) = self.handing_over.forwarded.remove(&request) {
+                if let Some(reply) = self.handing_over.forwarded.remove(request) {
                     pass_on(self.clock.now(), reply, response(outcome), advertised_share);
                 }
             }
@@ -259,7 +264,7 @@
     fn fail_forwarded(&mut self) {
         let share = self.handing_over.successor_health.advertised_share;
         let now = self.clock.now();
-        for (_, reply) in self.handing_over.forwarded.drain() {
+        for reply in self.handing_over.forwarded.take_all() {
             pass_on(now, reply, Response::Failed, share);
         }
     }
@@ -295,8 +300,8 @@
     }
 }
 
-/// Passes a response of the successor on to the client.
-fn pass_on(now: f64, reply: ReplyHandle, response: Response, advertised_share: Option<f64>) {
+/// Passes a response to a forwarded request on to the client.
+pub(super) fn pass_on(now: f64, reply: ReplyHandle, response: Response, advertised_share: Option<f64>) {
     if let Some(progress) = &reply.progress {
         progress.set_answered(now);
     }
--- a/src/server/dispatcher/handover_records.rs
+++ b/src/server/dispatcher/handover_records.rs
@@ -9,8 +9,11 @@
 /// A key with its cached result.
 pub(super) type ExportedKey = KeyRecord<Rc<[u8]>>;
 
-/// Returns a request as it is forwarded, and where its response goes.
-pub(super) fn forwarded_request(incoming: IncomingRequest) -> (wire::ForwardedRequest, ReplyHandle) {
+/// Returns a request as it is forwarded, to be answered by `answer_by`, Unix ms, and where its response goes.
+pub(super) fn forwarded_request(
+    incoming: IncomingRequest,
+    answer_by: f64,
+) -> (wire::ForwardedRequest, ReplyHandle) {
     let request = wire::ForwardedRequest {
         request: incoming.id,
         attempt: incoming.attempt,
@@ -20,7 +23,7 @@
         request_kb: incoming.request_kb,
         priority: incoming.priority,
         key: incoming.key,
-        timeout_ms: incoming.timeout_ms,
+        timeout_ms: Some((answer_by - incoming.received_at).max(0.0)),
         tenant: u32::try_from(incoming.tenant).unwrap_or(u32::MAX),
         account: incoming.account.map(|account| account.to_string()),
         shareable: incoming.shareable,
--- a/src/server/dispatcher/handover_state.rs
+++ b/src/server/dispatcher/handover_state.rs
@@ -29,7 +29,7 @@
     /// Requests that wait for the end of the transfer.
     pub(super) held: WaitingRequests<IncomingRequest>,
     /// Where the responses to forwarded requests go.
-    pub(super) forwarded: HashMap<RequestId, ReplyHandle>,
+    pub(super) forwarded: WaitingRequests<ReplyHandle>,
     pub(super) successor_health: SuccessorHealth,
     /// The number of the time limit that is running.
     pub(super) time_limit: u64,
@@ -43,7 +43,7 @@
             listening_socket: None,
             successor: None,
             held: WaitingRequests::default(),
-            forwarded: HashMap::new(),
+            forwarded: WaitingRequests::default(),
             successor_health: SuccessorHealth { healthy: true, advertised_share: None },
             time_limit: 0,
         }
--- a/tests/handover_deadlines.rs
+++ b/tests/handover_deadlines.rs
@@ -1,4 +1,4 @@
-//! Requests that a server holds for its successor end by the time at which their clients stop
+//! Requests that a server holds for its successor, or has forwarded to it, end by the time at which their clients stop
 //! waiting, whatever the successor does. The successor is the test itself, so that each order is forced without load.
 //!
 //! `UPGRADE_SEED` sets the seed that a failure prints; nothing here is drawn.
@@ -12,7 +12,10 @@
 mod play;
 mod upgrade_support;
 
-use event_loop_support::held_site::{HeldSite, KEYED, TimedClient, UNKEYED, assert_answered_in};
+use dunlinspread_handover::{ForwardedOutcome, ForwardedResponse, ToPredecessor};
+use event_loop_support::held_site::{
+    CLIENT_TIMEOUT, HeldSite, KEYED, TimedClient, UNKEYED, assert_answered_in,
+};
 use handover_support::FakeSuccessor;
 use std::time::Duration;
 use tempfile::TempDir;
@@ -90,3 +93,45 @@
     let _silent = server.begin_transfer();
     assert_answered_in(seed, "queued before a transfer", 2, TIMEOUT_OF_QUEUED, &mut clients);
 }
+
+#[test]
+fn what_the_successor_does_not_answer_is_answered_in_time() {
+    let seed = seed();
+    let server = UpgradedSite::start();
+    let mut clients = server.site.answered_clients(1);
+    let mut silent = server.begin_transfer();
+    silent.take_over();
+    for (id, class) in [(2, UNKEYED), (3, KEYED)] {
+        clients[0].ask(id, class, TIMEOUT);
+        let forwarded = silent.forwarded();
+        let completed = assert_answered_in(seed, "forwarded, not answered", id, TIMEOUT, &mut clients);
+        assert_eq!(completed, 0, "seed {seed}");
+        silent.wait_cancelled(forwarded.request);
+        // It comes too late, and is passed on to nobody.
+        silent.send(&response(forwarded.request));
+        assert_answered_once(seed, &mut clients[0]);
+    }
+}
+
+/// The successor knows by when its response has to be here, so that it decides on the request and not its predecessor.
+#[test]
+fn the_successor_is_told_of_a_time_that_leaves_room_for_passing_its_response_on() {
+    let seed = seed();
+    let server = UpgradedSite::start();
+    let mut clients = server.site.answered_clients(1);
+    let mut successor = server.begin_transfer();
+    successor.take_over();
+    clients[0].ask(2, KEYED, CLIENT_TIMEOUT);
+    let forwarded = successor.forwarded();
+    let told = forwarded.timeout_ms.expect("a time");
+    let waits = CLIENT_TIMEOUT.as_secs_f64() * 1000.0;
+    assert!(told < waits && told > waits / 2.0, "seed {seed}: {told} ms of {waits}");
+    successor.send(&response(forwarded.request));
+    let completed = assert_answered_in(seed, "forwarded and answered", 2, CLIENT_TIMEOUT, &mut clients);
+    assert_eq!(completed, 1, "seed {seed}: its result was not passed on");
+}
+
+fn response(request: u64) -> ToPredecessor {
+    let outcome = ForwardedOutcome::Completed(b"done".to_vec());
+    ToPredecessor::Response(ForwardedResponse { request, outcome, advertised_share: None })
+}
--- a/tests/handover_support/mod.rs
+++ b/tests/handover_support/mod.rs
@@ -1,7 +1,7 @@
 //! A successor that does of the handover only what a test asks of it.
 
 use dunlinspread::server::handover::{HandoverDirectory, HandoverStream, connect};
-use dunlinspread_handover::{PROTOCOL_VERSION, ServerIdentity, ToPredecessor, ToSuccessor};
+use dunlinspread_handover::{ForwardedRequest, PROTOCOL_VERSION, ServerIdentity, ToPredecessor, ToSuccessor};
 use futures_lite::future::block_on;
 use std::path::Path;
 
@@ -14,6 +14,8 @@
 /// The successor's end of the link.
 pub struct FakeSuccessor {
     stream: HandoverStream,
+    /// Keys of the snapshot that was read.
+    keys: u64,
 }
 
 impl FakeSuccessor {
@@ -22,7 +24,7 @@
     pub fn begin_transfer(temporary: &Path) -> FakeSuccessor {
         let directory = HandoverDirectory::open(temporary, NAME).expect("a private directory");
         let stream = connect(&directory).expect("a socket").expect("a predecessor that listens");
-        let successor = FakeSuccessor { stream };
+        let mut successor = FakeSuccessor { stream, keys: 0 };
         let identity = ServerIdentity {
             name: NAME.to_owned(),
             classes: CLASSES.map(str::to_owned).to_vec(),
@@ -33,14 +35,35 @@
         assert!(matches!(welcome, ToSuccessor::Welcome { .. }), "not welcomed: {welcome:?}");
         successor.send(&ToPredecessor::RequestTransfer);
         loop {
-            if let ToSuccessor::SnapshotEnd { .. } = successor.receive() {
+            if let ToSuccessor::SnapshotEnd { keys } = successor.receive() {
+                successor.keys = keys;
                 return successor;
             }
         }
     }
 
+    /// Confirms the snapshot, and returns once the server has committed.
+    pub fn take_over(&mut self) {
+        self.send(&ToPredecessor::Loaded { keys: self.keys });
+        while self.receive() != ToSuccessor::Commit {}
+    }
+
+    /// Returns the next forwarded request.
+    pub fn forwarded(&mut self) -> ForwardedRequest {
+        loop {
+            if let ToSuccessor::Request(request) = self.receive() {
+                return request;
+            }
+        }
+    }
+
+    /// Waits until the server withdraws this request.
+    pub fn wait_cancelled(&mut self, request: u64) {
+        while self.receive() != (ToSuccessor::Cancel { request }) {}
+    }
+
     /// Sends a frame.
-    fn send(&self, frame: &ToPredecessor) {
+    pub fn send(&self, frame: &ToPredecessor) {
         block_on(self.stream.send(&frame.encode(), None)).expect("the link is open");
     }
 
