Let the steps of an upgrade pass the requests that wait for a decision

Cause: what the two processes tell each other waited in the dispatcher's mailbox behind up to 1,024 requests.

Why this works: the mailbox has a second queue for what controls the process: handover, shutdown, evacuation. A request waits for four such messages at most. Whoever counts on the requests before it (changed settings, the wait for the last request) stays behind them.

Tried and not kept: pool events, calls and timers in that queue as well.

--- a/src/daemon/config_follower.rs
+++ b/src/daemon/config_follower.rs
@@ -11,10 +11,10 @@
     AppliedCounts, ApplyError, Capacity, ChangeValidator, DistributedSettings, EffectiveSettings,
     PlatformSettings,
 };
-use crate::server::messages::DispatcherMessage;
+use crate::server::messages::DispatcherSender;
 use crate::server::name_table::NameTable;
 use crate::server::timer_wheel::{Clock, TimerWheel};
-use async_channel::{Receiver, Sender, TryRecvError};
+use async_channel::{Receiver, TryRecvError};
 use dunlinspread_config_sync::client::{Client, ClientSettings, Server, Update};
 use dunlinspread_config_sync::message::{Member, Role};
 use dunlinspread_config_sync::resource::Position;
@@ -41,7 +41,7 @@
     /// The platform's tenants by name.
     pub(super) tenants: Arc<NameTable>,
     /// The dispatcher's mailbox.
-    pub(super) dispatcher: Sender<DispatcherMessage>,
+    pub(super) dispatcher: DispatcherSender,
     /// The timers.
     pub(super) wheel: Rc<TimerWheel>,
     /// The clock.
@@ -55,7 +55,7 @@
     client: Client,
     updates: Receiver<Update>,
     settings: Rc<DistributedSettings>,
-    dispatcher: Sender<DispatcherMessage>,
+    dispatcher: DispatcherSender,
     wheel: Rc<TimerWheel>,
     clock: Clock,
     log: Logger,
--- a/src/daemon/handover/start.rs
+++ b/src/daemon/handover/start.rs
@@ -4,7 +4,7 @@
 use super::takeover::{Takeover, TakeoverContext, TakeoverTask};
 use crate::server::dispatcher::Dispatcher;
 use crate::server::handover::HandoverDirectory;
-use crate::server::messages::DispatcherMessage;
+use crate::server::messages::DispatcherSender;
 use crate::server::serving_status::ServingStatus;
 use crate::server::supervisor::{self, TaskFailure};
 use crate::server::timer_wheel::{Clock, TimerWheel};
@@ -22,7 +22,7 @@
     pub(in crate::daemon) executor: Rc<LocalExecutor<'static>>,
     pub(in crate::daemon) clock: Clock,
     pub(in crate::daemon) wheel: Rc<TimerWheel>,
-    pub(in crate::daemon) dispatcher: Sender<DispatcherMessage>,
+    pub(in crate::daemon) dispatcher: DispatcherSender,
     pub(in crate::daemon) failures: Sender<TaskFailure>,
     pub(in crate::daemon) status: Arc<ServingStatus>,
     pub(in crate::daemon) log: Logger,
--- a/src/daemon/handover/successors.rs
+++ b/src/daemon/handover/successors.rs
@@ -2,10 +2,10 @@
 
 use super::frames::send_to_successor;
 use crate::server::handover::{HandoverDirectory, HandoverListener, HandoverStream, LinkEvent, run_link};
-use crate::server::messages::{DispatcherMessage, SuccessorMessage};
+use crate::server::messages::{DispatcherMessage, DispatcherSender, SuccessorMessage};
 use crate::server::serving_status::ServingStatus;
 use crate::server::timer_wheel::TimerWheel;
-use async_channel::{Receiver, Sender};
+use async_channel::Receiver;
 use async_executor::LocalExecutor;
 use dunlinspread_handover::{DecodeError, PredecessorInput, RefuseReason, ToPredecessor, ToSuccessor};
 use futures_lite::future::or;
@@ -23,7 +23,7 @@
 /// The task that accepts successors.
 pub(in crate::daemon) struct SuccessorAcceptor {
     pub(in crate::daemon) directory: HandoverDirectory,
-    pub(in crate::daemon) dispatcher: Sender<DispatcherMessage>,
+    pub(in crate::daemon) dispatcher: DispatcherSender,
     pub(in crate::daemon) status: Arc<ServingStatus>,
     pub(in crate::daemon) executor: Rc<LocalExecutor<'static>>,
     pub(in crate::daemon) wheel: Rc<TimerWheel>,
--- a/src/daemon/handover/takeover.rs
+++ b/src/daemon/handover/takeover.rs
@@ -6,7 +6,7 @@
 use crate::server::handover::{
     HandoverDirectory, HandoverStream, LinkEvent, OutgoingFrame, ReceivedFrame, connect, run_link,
 };
-use crate::server::messages::{ConnectionMessage, DispatcherMessage, PredecessorMessage};
+use crate::server::messages::{ConnectionMessage, DispatcherMessage, DispatcherSender, PredecessorMessage};
 use crate::server::supervisor::TaskFailure;
 use crate::server::timer_wheel::{Clock, TimerWheel};
 use async_channel::{Receiver, Sender};
@@ -58,7 +58,7 @@
     /// Whether all pieces could be loaded.
     all_loaded: bool,
     given_up: Option<GiveUpReason>,
-    dispatcher: Sender<DispatcherMessage>,
+    dispatcher: DispatcherSender,
     executor: Rc<LocalExecutor<'static>>,
     clock: Clock,
     wheel: Rc<TimerWheel>,
@@ -79,7 +79,7 @@
 
 /// The parts of the process that a handover uses.
 pub(in crate::daemon) struct TakeoverContext {
-    pub(in crate::daemon) dispatcher: Sender<DispatcherMessage>,
+    pub(in crate::daemon) dispatcher: DispatcherSender,
     pub(in crate::daemon) executor: Rc<LocalExecutor<'static>>,
     pub(in crate::daemon) clock: Clock,
     pub(in crate::daemon) wheel: Rc<TimerWheel>,
--- a/src/daemon/ledger.rs
+++ b/src/daemon/ledger.rs
@@ -5,7 +5,7 @@
 use crate::config::Config;
 use crate::operator::LedgerConfig;
 use crate::server::fault_injection::{self, PanicPoint};
-use crate::server::messages::{DispatcherMessage, ExportWorkerMessage, UsageMessage};
+use crate::server::messages::{DispatcherMessage, DispatcherSender, ExportWorkerMessage, UsageMessage};
 use crate::server::supervisor::{Panic, TaskFailure};
 use crate::server::timer_wheel::Clock;
 use crate::server::usage::{
@@ -34,7 +34,7 @@
     /// The clock.
     pub clock: Clock,
     /// The dispatcher's mailbox.
-    pub dispatcher: Sender<DispatcherMessage>,
+    pub dispatcher: DispatcherSender,
     /// Where the failure of a thread is reported.
     pub failures: Sender<TaskFailure>,
     /// The log.
@@ -145,7 +145,7 @@
 }
 
 /// Passes the messages of the ledger's threads on to the dispatcher.
-async fn forward_messages(from_threads: Receiver<UsageMessage>, dispatcher: Sender<DispatcherMessage>) {
+async fn forward_messages(from_threads: Receiver<UsageMessage>, dispatcher: DispatcherSender) {
     while let Ok(message) = from_threads.recv().await {
         if dispatcher.send(DispatcherMessage::Usage(Box::new(message))).await.is_err() {
             return;
@@ -154,7 +154,7 @@
 }
 
 /// Writes what waits and closes the store cleanly. All replies are sent by now, so this may wait for the disk.
-pub async fn close(dispatcher: &Sender<DispatcherMessage>, log: &Logger) {
+pub async fn close(dispatcher: &DispatcherSender, log: &Logger) {
     let log = component_log(log);
     let (to_closer, closer) = async_channel::bounded(1);
     if dispatcher.send(DispatcherMessage::CloseUsage(to_closer)).await.is_err() {
--- a/src/daemon/wiring.rs
+++ b/src/daemon/wiring.rs
@@ -13,7 +13,8 @@
 use crate::server::distributed_config::DistributedSettings;
 use crate::server::frontend::{ClientLog, FrontendContext, Listener};
 use crate::server::messages::{
-    DispatcherMessage, ListenerMessage, RegistryMessage, UpstreamMessage, WorkerPoolMessage,
+    DispatcherMessage, DispatcherSender, ListenerMessage, RegistryMessage, UpstreamMessage,
+    WorkerPoolMessage, dispatcher_mailbox,
 };
 use crate::server::name_table::NameTable;
 use crate::server::read_turns::ReadTurns;
@@ -69,7 +70,7 @@
     /// The timers.
     pub(super) wheel: Rc<TimerWheel>,
     /// The dispatcher's mailbox.
-    pub(super) dispatcher: Sender<DispatcherMessage>,
+    pub(super) dispatcher: DispatcherSender,
     /// The mailboxes of the tasks whose peers can move.
     pub(super) mailboxes: MovableMailboxes,
     /// The listener.
@@ -88,7 +89,7 @@
     executor: &'a Rc<LocalExecutor<'static>>,
     clock: Clock,
     wheel: Rc<TimerWheel>,
-    dispatcher: Sender<DispatcherMessage>,
+    dispatcher: DispatcherSender,
     failures: Sender<TaskFailure>,
     status: Arc<ServingStatus>,
     request_ids: Rc<RequestIdSequence>,
@@ -110,7 +111,7 @@
     let LoadedConfig { platform: config, operator } = loaded;
     let clock = Clock::start();
     let wheel = TimerWheel::new(clock, config.settings.tick_ms);
-    let (dispatcher, dispatcher_messages) = async_channel::bounded(config.limits.dispatcher_mailbox);
+    let (dispatcher, dispatcher_messages) = dispatcher_mailbox(config.limits.dispatcher_mailbox);
     let (listener, listener_messages) = async_channel::unbounded();
     let (failures, failed_tasks) = async_channel::unbounded();
     // One message that waits stands for all later ones.
@@ -168,7 +169,7 @@
 }
 
 /// Has the dispatcher report each change of the evacuation.
-async fn report_evacuation(changes: Receiver<()>, dispatcher: Sender<DispatcherMessage>) {
+async fn report_evacuation(changes: Receiver<()>, dispatcher: DispatcherSender) {
     while changes.recv().await.is_ok() {
         // The dispatcher's mailbox closes only at the end of the process.
         let _ = dispatcher.send(DispatcherMessage::EvacuationChanged).await;
--- a/src/server/dispatcher/event_loop.rs
+++ b/src/server/dispatcher/event_loop.rs
@@ -5,24 +5,20 @@
 use crate::admission::{Event, Gauges};
 use crate::server::evacuation::HealthInput;
 use crate::server::fault_injection::{self, SlowPoint};
-use crate::server::messages::{DispatcherMessage, Response, SuccessorMessage};
-use async_channel::Receiver;
+use crate::server::messages::{DispatcherInbox, DispatcherMessage, Response, SuccessorMessage};
 use dunlinspread_handover::PredecessorEvent;
-use futures_lite::StreamExt;
 use futures_lite::future::yield_now;
-use std::pin::pin;
 
 /// Messages handled before the other tasks have a turn, which write what was decided.
 const MESSAGES_PER_TURN: usize = 16;
 
 impl Dispatcher {
     /// Handles messages until the mailbox closes.
-    pub async fn run(mut self, inbox: Receiver<DispatcherMessage>) {
+    pub async fn run(mut self, mut inbox: DispatcherInbox) {
         self.schedule(SWEEP_INTERVAL_MS, DispatcherMessage::SweepKeys);
         if self.usage.is_some() {
             self.schedule(self.usage_tick_ms, DispatcherMessage::UsageTick);
         }
-        let mut inbox = pin!(inbox);
         let mut handled = 0;
         while let Some(message) = inbox.next().await {
             fault_injection::pass_slow(SlowPoint::DispatcherMessage);
--- a/src/server/dispatcher/state.rs
+++ b/src/server/dispatcher/state.rs
@@ -13,8 +13,8 @@
 use crate::config::Config;
 use crate::server::evacuation::{HealthInput, ServiceHealth, ServiceState};
 use crate::server::messages::{
-    ConnectionMessage, DispatcherMessage, ListenerMessage, PoolCommand, RegistryMessage, ReplyHandle,
-    Response, UpstreamMessage, WorkerPoolMessage,
+    ConnectionMessage, DispatcherMessage, DispatcherSender, ListenerMessage, PoolCommand, RegistryMessage,
+    ReplyHandle, Response, UpstreamMessage, WorkerPoolMessage,
 };
 use crate::server::request_ids::RequestIdSequence;
 use crate::server::serving_status::ServingStatus;
@@ -104,7 +104,7 @@
     pub(super) clock: Clock,
     wheel: Rc<TimerWheel>,
     executor: Rc<LocalExecutor<'static>>,
-    own_mailbox: Sender<DispatcherMessage>,
+    own_mailbox: DispatcherSender,
     pub(super) log: Logger,
     /// The lines that may come with each request or command.
     pub(super) repeating_log: RepeatingLog,
@@ -115,7 +115,7 @@
     pub fn new(
         config: &Config,
         environment: DispatcherEnvironment,
-        own_mailbox: Sender<DispatcherMessage>,
+        own_mailbox: DispatcherSender,
         mailboxes: Mailboxes,
     ) -> Self {
         let DispatcherEnvironment { clock, wheel, executor, status, request_ids, log } = environment;
--- a/src/server/distributed_config/distributed_settings.rs
+++ b/src/server/distributed_config/distributed_settings.rs
@@ -7,7 +7,7 @@
 use super::effective_settings::EffectiveSettings;
 use super::error::ApplyError;
 use crate::admission::Reconfiguration;
-use crate::server::messages::{DispatcherMessage, Reconfigured};
+use crate::server::messages::{DispatcherMessage, DispatcherSender, Reconfigured};
 use crate::server::timer_wheel::TimerWheel;
 use async_channel::{Receiver, Sender};
 use dunlinspread_config_sync::resource::Change;
@@ -94,7 +94,7 @@
     pub async fn apply(
         &self,
         changes: Vec<Change>,
-        dispatcher: &Sender<DispatcherMessage>,
+        dispatcher: &DispatcherSender,
         wheel: &Rc<TimerWheel>,
     ) -> Result<AppliedCounts, ApplyError> {
         let is_small = changes.len() <= MAX_CHANGES_IN_PLACE;
@@ -115,8 +115,8 @@
         Ok(AppliedCounts { tenants: effective.tenant_count(), routes: effective.route_count() })
     }
 
-    fn can_swap(&self, dispatcher: &Sender<DispatcherMessage>) -> bool {
-        self.lookups_in_flight.get() == 0 && !dispatcher.is_full()
+    fn can_swap(&self, dispatcher: &DispatcherSender) -> bool {
+        self.lookups_in_flight.get() == 0 && !dispatcher.is_full_for_requests()
     }
 
     /// Applies changes to a copy on a thread of its own. Without a thread they are left to be applied in place.
@@ -144,7 +144,7 @@
     fn swap(
         &self,
         prepared: PreparedChange,
-        dispatcher: &Sender<DispatcherMessage>,
+        dispatcher: &DispatcherSender,
     ) -> Result<Receiver<()>, ApplyError> {
         let mut effective = self.effective.borrow_mut();
         let changes = match prepared {
--- a/src/server/frontend/context.rs
+++ b/src/server/frontend/context.rs
@@ -3,13 +3,12 @@
 use super::client_log::ClientLog;
 use crate::admission::Class;
 use crate::server::distributed_config::DistributedSettings;
-use crate::server::messages::DispatcherMessage;
+use crate::server::messages::DispatcherSender;
 use crate::server::name_table::NameTable;
 use crate::server::read_turns::ReadTurns;
 use crate::server::request_ids::RequestIdSequence;
 use crate::server::task_times::TaskTimes;
 use crate::server::timer_wheel::{Clock, TimerWheel};
-use async_channel::Sender;
 use slog::Logger;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -33,7 +32,7 @@
     /// The turns in which connections are read.
     pub read_turns: Rc<ReadTurns>,
     /// Sender to the dispatcher.
-    pub dispatcher: Sender<DispatcherMessage>,
+    pub dispatcher: DispatcherSender,
     /// How long the tasks of the event loop run.
     pub task_times: Rc<TaskTimes>,
     /// The log.
--- a/src/server/messages/mod.rs
+++ b/src/server/messages/mod.rs
@@ -5,6 +5,7 @@
 
 mod connection;
 mod dispatcher;
+mod dispatcher_mailbox;
 mod export_worker;
 mod handover;
 mod listener;
@@ -16,6 +17,7 @@
 
 pub use connection::{ConnectionMessage, ReplyHandle, Response};
 pub use dispatcher::{DispatcherMessage, IncomingRequest, Reconfigured};
+pub use dispatcher_mailbox::{DispatcherInbox, DispatcherSender, MailboxError, dispatcher_mailbox};
 pub use export_worker::{EntryLine, ExportWorkerMessage};
 pub use handover::{PredecessorMessage, SuccessorFrame, SuccessorMessage};
 pub use listener::ListenerMessage;
--- a/src/server/upstream/client.rs
+++ b/src/server/upstream/client.rs
@@ -5,7 +5,7 @@
 use super::connection_pool::ConnectionPool;
 use super::error::CallError;
 use crate::admission::RequestId;
-use crate::server::messages::{DispatcherMessage, UpstreamCall, UpstreamMessage};
+use crate::server::messages::{DispatcherMessage, DispatcherSender, UpstreamCall, UpstreamMessage};
 use crate::server::timer_wheel::{Clock, TimerWheel};
 use async_channel::{Receiver, Sender};
 use async_executor::{LocalExecutor, Task};
@@ -25,7 +25,7 @@
     /// The most connections, open calls and kept ones together.
     pub max_connections: usize,
     /// Sender to the dispatcher.
-    pub dispatcher: Sender<DispatcherMessage>,
+    pub dispatcher: DispatcherSender,
     /// Sender to the client's own queue, for the tasks of its calls.
     pub sender: Sender<UpstreamMessage>,
     /// Runs the tasks of the calls.
@@ -65,7 +65,7 @@
 ///   never ran.
 pub struct UpstreamClient {
     context: Rc<CallContext>,
-    dispatcher: Sender<DispatcherMessage>,
+    dispatcher: DispatcherSender,
     sender: Sender<UpstreamMessage>,
     executor: Rc<LocalExecutor<'static>>,
     max_connections: usize,
--- a/src/server/worker_pool/link.rs
+++ b/src/server/worker_pool/link.rs
@@ -3,9 +3,9 @@
 use super::connect::{CONNECT_RETRY_MS, ConnectAttempt, connect_after};
 use super::reader::{LinkReader, PoolProgress};
 use super::writer::{LinkEnd, LinkWriter};
-use crate::server::messages::{DispatcherMessage, PoolEvent, WorkerPoolMessage};
+use crate::server::messages::{DispatcherMessage, DispatcherSender, PoolEvent, WorkerPoolMessage};
 use crate::server::timer_wheel::TimerWheel;
-use async_channel::{Receiver, Sender};
+use async_channel::Receiver;
 use async_io::Async;
 use futures_lite::future::{or, pending};
 use slog::{Logger, info, warn};
@@ -26,7 +26,7 @@
     address: SocketAddr,
     /// The names of the classes by position.
     classes: Vec<String>,
-    dispatcher: Sender<DispatcherMessage>,
+    dispatcher: DispatcherSender,
     wheel: Rc<TimerWheel>,
     log: Logger,
     progress: PoolProgress,
@@ -59,7 +59,7 @@
     pub fn new(
         address: SocketAddr,
         classes: Vec<String>,
-        dispatcher: Sender<DispatcherMessage>,
+        dispatcher: DispatcherSender,
         wheel: Rc<TimerWheel>,
         log: Logger,
     ) -> Self {
--- a/src/server/worker_pool/reader.rs
+++ b/src/server/worker_pool/reader.rs
@@ -3,8 +3,7 @@
 use super::codec::{PoolMessage, decode, encode_caught_up_query};
 use super::error::{DecodeError, LinkError};
 use crate::codec::json::{Line, Lines};
-use crate::server::messages::{DispatcherMessage, PoolEvent};
-use async_channel::Sender;
+use crate::server::messages::{DispatcherMessage, DispatcherSender, PoolEvent};
 use async_io::Async;
 use futures_lite::{AsyncReadExt, AsyncWriteExt};
 use slog::{Logger, info, warn};
@@ -37,7 +36,7 @@
     /// What is known of the pool.
     pub(super) progress: &'a mut PoolProgress,
     /// Sender to the dispatcher.
-    pub(super) dispatcher: &'a Sender<DispatcherMessage>,
+    pub(super) dispatcher: &'a DispatcherSender,
     /// The log.
     pub(super) log: &'a Logger,
     /// Warnings about this link so far.
--- a/src/server/worker_pool/writer.rs
+++ b/src/server/worker_pool/writer.rs
@@ -4,9 +4,11 @@
 use super::connect::{CONNECT_RETRY_MS, ConnectAttempt, connect_after};
 use super::error::LinkError;
 use super::reader::MAX_LINE_BYTES;
-use crate::server::messages::{DispatcherMessage, LinkCommand, PoolCommand, PoolEvent, WorkerPoolMessage};
+use crate::server::messages::{
+    DispatcherMessage, DispatcherSender, LinkCommand, PoolCommand, PoolEvent, WorkerPoolMessage,
+};
 use crate::server::timer_wheel::TimerWheel;
-use async_channel::{Receiver, Sender};
+use async_channel::Receiver;
 use async_io::Async;
 use futures_lite::AsyncWriteExt;
 use futures_lite::future::{or, pending};
@@ -50,7 +52,7 @@
     /// The timers.
     pub(super) wheel: &'a Rc<TimerWheel>,
     /// Sender to the dispatcher.
-    pub(super) dispatcher: &'a Sender<DispatcherMessage>,
+    pub(super) dispatcher: &'a DispatcherSender,
     /// When the oldest command that a run needs to go on was given, of those that are encoded and not written, Unix ms.
     pub(super) oldest_given_at: Option<f64>,
     /// When such commands were last written, Unix ms.
--- a/tests/swap.rs
+++ b/tests/swap.rs
@@ -1,10 +1,11 @@
 //! A change of the settings takes effect between two requests, whatever waits at the dispatcher's mailbox: no request is
 //! judged by half of it.
 
-use async_channel::{Receiver, Sender};
 use async_executor::LocalExecutor;
 use dunlinspread::server::distributed_config::{DistributedSettings, EffectiveSettings, PlatformSettings};
-use dunlinspread::server::messages::{DispatcherMessage, IncomingRequest, ReplyHandle};
+use dunlinspread::server::messages::{
+    DispatcherInbox, DispatcherMessage, DispatcherSender, IncomingRequest, ReplyHandle, dispatcher_mailbox,
+};
 use dunlinspread::server::name_table::NameTable;
 use dunlinspread::server::timer_wheel::{Clock, TimerWheel};
 use dunlinspread_config_sync::resource::{Change, Resource};
@@ -50,7 +51,7 @@
 /// The tasks under test, and what they share.
 struct Tasks {
     distributed: Rc<DistributedSettings>,
-    dispatcher: Sender<DispatcherMessage>,
+    dispatcher: DispatcherSender,
     wheel: Rc<TimerWheel>,
     frontends_left: Rc<Cell<u64>>,
 }
@@ -93,11 +94,11 @@
 }
 
 /// Checks that each request has the class that goes with the allowance in force; counts the requests.
-async fn run_dispatcher(inbox: Receiver<DispatcherMessage>, seed: u64) -> (u64, u64) {
+async fn run_dispatcher(mut inbox: DispatcherInbox, seed: u64) -> (u64, u64) {
     let mut random = ChaCha8Rng::seed_from_u64(seed);
     let (mut requests, mut changes) = (0, 0);
     let mut allowance = 0.0;
-    while let Ok(message) = inbox.recv().await {
+    while let Some(message) = inbox.next().await {
         match message {
             DispatcherMessage::Request(incoming) => {
                 requests += 1;
@@ -126,7 +127,7 @@
 
 fn interleave(seed: u64) {
     let executor = Rc::new(LocalExecutor::new());
-    let (sender, inbox) = async_channel::bounded(MAILBOX);
+    let (sender, inbox) = dispatcher_mailbox(MAILBOX);
     let wheel = TimerWheel::new(Clock::start(), 1.0);
     executor.spawn(wheel.clone().advance()).detach();
     let counted = executor.spawn(run_dispatcher(inbox, seed));
--- a/tests/worker_pool_link.rs
+++ b/tests/worker_pool_link.rs
@@ -1,9 +1,10 @@
 //! The link to the worker pool while the pool's address changes: every connection that is begun to the new address is
 //! used. One that is left behind would come to the pool as a further link.
 
-use async_channel::{Receiver, Sender};
+use async_channel::Sender;
 use dunlinspread::server::messages::{
-    DispatcherMessage, LinkCommand, PoolCommand, PoolEvent, WorkerPoolMessage,
+    DispatcherInbox, DispatcherMessage, LinkCommand, PoolCommand, PoolEvent, WorkerPoolMessage,
+    dispatcher_mailbox,
 };
 use dunlinspread::server::timer_wheel::{Clock, TimerWheel};
 use dunlinspread::server::worker_pool::WorkerPoolLink;
@@ -13,6 +14,8 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+/// Messages that the dispatcher's mailbox has room for.
+const MAILBOX: usize = 64;
 /// Time limit of what must happen.
 const TIME_LIMIT: Duration = Duration::from_secs(60);
 
@@ -21,17 +24,17 @@
     task: BoxedLocal<()>,
     messages: Sender<WorkerPoolMessage>,
     wheel: Rc<TimerWheel>,
-    events: Receiver<DispatcherMessage>,
+    events: Option<DispatcherInbox>,
 }
 
 impl Link {
     fn new(address: SocketAddr) -> Link {
-        let (dispatcher, events) = async_channel::unbounded();
+        let (dispatcher, events) = dispatcher_mailbox(MAILBOX);
         let (messages, queue) = async_channel::unbounded();
         let wheel = TimerWheel::new(Clock::start(), 1.0);
         let log = slog::Logger::root(slog::Discard, slog::o!());
         let link = WorkerPoolLink::new(address, Vec::new(), dispatcher, wheel.clone(), log);
-        Link { task: Box::pin(link.run(queue)), messages, wheel, events }
+        Link { task: Box::pin(link.run(queue)), messages, wheel, events: Some(events) }
     }
 
     fn set_address(&self, address: SocketAddr) {
@@ -146,8 +149,8 @@
         let command = LinkCommand { link: 1, given_at, command };
         link.messages.try_send(WorkerPoolMessage::Command(command)).expect("the queue is open");
     }
-    let events = link.events.clone();
-    let event = link.run_until(events.recv()).expect("an event");
+    let mut events = link.events.take().expect("it is taken once");
+    let event = link.run_until(events.next()).expect("an event");
     let DispatcherMessage::Pool(PoolEvent::CommandsDelayed { waited_ms }) = event else {
         panic!("another event")
     };
@@ -160,5 +163,5 @@
         link.messages.try_send(WorkerPoolMessage::Command(command)).expect("the queue is open");
         (0..3).for_each(|_| link.poll());
     }
-    assert!(events.is_empty(), "reported though nothing waited");
+    assert!(events.take_waiting().is_none(), "reported though nothing waited");
 }
