--- a/src/admission/controller.rs
+++ b/src/admission/controller.rs
@@ -114,7 +114,7 @@
         self.threshold.value()
     }
 
-    /// Returns how long before its deadline a request is answered, ms: time for a late timer and a late response.
+    /// Returns how long before its deadline a request is answered, ms.
     pub fn answer_lead_ms(&self) -> f64 {
         answer_lead_ms(&self.settings, self.timer_lag.ms())
     }
--- a/src/config/limits.rs
+++ b/src/config/limits.rs
@@ -15,7 +15,7 @@
     pub idempotency_keys: usize,
     /// Cached results, in bytes.
     pub result_bytes: usize,
-    /// Messages in the dispatcher's mailbox, before their senders wait.
+    /// Messages in each queue of the dispatcher's mailbox, before their senders wait.
     pub dispatcher_mailbox: usize,
     /// Log lines that wait for the writer; further ones are dropped and counted.
     pub log_lines: usize,
