--- a/src/admission/deadlines.rs
+++ b/src/admission/deadlines.rs
@@ -78,8 +78,8 @@
     }
 }
 
-/// Returns how long before its deadline a request is answered, ms: a period of the timer, and a margin for the lag of the
-/// timer and of the response.
+/// Returns how long before its deadline a request is answered, ms: a period of the timer, and a margin for
+/// the lag of the timer and of the response.
 pub(super) fn answer_lead_ms(settings: &Settings, timer_lag_ms: f64) -> f64 {
     TIMER_PERIOD_MS + margin_ms(settings).max(MARGIN_LAGS * timer_lag_ms)
 }
