--- a/review/standin/clients.rs
+++ b/review/standin/clients.rs
@@ -26,6 +26,7 @@
     id: String,
     sent_at: f64,
     give_up_ms: f64,
+    org: Option<String>,
 }
 
 struct Line {
@@ -47,6 +48,8 @@
     pub refused: AtomicU64,
     pub failed: AtomicU64,
     pub lost: AtomicU64,
+    /// Requests served, by society.
+    pub served_of: Mutex<HashMap<String, u64>>,
 }
 
 pub struct Clients {
@@ -94,11 +97,19 @@
             ("heap", "24.5".to_owned()),
             ("crit", "0.6250".to_owned()),
         ];
+        if let Some(org) = &attempt.plan.org {
+            fields.push(("org", org.clone()));
+        }
         if let Some(key) = &attempt.plan.key {
             fields.push(("dedupe", key.clone()));
         }
         let bytes = request(number, &attempt.plan.class, &fields, &attempt.plan.body);
-        let open = Open { id: attempt.id.clone(), sent_at, give_up_ms: attempt.give_up_ms };
+        let open = Open {
+            id: attempt.id.clone(),
+            sent_at,
+            give_up_ms: attempt.give_up_ms,
+            org: attempt.plan.org.clone(),
+        };
         state.open.insert(number, open);
         self.counts.sent.fetch_add(1, Ordering::Relaxed);
         let key = attempt.plan.key.as_deref().unwrap_or("-");
@@ -173,6 +184,9 @@
         let end = match error {
             Value::Nil => {
                 self.counts.served.fetch_add(1, Ordering::Relaxed);
+                if let Some(org) = &open.org {
+                    *self.counts.served_of.lock().unwrap().entry(org.clone()).or_default() += 1;
+                }
                 let body = match result.array().first() {
                     Some(Value::Bin(body)) => body.clone(),
                     _ => Vec::new(),
@@ -231,7 +245,7 @@
 
     pub fn summary(&self) -> String {
         let count = |count: &AtomicU64| count.load(Ordering::Relaxed);
-        let Counts { sent, served, refused, failed, lost } = &self.counts;
+        let Counts { sent, served, refused, failed, lost, .. } = &self.counts;
         format!(
             "sent {}, served {}, refused {}, failed {}, unanswered {}",
             count(sent),
--- a/review/standin/evacuation.rs
+++ b/review/standin/evacuation.rs
@@ -33,6 +33,7 @@
         pool: pool.address,
         directory: catalog,
         index: index.address,
+        operator: None,
     };
     let mut old = Server::start(places, "old", &addresses(old_control, &old_pool));
     wait_healthy(&mut old, listen)?;
--- a/review/standin/load.rs
+++ b/review/standin/load.rs
@@ -57,8 +57,14 @@
         let index = Index::start(record.clone(), times);
         let catalog = start_catalog(record.clone());
         let listen = free_address();
-        let addresses =
-            Addresses { listen, control: None, pool: pool.address, directory: catalog, index: index.address };
+        let addresses = Addresses {
+            listen,
+            control: None,
+            pool: pool.address,
+            directory: catalog,
+            index: index.address,
+            operator: None,
+        };
         let mut server = Server::start(places, "server", &addresses);
         wait_healthy(&mut server, listen)?;
         let known = pool.clone();
@@ -120,7 +126,7 @@
     let id = format!("{:016x}", random.next());
     let key = (name == "pour-entry").then(|| format!("{:016x}{number:016x}", random.next()));
     let body = format!("request {number}").into_bytes();
-    Try { id, plan: Plan { class: name.to_owned(), body, stretches_ms, key }, give_up_ms }
+    Try { id, plan: Plan { class: name.to_owned(), body, stretches_ms, key, org: None }, give_up_ms }
 }
 
 /// Sends [`PER_SECOND`] requests a second, at random times, for `length`; `each_step` is called about each
@@ -149,3 +155,17 @@
         std::thread::sleep(Duration::from_micros(500));
     }
 }
+
+/// Calls `send` [`PER_SECOND`] times a second, at random times, for `length`, with the number of the request.
+pub fn run_load_of(length: Duration, mut send: impl FnMut(u64)) {
+    let (started, mut next_at, mut number) = (unix_ms(), unix_ms(), 0);
+    let mut times = Random::new(3);
+    while unix_ms() - started < length.as_secs_f64() * 1000.0 {
+        while next_at <= unix_ms() {
+            next_at += -times.fraction().max(1e-9).ln() * 1000.0 / PER_SECOND;
+            number += 1;
+            send(number);
+        }
+        std::thread::sleep(Duration::from_micros(500));
+    }
+}
--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -2,7 +2,9 @@
 //! argument names the case, the second its folder. Ends with 1 if the rule was broken, 0 if it held, and 2 if
 //! the case couldn't run.
 
+mod batches;
 mod clients;
+mod collector;
 mod copies;
 mod evacuation;
 mod http;
@@ -43,6 +45,7 @@
         "relink" => relink::run(&places, &record, with_trouble),
         "copies" => copies::run(&places, &record, with_trouble),
         "evacuation" => evacuation::run(&places, &record, with_trouble),
+        "batches" => batches::run(&places, &record, with_trouble),
         other => panic!("no case {other}"),
     };
     let violations = record.end();
--- a/review/standin/pool.rs
+++ b/review/standin/pool.rs
@@ -23,6 +23,8 @@
     pub stretches_ms: Vec<f64>,
     /// The request's key in a keyed class.
     pub key: Option<String>,
+    /// The society that the request is billed to.
+    pub org: Option<String>,
 }
 
 enum RunState {
--- a/review/standin/server.rs
+++ b/review/standin/server.rs
@@ -33,6 +33,8 @@
     pub pool: SocketAddr,
     pub directory: SocketAddr,
     pub index: SocketAddr,
+    /// The operator file, if there is one.
+    pub operator: Option<PathBuf>,
 }
 
 pub fn free_address() -> SocketAddr {
@@ -70,6 +72,7 @@
             .env("RELAY_LISTEN", addresses.listen.to_string())
             .env("RELAY_CONFIG", &config)
             .env("TMPDIR", &shared)
+            .envs(addresses.operator.iter().map(|file| ("DUNLINSPREAD_OPERATOR", file)))
             .stdin(Stdio::null())
             .stdout(log.try_clone().expect("a descriptor"))
             .stderr(log)
