--- a/review/standin/relink.rs
+++ b/review/standin/relink.rs
@@ -1,10 +1,11 @@
 //! Case: the link to the worker pool breaks now and then under a mixed load.
 
 use crate::http::IndexTimes;
-use crate::load::{run_load, Random, Site};
+use crate::load::{run_load, Random, Site, WORK_FACTOR};
 use crate::record::Record;
 use crate::server::Places;
 use crate::Verdict;
+use std::sync::atomic::Ordering;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -18,6 +19,9 @@
         Ok(site) => site,
         Err(reason) => return Verdict::CouldNotRun(reason),
     };
+    // Longer work of which most waits for disk, so that replies are taken long before a break.
+    WORK_FACTOR.store(3, Ordering::Relaxed);
+    site.pool.on_cores_percent.store(20, Ordering::Relaxed);
     let (mut random, mut breaks) = (Random::new(1), Random::new(99));
     let (pool, mut break_at) = (site.pool.clone(), BREAK_EVERY_MS.0);
     run_load(&site.clients, &mut random, LENGTH, |ms| {
