--- a/review/standin/pool.rs
+++ b/review/standin/pool.rs
@@ -350,10 +350,11 @@
         let earlier = (0..call).find(|earlier| body == call_reply(&call_body(id, *earlier)));
         let taken_at = earlier.and_then(|earlier| state.runs.get(id)?.supplied_at.get(earlier).copied());
         let before_break = taken_at.and_then(|at| Some(state.broken_at?.saturating_duration_since(at)));
-        let text = String::from_utf8_lossy(body);
-        let text = format!(
-            "call {call} of {id} was supplied with `{text}`, taken {before_break:?} before the break"
-        );
+        let text = format!("call {call} of {id} was supplied with `{}`", String::from_utf8_lossy(body));
+        let text = match before_break {
+            Some(before) => format!("{text}, taken {} ms before the break", before.as_millis()),
+            None => text,
+        };
         match before_break {
             Some(before) if before <= MAY_BE_LOST => self.record.line(&format!("not counted: {text}")),
             _ => self.record.violation(&format!("lost: {text}")),
