--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -1,5 +1,5 @@
 //! Stand-ins of the review's cases: worker pool, index, catalog, client proxies and operators. The first
-//! argument names the case, the second its folder. Ends with 1 if the rule was broken, 0 if it held, and 2 if
+//! argument names the case, the second its folder, the third its record. Ends with 1 if the rule was broken, 0 if it held, and 2 if
 //! the case couldn't run.
 
 mod batches;
@@ -28,7 +28,7 @@
 
 fn main() {
     let arguments: Vec<String> = std::env::args().collect();
-    let [_, case, folder] = &arguments[..] else { panic!("usage: standin CASE FOLDER") };
+    let [_, case, folder, record] = &arguments[..] else { panic!("usage: standin CASE FOLDER RECORD") };
     let variable = |name: &str| std::env::var(name).unwrap_or_else(|_| panic!("{name} is set"));
     let temporary = std::env::temp_dir().join(format!("review-{case}-{}", std::process::id()));
     std::fs::create_dir_all(&temporary).expect("a temporary folder");
@@ -39,7 +39,7 @@
         run: variable("RUN"),
     };
     let with_trouble = std::env::var("TROUBLE").map_or(true, |value| value != "0");
-    let record = Arc::new(Record::create(&format!("{folder}/record.txt")));
+    let record = Arc::new(Record::open(record));
     record.line(&format!("case {case}, disruption: {with_trouble}"));
     let verdict = match case.as_str() {
         "relink" => relink::run(&places, &record, with_trouble),
--- a/review/standin/record.rs
+++ b/review/standin/record.rs
@@ -16,8 +16,9 @@
 }
 
 impl Record {
-    pub fn create(path: &str) -> Record {
-        let file = File::create(path).expect("the record can be written");
+    /// Opens the record, to which lines are added.
+    pub fn open(path: &str) -> Record {
+        let file = File::options().create(true).append(true).open(path).expect("the record can be written");
         Record { file: Mutex::new(BufWriter::new(file)), violations: Mutex::default() }
     }
 
