Send no command again that may reach another call or start a second run

What callers saw: after a break of the link to the worker pool, requests with two calls were served results made with the reply to their first call in the place of the second.

Cause: a command counted as possibly lost until the next notice about its run, whatever its age, and was sent again with each new link. The reading at the start of a link covers notices up to its answer; a run can come to its next call between that answer and the arrival of the reply, and a reply names no call.

Change: the answer to a gauge reading proves that the commands before it on the same link were carried out. What a link did not write is sent with the next one; what is in doubt only if it does no harm twice. A reply in doubt is replaced by the command to continue without its call, which names the call, where the class allows that. A keyed start is not repeated, as its run may have ended in the same gap.

The exchange relink demanded that a keyed start be sent again: it could run twice, so the exchange now demands that it is not, and that an idempotent one is.

--- a/crates/ctl/src/demo.rs
+++ b/crates/ctl/src/demo.rs
@@ -122,8 +122,13 @@
     fn start_environment(&self, folder: &Path) -> Result<Environment> {
         let platform = PlatformSettings::rounds(self.cores.max(1));
         let rate = if self.faults { FAULT_RATE } else { 0.0 };
-        let pool_faults =
-            WorkerPoolFaults { duplicate: rate, split: rate, chatter: rate, reset: rate / 10.0, bad: 0.0 };
+        let pool_faults = WorkerPoolFaults {
+            duplicate: rate,
+            split: rate,
+            chatter: rate,
+            reset: rate / 10.0,
+            ..WorkerPoolFaults::default()
+        };
         let upstream_faults = UpstreamFaults { shed: rate, error: rate, reset: rate, stall: rate / 4.0 };
         let pool =
             FakeWorkerPool::start(&platform, self.seed, pool_faults).context("starting the worker pool")?;
--- a/crates/fakes/src/lib.rs
+++ b/crates/fakes/src/lib.rs
@@ -33,4 +33,4 @@
 pub use registry::{FakeRegistry, RegistryReport};
 pub use reserved_address::ReservedAddress;
 pub use upstream::{FakeUpstream, UpstreamFaults};
-pub use worker_pool::{FakeWorkerPool, RequestEnds, StartedRun, WorkerPoolFaults};
+pub use worker_pool::{FakeWorkerPool, RequestEnds, StartedRun, WorkerPoolFaults, WrongReply};
--- a/crates/fakes/src/worker_pool/commands.rs
+++ b/crates/fakes/src/worker_pool/commands.rs
@@ -33,7 +33,7 @@
         "suspend" if machine.suspend(id) => CommandResult::Executed,
         "suspend" => CommandResult::Unknown,
         "proceed" => machine.resume(id).into(),
-        "supply" => machine.end_call(id, CallEnd::Replied).into(),
+        "supply" => supply(machine, command, id),
         "pass" => machine.end_call(id, CallEnd::Skipped(command["seq"].as_u64())).into(),
         _ => CommandResult::Invalid,
     };
@@ -50,6 +50,18 @@
     CommandResult::Executed
 }
 
+/// Delivers the reply to the call that a run waits for.
+fn supply(machine: &mut Machine, command: &Value, id: &str) -> CommandResult {
+    let reply = command["body"].as_str().and_then(|body| BASE64.decode(body).ok());
+    let Some(reply) = reply else { return CommandResult::Unknown };
+    machine.end_call(id, CallEnd::Replied(reply)).into()
+}
+
+/// Returns whether a command is a reply that arrived while its run works towards its next call.
+pub(crate) fn is_early_reply(machine: &Machine, command: &Value) -> bool {
+    command["op"] == "supply" && command["id"].as_str().is_some_and(|id| machine.is_before_call(id))
+}
+
 fn spawn(machine: &mut Machine, command: &Value, id: &str) -> CommandResult {
     if machine.has_run(id) || machine.notify_if_ended(id) {
         return CommandResult::Executed;
--- a/crates/fakes/src/worker_pool/fake_worker_pool.rs
+++ b/crates/fakes/src/worker_pool/fake_worker_pool.rs
@@ -6,7 +6,7 @@
 use crate::worker_pool::link;
 use crate::worker_pool::machine::Machine;
 use crate::worker_pool::request_ends::RequestEnds;
-use crate::worker_pool::run_log::StartedRun;
+use crate::worker_pool::run_log::{StartedRun, WrongReply};
 use crate::worker_pool::shared_machine::SharedMachine;
 use async_channel::{Receiver, Sender};
 use std::cell::RefCell;
@@ -25,6 +25,10 @@
 }
 
 /// A running fake worker pool.
+///
+/// # Panics
+/// Dropping it panics if a run on its machine received the reply to another call than the one that it waited
+/// for.
 pub struct FakeWorkerPool {
     _server: FakeServer,
     address: SocketAddr,
@@ -121,6 +125,21 @@
     pub fn started_runs(&self) -> Vec<StartedRun> {
         self.shared.run_log.runs()
     }
+
+    /// Returns the upstream replies that runs on the machine received while they waited for the reply to
+    /// another call.
+    pub fn wrong_replies(&self) -> Vec<WrongReply> {
+        self.shared.run_log.wrong_replies()
+    }
+}
+
+impl Drop for FakeWorkerPool {
+    fn drop(&mut self) {
+        let wrong_replies = self.wrong_replies();
+        if !std::thread::panicking() {
+            assert!(wrong_replies.is_empty(), "runs received replies to other calls: {wrong_replies:?}");
+        }
+    }
 }
 
 async fn process_request_ends(machine: Rc<RefCell<Machine>>, ended_requests: Receiver<String>) {
--- a/crates/fakes/src/worker_pool/link.rs
+++ b/crates/fakes/src/worker_pool/link.rs
@@ -1,7 +1,7 @@
 //! A link between a server and a worker pool, with JSON lines in both directions.
 
 use crate::fake_server::Tasks;
-use crate::worker_pool::commands::{CommandResult, execute};
+use crate::worker_pool::commands::{CommandResult, execute, is_early_reply};
 use crate::worker_pool::machine::{Machine, RunTimer};
 use async_channel::Receiver;
 use async_io::{Async, Timer};
@@ -12,12 +12,14 @@
 use std::cell::RefCell;
 use std::net::TcpStream;
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// Maximum number of lines queued on one link; the link is closed if the server reads too slowly.
 const MAX_QUEUED_LINES: usize = 100_000;
 /// Pause between the two pieces of a split line.
 const SPLIT_PAUSE: Duration = Duration::from_millis(2);
+/// Interval at which the state of a run is checked while a command for it is held back.
+const HOLD_CHECK_INTERVAL: Duration = Duration::from_millis(1);
 /// Size of the read buffer, bytes.
 const READ_BUFFER_BYTES: usize = 8192;
 
@@ -28,17 +30,37 @@
     let Some(after) = bind["seq"].as_u64() else { return };
     let (link, outgoing) = async_channel::bounded(MAX_QUEUED_LINES);
     machine.borrow_mut().connect(link, after);
+    let (received, commands) = async_channel::unbounded();
     let reader = async {
         while let Some(command) = lines.next().await {
-            let result = execute(&mut machine.borrow_mut(), &command);
-            match result {
-                CommandResult::Started(timer) => spawn_timer(&machine, &tasks, timer),
-                CommandResult::Executed | CommandResult::Unknown => {}
-                CommandResult::Invalid => return,
-            }
+            let _ = received.try_send((Instant::now(), command));
         }
     };
-    or(reader, write_lines(&machine, &stream, outgoing)).await;
+    let executor = execute_commands(&machine, &tasks, commands);
+    or(or(reader, executor), write_lines(&machine, &stream, outgoing)).await;
+}
+
+/// Carries out the received commands in their order, with delays if the faults say so, until one is invalid.
+async fn execute_commands(
+    machine: &Rc<RefCell<Machine>>,
+    tasks: &Tasks,
+    commands: Receiver<(Instant, Value)>,
+) {
+    while let Ok((received_at, command)) = commands.recv().await {
+        let faults = machine.borrow().faults;
+        if !faults.command_delay.is_zero() {
+            Timer::at(received_at + faults.command_delay).await;
+        }
+        while faults.hold_early_replies && is_early_reply(&machine.borrow(), &command) {
+            Timer::after(HOLD_CHECK_INTERVAL).await;
+        }
+        let result = execute(&mut machine.borrow_mut(), &command);
+        match result {
+            CommandResult::Started(timer) => spawn_timer(machine, tasks, timer),
+            CommandResult::Executed | CommandResult::Unknown => {}
+            CommandResult::Invalid => return,
+        }
+    }
 }
 
 fn spawn_timer(machine: &Rc<RefCell<Machine>>, tasks: &Tasks, timer: RunTimer) {
--- a/crates/fakes/src/worker_pool/machine.rs
+++ b/crates/fakes/src/worker_pool/machine.rs
@@ -42,7 +42,10 @@
     body: Vec<u8>,
     remaining_ms: f64,
     used_ms: f64,
-    call_pending: bool,
+    /// Number of upstream calls that the run has made.
+    calls_made: u32,
+    /// Number of upstream calls that the run is still to make.
+    calls_left: u32,
     state: RunState,
 }
 
@@ -57,10 +60,10 @@
 }
 
 /// Command that resumes a run waiting for its upstream call.
-#[derive(Clone, Copy, PartialEq, Eq)]
+#[derive(Clone, PartialEq, Eq)]
 pub(crate) enum CallEnd {
-    /// The call's reply has arrived.
-    Replied,
+    /// This reply has arrived.
+    Replied(Vec<u8>),
     /// The run continues without the call that was reported in the notice of this number.
     Skipped(Option<u64>),
 }
@@ -165,8 +168,10 @@
         let RequestClass { work_ms, makes_upstream_calls, .. } = self.platform.classes[class];
         let remaining_ms = work_ms * self.rng.random_range(WORK_SPREAD);
         self.shared.run_log.add(id, self.platform.classes[class].name, &body);
-        let call_pending = makes_upstream_calls;
-        let run = Run { class, body, remaining_ms, used_ms: 0.0, call_pending, state: RunState::Paused };
+        let second_call = self.faults.second_call > 0.0 && self.rng.random::<f64>() < self.faults.second_call;
+        let calls_left = if makes_upstream_calls { 1 + u32::from(second_call) } else { 0 };
+        let state = RunState::Paused;
+        let run = Run { class, body, remaining_ms, used_ms: 0.0, calls_made: 0, calls_left, state };
         self.runs.insert(id.to_owned(), run);
         self.run_to_next_step(id)
     }
@@ -195,12 +200,26 @@
         self.run_to_next_step(id)
     }
 
+    /// Returns whether a run is running and will make an upstream call.
+    pub fn is_before_call(&self, id: &str) -> bool {
+        let is_before_call = |run: &Run| run.calls_left > 0 && matches!(run.state, RunState::Running { .. });
+        self.runs.get(id).is_some_and(is_before_call)
+    }
+
     /// Resumes a run that waits for its call; returns `None` if no run with this id waits for the call that
-    /// ended.
+    /// ended. A reply is taken for the one to the call that the run waits for, and logged if it is another.
     pub fn end_call(&mut self, id: &str, end: CallEnd) -> Option<RunTimer> {
-        let RunState::Blocked(notice) = self.runs.get(id)?.state else { return None };
-        if end != CallEnd::Replied && end != CallEnd::Skipped(Some(notice)) {
-            return None;
+        let run = self.runs.get(id)?;
+        let RunState::Blocked(notice) = run.state else { return None };
+        match end {
+            CallEnd::Replied(reply) => {
+                let call = self.call_body(id, run);
+                if reply != call.as_bytes() {
+                    self.shared.run_log.add_wrong_reply(&call, &reply);
+                }
+            }
+            CallEnd::Skipped(skipped) if skipped == Some(notice) => {}
+            CallEnd::Skipped(_) => return None,
         }
         self.shared.request_ends.unregister_waiting_run(id);
         self.run_to_next_step(id)
@@ -214,7 +233,7 @@
         let generation = self.generations;
         let run = self.runs.get_mut(id)?;
         run.state = RunState::Running { since: Instant::now(), generation };
-        let fraction = if run.call_pending { WORK_FRACTION_BEFORE_CALL } else { 1.0 };
+        let fraction = if run.calls_left > 0 { WORK_FRACTION_BEFORE_CALL } else { 1.0 };
         let ms = run.remaining_ms * fraction * runs_per_core.max(1.0);
         self.report_usage();
         Some(RunTimer { id: id.to_owned(), generation, delay: Duration::from_secs_f64(ms / 1000.0) })
@@ -228,7 +247,7 @@
             return;
         }
         run.used_ms += since.elapsed().as_secs_f64() * 1000.0;
-        if run.call_pending {
+        if run.calls_left > 0 {
             self.begin_call(id);
         } else {
             self.finish(id);
@@ -249,18 +268,25 @@
         self.notify(json!({"op": "finished", "id": id, "end": "cut", "ms": run.used_ms}));
     }
 
+    /// Returns the body of the last call of a run, which no other call has. The upstream service replies with
+    /// the body of the call.
+    fn call_body(&self, id: &str, run: &Run) -> String {
+        format!("{} call {} of {id}", self.platform.classes[run.class].name, run.calls_made)
+    }
+
     fn begin_call(&mut self, id: &str) {
         if self.shared.request_ends.register_waiting_run(id, &self.ended_requests) {
             return self.abort(id);
         }
         let notice = self.notices.next_number();
         let Some(run) = self.runs.get_mut(id) else { return };
-        run.call_pending = false;
+        run.calls_made += 1;
+        run.calls_left -= 1;
         run.remaining_ms *= 1.0 - WORK_FRACTION_BEFORE_CALL;
         run.state = RunState::Blocked(notice);
-        let class = run.class;
         self.report_usage();
-        let body = BASE64.encode(self.platform.classes[class].name);
+        let Some(run) = self.runs.get(id) else { return };
+        let body = BASE64.encode(self.call_body(id, run));
         // Sent without faults: a `chatter` notice before it would take the number stored in
         // `RunState::Blocked`.
         self.notices.send(json!({"op": "blocked", "id": id, "body": body}));
--- a/crates/fakes/src/worker_pool/mod.rs
+++ b/crates/fakes/src/worker_pool/mod.rs
@@ -16,4 +16,4 @@
 pub use fake_worker_pool::FakeWorkerPool;
 pub use faults::WorkerPoolFaults;
 pub use request_ends::RequestEnds;
-pub use run_log::StartedRun;
+pub use run_log::{StartedRun, WrongReply};
--- a/src/admission/controller.rs
+++ b/src/admission/controller.rs
@@ -87,6 +87,7 @@
                 self.on_call_end(now, id, outcome, took_ms, actions);
             }
             Event::RunEnded { id, outcome, took_ms } => self.on_run_end(now, id, outcome, took_ms, actions),
+            Event::RunInDoubt(id) => self.on_run_in_doubt(id),
             Event::ClientGone(id) => self.on_client_gone(now, id, actions),
             Event::Drain { stop_at } => self.on_drain(now, stop_at, actions),
             Event::SuspendStarts(suspended) => self.starts_suspended = suspended,
--- a/src/admission/due_index.rs
+++ b/src/admission/due_index.rs
@@ -111,7 +111,9 @@
         RequestState::Queued => Phase::Queued,
         RequestState::Running => Phase::Running,
         RequestState::AwaitingCall(_) => Phase::AwaitingCall,
-        RequestState::Calling | RequestState::Suspended | RequestState::Reusing => return None,
+        RequestState::InDoubt | RequestState::Calling | RequestState::Suspended | RequestState::Reusing => {
+            return None;
+        }
     };
     Some(PhaseGroup { class: request.class, phase })
 }
--- a/src/admission/request.rs
+++ b/src/admission/request.rs
@@ -9,6 +9,8 @@
     Queued,
     /// The request runs.
     Running,
+    /// The request may run, or its run may wait for a command that was lost.
+    InDoubt,
     /// The request needs an upstream call, which must not be made before this time.
     AwaitingCall(f64),
     /// The request's upstream call is in progress.
@@ -54,6 +56,12 @@
 
     /// Returns whether the request runs or is at an upstream call.
     pub(super) fn is_in_progress(&self) -> bool {
-        matches!(self.state, RequestState::Running | RequestState::AwaitingCall(_) | RequestState::Calling)
+        match self.state {
+            RequestState::Running
+            | RequestState::InDoubt
+            | RequestState::AwaitingCall(_)
+            | RequestState::Calling => true,
+            RequestState::Queued | RequestState::Suspended | RequestState::Reusing => false,
+        }
     }
 }
--- a/src/admission/request_totals.rs
+++ b/src/admission/request_totals.rs
@@ -16,7 +16,8 @@
     pub(super) running: usize,
     /// Number of requests whose upstream call is still to be made.
     pub(super) awaiting_call: usize,
-    /// Number of requests whose upstream call is in progress.
+    /// Number of requests whose upstream call is in progress, and of those whose run is in doubt: they may run at
+    /// any time without a decision.
     pub(super) calling: usize,
 }
 
@@ -101,7 +102,7 @@
             RequestState::Queued => Some(&mut self.queued),
             RequestState::Running => Some(&mut self.runs.running),
             RequestState::AwaitingCall(_) => Some(&mut self.runs.awaiting_call),
-            RequestState::Calling => Some(&mut self.runs.calling),
+            RequestState::Calling | RequestState::InDoubt => Some(&mut self.runs.calling),
             RequestState::Suspended | RequestState::Reusing => None,
         }
     }
--- a/src/admission/run_end.rs
+++ b/src/admission/run_end.rs
@@ -1,4 +1,4 @@
-//! The handler of runs that end, and the start of queued and suspended requests.
+//! The handlers of runs that end or are in doubt, and the start of queued and suspended requests.
 
 use super::action::Action;
 use super::clamp::clamp_finite;
@@ -46,6 +46,13 @@
         self.requests.remove(id);
     }
 
+    /// Handles a run that may make no further progress: it says nothing about whether other runs do.
+    pub(super) fn on_run_in_doubt(&mut self, id: RequestId) {
+        if self.requests.get(id).is_some_and(|request| request.state == RequestState::Running) {
+            self.requests.set_state(id, RequestState::InDoubt);
+        }
+    }
+
     fn record_run_end(&mut self, now: f64, class: usize, outcome: Outcome, took_ms: f64) {
         if matches!(outcome, Outcome::Ok | Outcome::Error) {
             self.faults.record_run(outcome == Outcome::Error);
--- a/src/admission/unserved.rs
+++ b/src/admission/unserved.rs
@@ -66,7 +66,7 @@
                 self.requests.remove(id);
             }
             Some(RequestState::Suspended | RequestState::Reusing) => self.requests.remove(id),
-            Some(RequestState::Running) => self.stop_unneeded_run(id, actions),
+            Some(RequestState::Running | RequestState::InDoubt) => self.stop_unneeded_run(id, actions),
             Some(RequestState::AwaitingCall(_) | RequestState::Calling) | None => {}
         }
     }
--- a/src/server/dispatcher/mod.rs
+++ b/src/server/dispatcher/mod.rs
@@ -26,6 +26,7 @@
 mod pool_events;
 mod pool_link;
 mod recent_attempts;
+mod redelivery;
 mod repeating_log;
 mod request;
 mod request_table;
--- a/src/server/dispatcher/pool_events.rs
+++ b/src/server/dispatcher/pool_events.rs
@@ -5,7 +5,7 @@
 use crate::admission::{Event, Gauges, RequestId, RetrySafety};
 use crate::config;
 use crate::server::messages::{PoolEvent, RejectedCommand, RunOutcome};
-use slog::{info, warn};
+use slog::warn;
 
 impl Dispatcher {
     pub(super) fn on_pool_event(&mut self, event: PoolEvent) {
@@ -13,11 +13,12 @@
             PoolEvent::Started { cold, ago_ms } => self.start_controller(Some(PoolStart { cold, ago_ms })),
             PoolEvent::Restarted => self.on_pool_restarted(),
             PoolEvent::LinkUp(link) => self.on_link_up(link),
-            PoolEvent::LinkDown => self.pool.set_link_down(),
+            PoolEvent::LinkDown { last_written } => self.pool.set_link_down(last_written),
             PoolEvent::CommandsDelayed { waited_ms } => {
                 self.dispatch_event(Event::CommandsDelayed { waited_ms });
             }
             PoolEvent::Gauges { tag, values } => {
+                self.pool.on_gauges_read(tag);
                 let gauges = self.named_gauges(&values);
                 self.on_gauges(tag, gauges);
             }
@@ -66,17 +67,14 @@
         for id in failed {
             self.on_run_ended(id, RunOutcome::Failed, 0.0, Vec::new());
         }
+        self.requests.reset_deliveries();
     }
 
-    /// Resends over a new link all commands that the old link may have lost.
+    /// Begins to use a new link, and decides on the commands that the old one may have lost.
     fn on_link_up(&mut self, link: u64) {
         self.pool.set_link_up(link);
         self.on_pool_linked();
-        let commands = self.requests.unconfirmed_commands();
-        info!(self.log, "worker pool accepts commands"; "resent_commands" => commands.len());
-        for command in commands {
-            self.pool.send(command);
-        }
+        self.redeliver_commands();
     }
 
     /// Ends or restarts the run of a rejected command: the worker pool will not report the end of a run that
--- a/src/server/dispatcher/request.rs
+++ b/src/server/dispatcher/request.rs
@@ -2,6 +2,7 @@
 
 use crate::admission::RequestId;
 use crate::server::messages::{IncomingRequest, PoolCommand, ReplyHandle};
+use crate::server::worker_pool::Delivery;
 use dunlinspread_ledger::Outcome as BilledOutcome;
 use std::rc::Rc;
 
@@ -34,6 +35,13 @@
     },
 }
 
+/// A command for a run about which the worker pool has reported nothing since.
+#[derive(Clone, Debug)]
+pub(super) struct UnconfirmedCommand {
+    pub(super) command: PoolCommand,
+    pub(super) delivery: Delivery,
+}
+
 /// The idempotency key of a request.
 pub(super) struct RequestKey {
     /// The key, shared by all attempts of the request.
@@ -79,9 +87,8 @@
     pub(super) state: ExecutionState,
     /// Whether a run was ever requested for the request.
     pub(super) run_requested: bool,
-    /// Commands sent since the last event of the worker pool for this request. They are resent over a new
-    /// link.
-    pub(super) unconfirmed: Vec<PoolCommand>,
+    /// Commands issued since the last event of the worker pool for this request, in the order of issue.
+    pub(super) unconfirmed: Vec<UnconfirmedCommand>,
 }
 
 impl Request {
@@ -131,7 +138,17 @@
 
     /// Returns whether a run was requested and the worker pool has reported nothing about it since.
     pub(super) fn is_start_unconfirmed(&self) -> bool {
-        matches!(self.unconfirmed.first(), Some(PoolCommand::Run { .. }))
+        self.unconfirmed_start().is_some()
+    }
+
+    /// Returns whether a run was requested, the worker pool has reported nothing about it since, and the
+    /// request may have been lost with a link.
+    pub(super) fn is_start_in_doubt(&self) -> bool {
+        self.unconfirmed_start().is_some_and(|start| start.delivery == Delivery::InDoubt)
+    }
+
+    fn unconfirmed_start(&self) -> Option<&UnconfirmedCommand> {
+        self.unconfirmed.first().filter(|first| matches!(first.command, PoolCommand::Run { .. }))
     }
 
     /// Returns whether the request has no run in progress, neither running nor at an upstream call.
--- a/src/server/dispatcher/request_table.rs
+++ b/src/server/dispatcher/request_table.rs
@@ -2,7 +2,7 @@
 
 use super::request::Request;
 use crate::admission::RequestId;
-use crate::server::messages::PoolCommand;
+use crate::server::worker_pool::Delivery;
 use std::collections::{BTreeMap, HashMap};
 
 /// Totals of the requests that have a run in the worker pool.
@@ -58,6 +58,12 @@
         self.requests.iter().filter(|(_, request)| condition(request)).map(|(id, _)| *id).collect()
     }
 
+    /// Records that no command reached the worker pool that runs now.
+    pub(super) fn reset_deliveries(&mut self) {
+        let unconfirmed = self.requests.values_mut().flat_map(|request| &mut request.unconfirmed);
+        unconfirmed.for_each(|command| command.delivery = Delivery::NotWritten);
+    }
+
     /// Returns the totals of the requests that have a run in the worker pool.
     pub(super) fn running(&self) -> RunningRequests {
         let running = self.requests.values().filter(|request| request.has_run_in_pool());
@@ -66,9 +72,4 @@
             request_kb: sum.request_kb + request.arrival.request_kb,
         })
     }
-
-    /// Returns the unconfirmed commands of all requests, in the order in which the requests arrived.
-    pub(super) fn unconfirmed_commands(&self) -> Vec<PoolCommand> {
-        self.requests.values().flat_map(|request| request.unconfirmed.iter().cloned()).collect()
-    }
 }
--- a/src/server/dispatcher/responses.rs
+++ b/src/server/dispatcher/responses.rs
@@ -21,12 +21,14 @@
         let may_have_run = self.requests.get(id).is_some_and(|request| self.may_have_run(request));
         self.respond(id, if may_have_run { Response::Failed } else { rejection });
         self.remove_if_idle(id);
+        self.end_answered_run_in_doubt(id);
     }
 
     /// Fails a request, and removes it unless it has a run in progress.
     pub(super) fn fail(&mut self, id: RequestId) {
         self.respond(id, Response::Failed);
         self.remove_if_idle(id);
+        self.end_answered_run_in_doubt(id);
     }
 
     /// Returns whether the request or another attempt of its key may have run: a rejection promises that
@@ -69,6 +71,8 @@
         self.bill_cancelled(id);
         self.cancel_upstream_call(id);
         self.remove_if_idle(id);
-        self.dispatch_event(Event::ClientGone(id));
+        self.events.push_back(Event::ClientGone(id));
+        self.end_answered_run_in_doubt(id);
+        self.dispatch_pending_events();
     }
 }
--- a/src/server/dispatcher/runs.rs
+++ b/src/server/dispatcher/runs.rs
@@ -119,12 +119,27 @@
             self.abandoned_runs.add(request.attempt);
         }
         let result = (run_outcome == RunOutcome::Completed).then(|| Rc::from(result));
+        self.finish_run(id, run_outcome, took_ms, result);
+        self.dispatch_pending_events();
+    }
+
+    /// Answers a request whose run has ended, removes it and adds the event for the controller.
+    fn finish_run(&mut self, id: RequestId, run_outcome: RunOutcome, took_ms: f64, result: Option<Rc<[u8]>>) {
         self.answer_run(id, result.clone(), took_ms);
         self.finish_key_run(id, run_outcome, result);
         self.remove(id);
         self.report_runs_in_progress();
         let outcome = controller_outcome(run_outcome);
-        self.dispatch_event(Event::RunEnded { id, outcome, took_ms });
+        self.events.push_back(Event::RunEnded { id, outcome, took_ms });
+    }
+
+    /// Ends the run of an answered request whose start may have been lost with a link and is not sent again:
+    /// the worker pool may never report its end.
+    pub(super) fn end_answered_run_in_doubt(&mut self, id: RequestId) {
+        let Some(request) = self.requests.get(id) else { return };
+        if request.reply.is_none() && request.is_start_in_doubt() {
+            self.finish_run(id, RunOutcome::Lost, 0.0, None);
+        }
     }
 
     /// Answers a request with the result of its run, or only bills the run if the request already has a final
--- a/src/server/dispatcher/state.rs
+++ b/src/server/dispatcher/state.rs
@@ -7,7 +7,7 @@
 use super::pool_link::PoolLink;
 use super::recent_attempts::RecentAttempts;
 use super::repeating_log::RepeatingLog;
-use super::request::ExecutionState;
+use super::request::{ExecutionState, UnconfirmedCommand};
 use super::request_table::RequestTable;
 use crate::admission::{AdmissionController, Event, RequestId, Settings};
 use crate::config::Config;
@@ -285,8 +285,8 @@
     /// Sends a command for a request to the worker pool, immediately or when the next link is up.
     pub(super) fn request_command(&mut self, id: RequestId, command: PoolCommand) {
         let Some(request) = self.requests.get_mut(id) else { return };
-        request.unconfirmed.push(command.clone());
-        self.pool.send(command);
+        let delivery = self.pool.send(command.clone());
+        request.unconfirmed.push(UnconfirmedCommand { command, delivery });
     }
 
     /// Removes a request, and releases the reservation of its key if it never ran.
--- a/src/server/dispatcher/timers.rs
+++ b/src/server/dispatcher/timers.rs
@@ -2,7 +2,7 @@
 
 use super::state::Dispatcher;
 use crate::admission::{Event, Gauges};
-use crate::server::messages::{DispatcherMessage, PoolCommand, Reconfigured};
+use crate::server::messages::{DispatcherMessage, Reconfigured};
 
 /// How long a timer waits for the gauges before it fires without them, ms.
 const GAUGES_TIMEOUT_MS: f64 = 20.0;
@@ -17,7 +17,7 @@
         }
         let tag = self.gauge_poll.begin(token);
         self.dispatch_event(Event::GaugesRequested);
-        if self.pool.send(PoolCommand::ReadGauges { tag }) {
+        if self.pool.read_gauges(tag) {
             self.schedule(GAUGES_TIMEOUT_MS, DispatcherMessage::GaugesTimedOut(tag));
         } else {
             self.on_gauges(tag, Gauges::default());
--- a/src/server/dispatcher/upstream_calls.rs
+++ b/src/server/dispatcher/upstream_calls.rs
@@ -54,7 +54,8 @@
         let Some(request) = self.requests.get_mut(id) else { return };
         let ExecutionState::CallingUpstream(call) = &request.state else { return };
         if outcome == Outcome::Ok {
-            let command = PoolCommand::UpstreamReply { attempt: request.attempt, body: body.into() };
+            let (attempt, seq) = (request.attempt, call.notice_seq);
+            let command = PoolCommand::UpstreamReply { attempt, seq, body: body.into() };
             request.state = ExecutionState::Running;
             self.request_command(id, command);
         } else {
--- a/src/server/messages/mod.rs
+++ b/src/server/messages/mod.rs
@@ -26,4 +26,6 @@
 pub use request_progress::{ReadRequest, RequestProgress};
 pub use upstream::{UpstreamCall, UpstreamMessage};
 pub use usage::UsageMessage;
-pub use worker_pool::{LinkCommand, PoolCommand, PoolEvent, RejectedCommand, RunOutcome, WorkerPoolMessage};
+pub use worker_pool::{
+    CommandNumber, LinkCommand, PoolCommand, PoolEvent, RejectedCommand, RunOutcome, WorkerPoolMessage,
+};
--- a/src/server/messages/worker_pool.rs
+++ b/src/server/messages/worker_pool.rs
@@ -29,6 +29,8 @@
     UpstreamReply {
         /// The number of the attempt.
         attempt: u64,
+        /// The number of the notice that requested the call. The protocol has no place for it.
+        seq: u64,
         /// The reply, as received.
         body: Rc<[u8]>,
     },
@@ -46,11 +48,16 @@
     },
 }
 
+/// Position of a command in the order in which commands are handed to links. It increases across links.
+pub type CommandNumber = u64;
+
 /// A command for one link; on any other link it is dropped.
 #[derive(Debug)]
 pub struct LinkCommand {
     /// The number of the link.
     pub link: u64,
+    /// The number of the command.
+    pub number: CommandNumber,
     /// When the dispatcher sent the command, Unix ms.
     pub given_at: f64,
     /// The command.
@@ -137,7 +144,11 @@
     /// The link with this number accepts commands; all earlier notices have been read.
     LinkUp(u64),
     /// The link ended.
-    LinkDown,
+    LinkDown {
+        /// Number of the last command of which any part may have been written to the link; `None` if there is
+        /// no such command.
+        last_written: Option<CommandNumber>,
+    },
     /// Commands that runs need to continue were written late.
     CommandsDelayed {
         /// How long the oldest of the commands waited, ms: from the time when the dispatcher sent it, or from
--- a/src/server/worker_pool/codec.rs
+++ b/src/server/worker_pool/codec.rs
@@ -55,7 +55,7 @@
         }
         PoolCommand::Suspend { attempt } => begin_attempt_command(out, wire::COMMAND_SUSPEND, *attempt),
         PoolCommand::Resume { attempt } => begin_attempt_command(out, wire::COMMAND_RESUME, *attempt),
-        PoolCommand::UpstreamReply { attempt, body } => {
+        PoolCommand::UpstreamReply { attempt, body, .. } => {
             begin_attempt_command(out, wire::COMMAND_UPSTREAM_REPLY, *attempt);
             put_body(out, body);
         }
--- a/src/server/worker_pool/link.rs
+++ b/src/server/worker_pool/link.rs
@@ -3,7 +3,9 @@
 use super::connect::{CONNECT_RETRY_MS, ConnectAttempt, connect_after};
 use super::reader::{LinkReader, PoolProgress};
 use super::writer::{LinkEnd, LinkWriter};
-use crate::server::messages::{DispatcherMessage, DispatcherSender, PoolEvent, WorkerPoolMessage};
+use crate::server::messages::{
+    CommandNumber, DispatcherMessage, DispatcherSender, PoolEvent, WorkerPoolMessage,
+};
 use crate::server::timer_wheel::TimerWheel;
 use async_channel::Receiver;
 use async_io::Async;
@@ -33,6 +35,8 @@
     progress: PoolProgress,
     /// Number of the current link, or of the last one while there is none.
     link_number: u64,
+    /// Number of the last command of which any part may have been written to the current link.
+    last_written: Option<CommandNumber>,
     /// Current attempt to connect to `address`. It may outlive a link.
     connecting: Option<ConnectAttempt>,
 }
@@ -73,6 +77,7 @@
             log,
             progress,
             link_number: 0,
+            last_written: None,
             connecting: None,
         }
     }
@@ -140,7 +145,8 @@
         let end = self.exchange(&stream, messages).await;
         drop(stream);
         let bound = std::mem::take(&mut self.progress.bound);
-        if self.dispatcher.send(DispatcherMessage::Pool(PoolEvent::LinkDown)).await.is_err() {
+        let link_down = PoolEvent::LinkDown { last_written: self.last_written.take() };
+        if self.dispatcher.send(DispatcherMessage::Pool(link_down)).await.is_err() {
             return AfterLink::ProcessEnds;
         }
         match end {
@@ -178,6 +184,7 @@
             dispatcher: &self.dispatcher,
             oldest_queued_at: None,
             last_written_at: f64::NEG_INFINITY,
+            last_written: &mut self.last_written,
             reconnecting: &mut self.connecting,
         };
         let reader = LinkReader {
--- a/src/server/worker_pool/writer.rs
+++ b/src/server/worker_pool/writer.rs
@@ -5,7 +5,8 @@
 use super::error::LinkError;
 use super::reader::MAX_LINE_BYTES;
 use crate::server::messages::{
-    DispatcherMessage, DispatcherSender, LinkCommand, PoolCommand, PoolEvent, WorkerPoolMessage,
+    CommandNumber, DispatcherMessage, DispatcherSender, LinkCommand, PoolCommand, PoolEvent,
+    WorkerPoolMessage,
 };
 use crate::server::timer_wheel::TimerWheel;
 use async_channel::Receiver;
@@ -59,6 +60,9 @@
     pub(super) oldest_queued_at: Option<f64>,
     /// Time of the last write with a command that a run needs to proceed, Unix ms.
     pub(super) last_written_at: f64,
+    /// Number of the last command that was encoded for a write, which may be written in whole, in part or not
+    /// at all when the link ends.
+    pub(super) last_written: &'a mut Option<CommandNumber>,
     /// Attempt to connect to the pool's new address. The current link is used until it succeeds: notices in
     /// transit are still read, and the new link starts after the last of them. If the link ends first, the
     /// attempt continues.
@@ -164,6 +168,7 @@
             match message {
                 WorkerPoolMessage::Command(command) if command.link == self.link_number => {
                     self.record_queued_at(&command);
+                    *self.last_written = Some(command.number);
                     encode_command(&command.command, self.classes, buffer);
                 }
                 // The command belongs to a link that ended.
--- a/tests/admission/operations.rs
+++ b/tests/admission/operations.rs
@@ -104,6 +104,7 @@
         2 => time().prop_map(RequestState::AwaitingCall),
         1 => Just(RequestState::AwaitingCall(f64::INFINITY)),
         1 => Just(RequestState::Calling),
+        1 => Just(RequestState::InDoubt),
         2 => Just(RequestState::Suspended),
         1 => Just(RequestState::Reusing),
     ]
--- a/tests/admission/plain_table.rs
+++ b/tests/admission/plain_table.rs
@@ -66,7 +66,7 @@
             match request.state {
                 RequestState::Running => counts.running += 1,
                 RequestState::AwaitingCall(_) => counts.awaiting_call += 1,
-                RequestState::Calling => counts.calling += 1,
+                RequestState::Calling | RequestState::InDoubt => counts.calling += 1,
                 _ => {}
             }
         }
@@ -78,9 +78,10 @@
         for request in self.requests.values().filter(|request| request.class == class) {
             match request.state {
                 RequestState::Queued => counts.queued += 1,
-                RequestState::Running | RequestState::AwaitingCall(_) | RequestState::Calling => {
-                    counts.in_progress += 1;
-                }
+                RequestState::Running
+                | RequestState::InDoubt
+                | RequestState::AwaitingCall(_)
+                | RequestState::Calling => counts.in_progress += 1,
                 RequestState::Suspended | RequestState::Reusing => {}
             }
         }
--- a/tests/exchanges.rs
+++ b/tests/exchanges.rs
@@ -23,7 +23,7 @@
 }
 
 exchanges! {
-    accept_queue bad_input bad_peers call_given_up calls cold crowd cut_then_gone cut_then_unknown descriptors drain due_while_running due_without_link full heir idle keyed leave leave_kinds new_pool no_pool other_body half read_late reload relink sent_again sent_again_after_call sent_again_full sent_again_refused serve signals slow_reader stopped told_wait unknown_runs unread unwanted window
+    accept_queue bad_input bad_peers call_given_up calls cold crowd cut_then_gone cut_then_unknown descriptors drain due_while_running due_without_link full heir idle keyed leave leave_kinds new_pool no_pool other_body half read_late reload relink reply_delivered reply_in_doubt reply_in_doubt_keyed sent_again sent_again_after_call sent_again_full sent_again_refused serve signals slow_reader start_in_doubt stopped told_wait unknown_runs unread unwanted window
 }
 
 /// Asserts that an invalid configuration ends the program with an error that names the key.
--- a/tests/play/playback.rs
+++ b/tests/play/playback.rs
@@ -188,19 +188,26 @@
             // Gauge readings arrive without end, so the time limit of the connection's reads is not
             // sufficient.
             assert!(since.elapsed() < HANG, "no command arrives");
-            let text = read_line(connection);
-            let Some((_, tag)) = text.split_once(r#"{"op":"poll","tag":""#) else { return text };
-            let tag = tag.trim_end_matches("\"}");
-            let reply = format!("{{\"op\":\"polled\",\"tag\":\"{tag}\",\"values\":[0.1,0,0.1,1]}}\n");
-            connection.get_mut().write_all(reply.as_bytes()).expect("the link is up");
+            if let Some(command) = read_command(connection) {
+                return command;
+            }
         }
     }
 
+    /// Answers the next gauge reading, before which no other command may arrive.
+    fn answer_reading(&mut self) {
+        let command = read_command(self.pool.connection.as_mut().expect("a link"));
+        assert!(command.is_none(), "a command before the gauge reading: {command:?}");
+    }
+
     fn send_from_pool(&mut self, text: &str) {
         if text == "close" {
             self.pool.connection = None;
             return;
         }
+        if text == "answer reading" {
+            return self.answer_reading();
+        }
         let connection = self.pool.connection.as_mut().expect("a link");
         // A pool that has not started accepts no commands: only `bind` may come before `bound`.
         assert!(!text.contains("bound") || connection.buffer().is_empty(), "a command before `bound`");
@@ -307,6 +314,16 @@
     }
 }
 
+/// Reads a command to the worker pool and returns it; `None` for a gauge reading, which is answered.
+fn read_command(connection: &mut BufReader<TcpStream>) -> Option<String> {
+    let text = read_line(connection);
+    let Some((_, tag)) = text.split_once(r#"{"op":"poll","tag":""#) else { return Some(text) };
+    let tag = tag.trim_end_matches("\"}");
+    let reply = format!("{{\"op\":\"polled\",\"tag\":\"{tag}\",\"values\":[0.1,0,0.1,1]}}\n");
+    connection.get_mut().write_all(reply.as_bytes()).expect("the link is up");
+    None
+}
+
 /// Returns the bytes that a client sends for a line of the script.
 fn client_bytes(name: &str, verb: &str, rest: &str) -> Vec<u8> {
     let id = || rest.parse::<u8>().expect("an id");
--- a/tests/progress.rs
+++ b/tests/progress.rs
@@ -196,6 +196,29 @@
     }
 }
 
+/// Guards against taking a run whose command was lost with the link to the worker pool for a stall: the server
+/// would report itself as unhealthy until the request is due.
+#[test]
+fn a_run_that_may_wait_for_a_lost_command_is_no_stall_and_is_answered_when_due() {
+    for (in_doubt, expected) in [(true, vec![]), (false, vec![false])] {
+        let (mut driver, running) = busy_instance();
+        if in_doubt {
+            driver.send(Event::RunInDoubt(running));
+        }
+        let until = driver.now + 1500.0;
+        assert_eq!(healths(&driver.run_until(until)), expected, "in doubt: {in_doubt}");
+        let (next, actions) = driver.arrive(2);
+        assert_eq!(runs(&actions, next), in_doubt, "in doubt: {in_doubt}: {actions:?}");
+        let until = driver.now + 100_000.0;
+        let actions = driver.run_until(until);
+        let is_answer = |action: &Action| match action {
+            Action::Reject { id, .. } | Action::Fail(id) => *id == running,
+            _ => false,
+        };
+        assert_eq!(actions.iter().filter(|action| is_answer(action)).count(), 1, "in doubt: {in_doubt}");
+    }
+}
+
 /// On a suspended machine, timers fire in time, but neither events nor gauges arrive; that is no stall.
 #[test]
 fn a_time_without_gauges_is_no_stall() {
--- a/tests/worker_pool_link.rs
+++ b/tests/worker_pool_link.rs
@@ -147,7 +147,7 @@
         (now - WAITED_MS, run.clone()),
         (now - WAITED_MS / 2.0, run.clone()),
     ] {
-        let command = LinkCommand { link: 1, given_at, command };
+        let command = LinkCommand { link: 1, number: 1, given_at, command };
         link.messages.try_send(WorkerPoolMessage::Command(command)).expect("the queue is open");
     }
     let mut events = link.events.take().expect("the inbox is taken once");
@@ -158,9 +158,13 @@
     assert!((WAITED_MS..2.0 * WAITED_MS).contains(&waited_ms), "waited {waited_ms} ms");
     // A command issued after the last write has not waited, and one issued before it has waited only since
     // then.
-    let suspension =
-        LinkCommand { link: 1, given_at: now - WAITED_MS, command: PoolCommand::Suspend { attempt: 3 } };
-    let given_now = LinkCommand { link: 1, given_at: f64::INFINITY, command: run };
+    let suspension = LinkCommand {
+        link: 1,
+        number: 2,
+        given_at: now - WAITED_MS,
+        command: PoolCommand::Suspend { attempt: 3 },
+    };
+    let given_now = LinkCommand { link: 1, number: 3, given_at: f64::INFINITY, command: run };
     for command in [suspension, given_now] {
         link.messages.try_send(WorkerPoolMessage::Command(command)).expect("the queue is open");
         (0..3).for_each(|_| link.poll());
