Move to a new worker pool address once the old link is drained

What callers saw: with each new configuration that moved the worker pool, the commands of the last moments on the old link were in doubt.

Cause: the link moved as soon as the connection to the new address was there, whatever the worker pool had yet to read on the old one.

Change: the writer takes no further command for the old link, writes a gauge reading to it and begins the new link after its answer, which proves the commands before it; after 1 s without an answer, or if the old link ends first, the move goes on as after a break. The connection to the new address is kept and used in each case.

Tests: a_move_waits_until_the_commands_of_the_old_link_are_carried_out, which fails with the wait taken out (no reading on the old link).

--- a/src/server/dispatcher/pool_events.rs
+++ b/src/server/dispatcher/pool_events.rs
@@ -13,7 +13,9 @@
             PoolEvent::Started { cold, ago_ms } => self.start_controller(Some(PoolStart { cold, ago_ms })),
             PoolEvent::Restarted => self.on_pool_restarted(),
             PoolEvent::LinkUp(link) => self.on_link_up(link),
-            PoolEvent::LinkDown { last_written } => self.pool.set_link_down(last_written),
+            PoolEvent::LinkDown { last_written, is_drained } => {
+                self.pool.set_link_down(last_written, is_drained);
+            }
             PoolEvent::CommandsDelayed { waited_ms } => {
                 self.dispatch_event(Event::CommandsDelayed { waited_ms });
             }
--- a/src/server/dispatcher/pool_link.rs
+++ b/src/server/dispatcher/pool_link.rs
@@ -26,10 +26,11 @@
         self.link = Some(link);
     }
 
-    /// Records that no link accepts commands, and the last command that the ended one may have written.
-    pub(super) fn set_link_down(&mut self, last_written: Option<CommandNumber>) {
+    /// Records that no link accepts commands, the last command that the ended one may have written, and whether
+    /// all that it has written was carried out.
+    pub(super) fn set_link_down(&mut self, last_written: Option<CommandNumber>, is_drained: bool) {
         self.link = None;
-        self.deliveries.on_link_end(last_written);
+        self.deliveries.on_link_end(last_written, is_drained);
     }
 
     /// Records the answer to the reading of the gauges with this tag.
--- a/src/server/messages/worker_pool.rs
+++ b/src/server/messages/worker_pool.rs
@@ -148,6 +148,8 @@
         /// Number of the last command of which any part may have been written to the link; `None` if there is
         /// no such command.
         last_written: Option<CommandNumber>,
+        /// Whether all commands that were written to the link were carried out.
+        is_drained: bool,
     },
     /// Commands that runs need to continue were written late.
     CommandsDelayed {
--- a/src/server/worker_pool/codec.rs
+++ b/src/server/worker_pool/codec.rs
@@ -26,6 +26,8 @@
     },
     /// Reply to the query of [`encode_caught_up_query`]: all notices from before the link have been read.
     CaughtUp,
+    /// Reply to the query of [`encode_drain_query`]: all earlier commands on the link were carried out.
+    Drained,
     /// An event without a sequence number.
     Event(PoolEvent),
 }
@@ -39,8 +41,17 @@
 
 /// Appends the query whose reply is [`PoolMessage::CaughtUp`].
 pub(super) fn encode_caught_up_query(out: &mut String) {
+    encode_gauge_query(wire::TAG_CAUGHT_UP, out);
+}
+
+/// Appends the query whose reply is [`PoolMessage::Drained`].
+pub(super) fn encode_drain_query(out: &mut String) {
+    encode_gauge_query(wire::TAG_DRAINED, out);
+}
+
+fn encode_gauge_query(tag: &str, out: &mut String) {
     begin_command(out, wire::COMMAND_READ_GAUGES);
-    put_unescaped(out, wire::KEY_TAG, wire::TAG_CAUGHT_UP);
+    put_unescaped(out, wire::KEY_TAG, tag);
     end_command(out);
 }
 
@@ -63,10 +74,7 @@
             begin_attempt_command(out, wire::COMMAND_SKIP_UPSTREAM_CALL, *attempt);
             put_number(out, wire::KEY_SEQUENCE, *seq);
         }
-        PoolCommand::ReadGauges { tag } => {
-            begin_command(out, wire::COMMAND_READ_GAUGES);
-            put_unescaped(out, wire::KEY_TAG, &tag.to_string());
-        }
+        PoolCommand::ReadGauges { tag } => return encode_gauge_query(&tag.to_string(), out),
     }
     end_command(out);
 }
@@ -163,8 +171,10 @@
 
 fn decode_gauges(object: &Object<'_>) -> Result<PoolMessage, DecodeError> {
     let tag = object.text(wire::KEY_TAG)?;
-    if tag == wire::TAG_CAUGHT_UP {
-        return Ok(PoolMessage::CaughtUp);
+    match tag {
+        wire::TAG_CAUGHT_UP => return Ok(PoolMessage::CaughtUp),
+        wire::TAG_DRAINED => return Ok(PoolMessage::Drained),
+        _ => {}
     }
     let tag = tag.parse().map_err(|_| DecodeError::Key(wire::KEY_TAG))?;
     let Some(Value::Array(values)) = object.0.get(wire::KEY_VALUES) else {
--- a/src/server/worker_pool/command_delivery.rs
+++ b/src/server/worker_pool/command_delivery.rs
@@ -75,10 +75,15 @@
     }
 
     /// Records the end of the current link. `last_written` is the number of the last command of which any
-    /// part may have been written to it; `None` if there is no such command.
-    pub fn on_link_end(&mut self, last_written: Option<CommandNumber>) {
+    /// part may have been written to it; `None` if there is no such command. `is_drained` states that all
+    /// commands up to it were carried out.
+    pub fn on_link_end(&mut self, last_written: Option<CommandNumber>, is_drained: bool) {
         self.awaited_readings.clear();
-        self.last_written = last_written.unwrap_or(self.last_written);
+        let Some(last_written) = last_written else { return };
+        self.last_written = last_written;
+        if is_drained {
+            self.last_delivered = last_written;
+        }
     }
 
     /// Returns what is known about a command after the end of the link to which it was handed.
--- a/src/server/worker_pool/link.rs
+++ b/src/server/worker_pool/link.rs
@@ -39,6 +39,8 @@
     last_written: Option<CommandNumber>,
     /// Current attempt to connect to `address`. It may outlive a link.
     connecting: Option<ConnectAttempt>,
+    /// Connection to `address` that is used once the current link, to an earlier address, has ended.
+    new_stream: Option<Async<TcpStream>>,
 }
 
 /// Next step after a link has ended.
@@ -79,6 +81,7 @@
             link_number: 0,
             last_written: None,
             connecting: None,
+            new_stream: None,
         }
     }
 
@@ -145,26 +148,25 @@
         let end = self.exchange(&stream, messages).await;
         drop(stream);
         let bound = std::mem::take(&mut self.progress.bound);
-        let link_down = PoolEvent::LinkDown { last_written: self.last_written.take() };
+        let is_drained = matches!(end, LinkEnd::Moved { is_drained: true });
+        let link_down = PoolEvent::LinkDown { last_written: self.last_written.take(), is_drained };
         if self.dispatcher.send(DispatcherMessage::Pool(link_down)).await.is_err() {
             return AfterLink::ProcessEnds;
         }
-        match end {
-            LinkEnd::Moved(stream) => {
-                info!(self.log, "worker pool address changed"; "component" => "worker_pool",
-                    "address" => self.address.to_string());
-                AfterLink::Continue(stream)
-            }
-            LinkEnd::Failed(error) => {
-                warn!(self.log, "worker pool link down"; "component" => "worker_pool",
+        if let LinkEnd::Failed(error) = &end {
+            warn!(self.log, "worker pool link down"; "component" => "worker_pool",
                     "error" => error.to_string(), "last_notice" => self.progress.last_sequence);
-                // If the pool's address changed just before, an attempt is already under way.
-                if self.connecting.is_none() {
-                    self.begin_connecting(if bound { RECONNECT_MS } else { CONNECT_RETRY_MS });
-                }
-                AfterLink::Reconnect
-            }
         }
+        if let Some(stream) = self.new_stream.take() {
+            info!(self.log, "worker pool address changed"; "component" => "worker_pool",
+                "drained" => is_drained, "address" => self.address.to_string());
+            return AfterLink::Continue(stream);
+        }
+        // If the pool's address changed just before, an attempt is already under way.
+        if self.connecting.is_none() {
+            self.begin_connecting(if bound { RECONNECT_MS } else { CONNECT_RETRY_MS });
+        }
+        AfterLink::Reconnect
     }
 
     /// Reads and writes until either direction ends.
@@ -175,6 +177,7 @@
     ) -> LinkEnd {
         let _ = stream.get_ref().set_nodelay(true);
         let last_sequence = self.progress.last_sequence;
+        let (drained_sender, drained) = async_channel::bounded(1);
         let writer = LinkWriter {
             link_number: self.link_number,
             stream,
@@ -186,12 +189,15 @@
             last_written_at: f64::NEG_INFINITY,
             last_written: &mut self.last_written,
             reconnecting: &mut self.connecting,
+            new_stream: &mut self.new_stream,
+            drained,
         };
         let reader = LinkReader {
             link_number: self.link_number,
             stream,
             progress: &mut self.progress,
             dispatcher: &self.dispatcher,
+            drained: drained_sender,
             log: &self.log,
             warnings: 0,
         };
--- a/src/server/worker_pool/protocol.rs
+++ b/src/server/worker_pool/protocol.rs
@@ -60,3 +60,6 @@
 
 /// Tag of the gauge query whose reply shows that all earlier notices have been read.
 pub(super) const TAG_CAUGHT_UP: &str = "caught-up";
+
+/// Tag of the gauge query whose reply shows that all earlier commands on the link were carried out.
+pub(super) const TAG_DRAINED: &str = "drained";
--- a/src/server/worker_pool/reader.rs
+++ b/src/server/worker_pool/reader.rs
@@ -4,6 +4,7 @@
 use super::error::{DecodeError, LinkError};
 use crate::codec::json::{Line, Lines};
 use crate::server::messages::{DispatcherMessage, DispatcherSender, PoolEvent};
+use async_channel::Sender;
 use async_io::Async;
 use futures_lite::{AsyncReadExt, AsyncWriteExt};
 use slog::{Logger, info, warn};
@@ -37,6 +38,8 @@
     pub(super) progress: &'a mut PoolProgress,
     /// Sender to the dispatcher.
     pub(super) dispatcher: &'a DispatcherSender,
+    /// Notified once the pool has carried out all commands of a link that ends.
+    pub(super) drained: Sender<()>,
     /// The log.
     pub(super) log: &'a Logger,
     /// Number of warnings about this link so far.
@@ -79,6 +82,11 @@
         match message {
             PoolMessage::Bound { cold, uptime_ms } => self.handle_bound(cold, uptime_ms).await,
             PoolMessage::CaughtUp => self.send(PoolEvent::LinkUp(self.link_number)).await,
+            PoolMessage::Drained => {
+                // The writer waits for one message, and for no longer than the link lasts.
+                let _ = self.drained.try_send(());
+                Ok(())
+            }
             PoolMessage::Event(event) => self.send(event).await,
             PoolMessage::Notice { sequence, event } => {
                 if !self.record_notice(sequence) {
--- a/src/server/worker_pool/writer.rs
+++ b/src/server/worker_pool/writer.rs
@@ -1,6 +1,6 @@
 //! The writing side of a link: sends commands of the dispatcher to the worker pool.
 
-use super::codec::{encode_bind, encode_command};
+use super::codec::{encode_bind, encode_command, encode_drain_query};
 use super::connect::{CONNECT_RETRY_MS, ConnectAttempt, connect_after};
 use super::error::LinkError;
 use super::reader::MAX_LINE_BYTES;
@@ -22,6 +22,9 @@
 /// Shortest wait of commands that is reported to the dispatcher, ms: a lag of this process beyond the usual
 /// length of an event loop turn.
 const MIN_REPORTED_WAIT_MS: f64 = 5.0;
+/// Longest wait for the pool to carry out the commands of a link whose address changed, ms: less than the time
+/// for which it serves the old address.
+const DRAIN_TIMEOUT_MS: f64 = 1000.0;
 /// Number of encoded bytes from which a batch is written.
 const WRITE_BUFFER_BYTES: usize = MAX_LINE_BYTES;
 
@@ -29,8 +32,11 @@
 pub(super) enum LinkEnd {
     /// The connection failed.
     Failed(LinkError),
-    /// The pool's address changed; holds the connection to its new address.
-    Moved(Async<TcpStream>),
+    /// The pool's address changed, and there is a connection to the new one.
+    Moved {
+        /// Whether the pool has carried out all commands that were written to the link.
+        is_drained: bool,
+    },
 }
 
 enum WriterEvent {
@@ -67,6 +73,10 @@
     /// transit are still read, and the new link starts after the last of them. If the link ends first, the
     /// attempt continues.
     pub(super) reconnecting: &'a mut Option<ConnectAttempt>,
+    /// Connection to the pool's new address. It is used even if the current link ends first.
+    pub(super) new_stream: &'a mut Option<Async<TcpStream>>,
+    /// Notified once the pool has carried out all commands before the drain query.
+    pub(super) drained: Receiver<()>,
 }
 
 impl LinkWriter<'_> {
@@ -85,7 +95,8 @@
                 WriterEvent::Message(message) => self.encode_batch(message, messages, &mut buffer),
                 WriterEvent::Reconnected(Ok(stream)) => {
                     *self.reconnecting = None;
-                    return LinkEnd::Moved(stream);
+                    *self.new_stream = Some(stream);
+                    return self.drain().await;
                 }
                 WriterEvent::Reconnected(Err(_)) => self.reconnect_after(CONNECT_RETRY_MS),
                 WriterEvent::QueueClosed => return LinkEnd::Failed(LinkError::ProcessEnds),
@@ -93,6 +104,25 @@
         }
     }
 
+    /// Waits until the pool has carried out all commands that were written to the link, so that none is in doubt
+    /// after the move to the new address. Later commands wait for the new link.
+    async fn drain(&mut self) -> LinkEnd {
+        if self.last_written.is_none() {
+            return LinkEnd::Moved { is_drained: true };
+        }
+        let mut query = String::new();
+        encode_drain_query(&mut query);
+        if let Err(error) = self.write(&query).await {
+            return LinkEnd::Failed(LinkError::Write(error));
+        }
+        let drained = async { self.drained.recv().await.is_ok() };
+        let timed_out = async {
+            self.wheel.sleep(DRAIN_TIMEOUT_MS).await;
+            false
+        };
+        LinkEnd::Moved { is_drained: or(drained, timed_out).await }
+    }
+
     async fn write(&self, text: &str) -> io::Result<()> {
         let mut stream = self.stream;
         let timed_out = async {
--- a/tests/redelivery_support/server.rs
+++ b/tests/redelivery_support/server.rs
@@ -121,7 +121,7 @@
     pub fn lose_link(&mut self, last_written: Option<CommandNumber>) {
         self.is_linked = false;
         self.mailbox.clear();
-        self.tracker.on_link_end(last_written);
+        self.tracker.on_link_end(last_written, false);
     }
 
     /// Begins to use a new link.
--- a/tests/worker_pool_link.rs
+++ b/tests/worker_pool_link.rs
@@ -9,7 +9,7 @@
 use dunlinspread::server::timer_wheel::{Clock, TimerWheel};
 use dunlinspread::server::worker_pool::WorkerPoolLink;
 use futures_lite::future::{BoxedLocal, block_on, or, poll_once};
-use std::io::{BufRead, BufReader, ErrorKind};
+use std::io::{BufRead, BufReader, ErrorKind, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::rc::Rc;
 use std::time::Duration;
@@ -171,3 +171,44 @@
     }
     assert!(events.take_waiting().is_none(), "reported though nothing waited");
 }
+
+/// Guards against commands in doubt after a move to another address: the new link begins once the pool has
+/// carried out all commands of the old one, and later commands wait for it.
+#[test]
+fn a_move_waits_until_the_commands_of_the_old_link_are_carried_out() {
+    let (old_pool, old_address) = listen();
+    let (new_pool, new_address) = listen();
+    let mut link = Link::new(old_address);
+    let (_old_pool, mut old_stream, _) = run_until_accepted(&mut link, old_pool);
+    let command = |number| {
+        let command = PoolCommand::Resume { attempt: number };
+        WorkerPoolMessage::Command(LinkCommand { link: 1, number, given_at: f64::INFINITY, command })
+    };
+    link.messages.try_send(command(1)).expect("the queue is open");
+    link.set_address(new_address);
+    let (sender, read) = async_channel::bounded(1);
+    let mut reader = BufReader::new(old_stream.try_clone().expect("a descriptor"));
+    std::thread::spawn(move || {
+        let lines: Vec<String> = (&mut reader).lines().take(2).map_while(Result::ok).collect();
+        let _ = sender.send_blocking(lines);
+    });
+    let lines = link.run_until(read.recv()).expect("two lines");
+    assert_eq!(lines[1], r#"{"op":"poll","tag":"drained"}"#, "{lines:?}");
+    link.messages.try_send(command(2)).expect("the queue is open");
+    (0..3).for_each(|_| link.poll());
+    let mut events = link.events.take().expect("the inbox is taken once");
+    assert!(events.take_waiting().is_none(), "the link has ended before the answer");
+    old_stream
+        .write_all(b"{\"op\":\"polled\",\"tag\":\"drained\",\"values\":[0,0,0,0]}\n")
+        .expect("the link is up");
+    let event = link.run_until(async {
+        loop {
+            if let Some(DispatcherMessage::Pool(event)) = events.next().await {
+                break event;
+            }
+        }
+    });
+    assert_eq!(event, PoolEvent::LinkDown { last_written: Some(1), is_drained: true });
+    let (_new_pool, _stream, line) = run_until_accepted(&mut link, new_pool);
+    assert_eq!(line, "{\"op\":\"bind\",\"seq\":0}\n");
+}
