--- a/src/admission/event.rs
+++ b/src/admission/event.rs
@@ -102,8 +102,8 @@
         /// Time since the action that started the run or the reuse, ms.
         took_ms: f64,
     },
-    /// A command for the run of a request may have been lost, and is not sent again: the run may be in progress,
-    /// or may wait for the command for ever.
+    /// A command for the run of a request may have been lost, and is not sent again: the run may be in
+    /// progress, or may wait for the command for ever.
     RunInDoubt(RequestId),
     /// The client no longer waits for the request.
     ClientGone(RequestId),
--- a/src/admission/request_totals.rs
+++ b/src/admission/request_totals.rs
@@ -16,8 +16,8 @@
     pub(super) running: usize,
     /// Number of requests whose upstream call is still to be made.
     pub(super) awaiting_call: usize,
-    /// Number of requests whose upstream call is in progress, and of those whose run is in doubt: they may run at
-    /// any time without a decision.
+    /// Number of requests whose upstream call is in progress, and of those whose run is in doubt: they may
+    /// run at any time without a decision.
     pub(super) calling: usize,
 }
 
