review: case 7, a quick second upgrade makes all later ones fail

Cause: a process that handed over takes the early end of its successor for a death, although a third process serves, and takes the name of the handover socket back. The case makes three upgrades. Measured: the new process of the third one ended with status 1; with each old process ended before the next upgrade all three held.

--- a/review/standins-2/src/cases.rs
+++ b/review/standins-2/src/cases.rs
@@ -2,6 +2,7 @@
 
 use crate::client::{Answer, Client, HealthChecks, Record};
 use crate::http::{Catalog, Index, IndexSettings, operator_call};
+use crate::proxy::Proxy;
 use crate::pool::{Pool, PoolSettings, call_reply};
 use crate::server::{Folder, Platform, Server, free_address, wait_until};
 use crate::settings::ROUNDS;
@@ -14,6 +15,9 @@
         "foreign-reply" => foreign_reply(case),
         "evacuated-before" => evacuated_in_an_upgrade(case, When::BeforeTheCommit),
         "evacuated-after" => evacuated_in_an_upgrade(case, When::AfterTheCommit),
+        "upgrades-in-a-row" => upgrades_in_a_row(case),
+        "soak" => soak(case),
+        "upgrade-memory" => upgrade_memory(case),
         _ => End::NotRun(format!("no case {name}")),
     }
 }
@@ -210,3 +214,339 @@
         (all, good) => End::Broken(format!("{good} of {all} health checks were answered good 4 s and more after the call")),
     }
 }
+
+fn upgrade_memory(case: &mut Case) -> End {
+    let settings = PoolSettings { run_ms: |_, _| 25, calls: |_, _| 0, result_bytes: 4096, up_after_ms: 0 };
+    let old_pool = Pool::start(settings);
+    let new_pool = Pool::start(settings);
+    let catalog = Catalog::start();
+    let folder = Folder::new();
+    let old = Platform {
+        listen: free_address(),
+        control: free_address(),
+        pool: old_pool.address,
+        directory: catalog.address,
+        index: None,
+        memory_mb: 32,
+        settings: crate::settings::CONSEGNE,
+    };
+    let old_server = Server::start("old", &case.root, &folder, &old);
+    if !wait_until(15_000, || is_ready(old.control)) {
+        return End::NotRun("the old process is not ready".to_owned());
+    }
+    case.log.now(&format!("idle {} kB", old_server.anonymous_kb()));
+    let mut client = Client::new(old.listen, vec![old_pool.clone(), new_pool.clone()], 10);
+    client.passes_deadline = true;
+    let load = client.clone();
+    thread::spawn(move || {
+        for number in 0..190 * 35 {
+            let mut body = format!("body {number}").into_bytes();
+            body.resize(2048, b'x');
+            if number % 100 < 41 {
+                load.send("prenota-consegna", Some(&format!("key{number:029}")), &body, "24.5", 3700);
+            } else {
+                load.send("stato-ordine", None, &body, "24.5", 4500);
+            }
+            sleep_ms(5);
+        }
+    });
+    for _ in 0..25 {
+        sleep_ms(1000);
+        case.log.now(&format!("old {} kB", old_server.anonymous_kb()));
+    }
+    let new = Platform { control: free_address(), pool: new_pool.address, ..old };
+    let new_server = Server::start("new", &case.root, &folder, &new);
+    let mut most = 0;
+    for step in 0..500 {
+        let (a, b) = (old_server.anonymous_kb(), new_server.anonymous_kb());
+        most = most.max(a + b);
+        if step % 50 == 0 { case.log.now(&format!("old {a} new {b}")); }
+        sleep_ms(10);
+    }
+    let served = lock(&client.records).iter().filter(|r| matches!(r.answers.first(), Some((_, Answer::Served(_))))).count();
+    case.log.now(&format!("most {most} kB, served {served} of {}", lock(&client.records).len()));
+    End::Held
+}
+
+/// A second upgrade while the old process of the first one still finishes a run, and a third one later.
+fn upgrades_in_a_row(case: &mut Case) -> End {
+    // A run of `route-sheet` takes 3 s, one of `rate-check` 100 ms. Only the first process gets a `route-sheet`.
+    let settings = PoolSettings {
+        run_ms: |class, _| if class == "route-sheet" { 3000 } else { 100 },
+        calls: |_, _| 0,
+        result_bytes: 0,
+        up_after_ms: 0,
+    };
+    let pools: Vec<Pool> = (0..4).map(|_| Pool::start(settings)).collect();
+    let catalog = Catalog::start();
+    let folder = Folder::new();
+    let mut platform = Platform {
+        listen: free_address(),
+        control: free_address(),
+        pool: pools[0].address,
+        directory: catalog.address,
+        index: None,
+        memory_mb: 192,
+        settings: ROUNDS,
+    };
+    let mut servers = vec![Server::start("process-1", &case.root, &folder, &platform)];
+    if !wait_until(15_000, || is_ready(platform.control)) {
+        return End::NotRun("the first process is not ready".to_owned());
+    }
+    let client = Client::new(platform.listen, pools.clone(), 2);
+    let load = client.clone();
+    thread::spawn(move || {
+        for number in 0..600 {
+            load.send("rate-check", None, format!("body {number}").as_bytes(), "24.5", 2200);
+            sleep_ms(50);
+        }
+    });
+    sleep_ms(1000);
+    client.send("route-sheet", None, b"sheet", "24.5", 8700);
+    sleep_ms(200);
+    // The second upgrade begins 300 ms after SIGTERM to the first process, or long after its end.
+    let pauses = if case.trouble { [300, 8000] } else { [6000, 6000] };
+    for number in 2..=4 {
+        platform = Platform { control: free_address(), pool: pools[number - 1].address, ..platform };
+        case.log.now(&format!("process {number} started"));
+        servers.push(Server::start(&format!("process-{number}"), &case.root, &folder, &platform));
+        let new = servers.len() - 1;
+        let (control, mut ended) = (platform.control, None);
+        let ready = wait_until(15_000, || {
+            ended = servers[new].has_ended();
+            ended.is_some() || is_ready(control)
+        });
+        if let Some(status) = ended {
+            let log = std::fs::read_to_string(folder.0.join(format!("process-{number}.log"))).unwrap_or_default();
+            for line in log.lines() {
+                case.log.now(&format!("process {number} logged: {line}"));
+            }
+            record_requests(case, &client, &pools.iter().collect::<Vec<_>>());
+            return End::Broken(format!("process {number}, the new one of an upgrade, ended with {status}"));
+        }
+        if !ready {
+            return End::NotRun(format!("process {number} is not ready and has not ended"));
+        }
+        case.log.now(&format!("process {number} ready"));
+        sleep_ms(500);
+        servers[new - 1].signal("TERM");
+        case.log.now(&format!("SIGTERM to process {}", number - 1));
+        if let Some(pause) = pauses.get(number - 2) {
+            sleep_ms(*pause);
+        }
+        for (number, server) in servers.iter_mut().enumerate() {
+            if let Some(status) = server.has_ended() {
+                case.log.now(&format!("process {} has ended with {status}", number + 1));
+            }
+        }
+    }
+    sleep_ms(4000);
+    record_requests(case, &client, &pools.iter().collect::<Vec<_>>());
+    if let Some(status) = servers[3].has_ended() {
+        return End::Broken(format!("process 4 ended with {status}"));
+    }
+    End::Held
+}
+
+fn env(name: &str, default: u64) -> u64 {
+    std::env::var(name).ok().and_then(|v| v.parse().ok()).unwrap_or(default)
+}
+
+struct Rng(u64);
+impl Rng {
+    fn next(&mut self, n: u64) -> u64 {
+        self.0 ^= self.0 << 13;
+        self.0 ^= self.0 >> 7;
+        self.0 ^= self.0 << 17;
+        self.0 % n.max(1)
+    }
+}
+
+fn work(_: &str, id: &str) -> u64 {
+    let n = u64::from_str_radix(&id[8..], 16).unwrap_or(0).wrapping_mul(0x9e37_79b9_7f4a_7c15) >> 40;
+    if n % 5 == 0 { 300 + n % 1500 } else { 20 + n % 200 }
+}
+
+fn soak(case: &mut Case) -> End {
+    let (upgrades, breaks, hups) = (env("UPGRADES", 1), env("BREAKS", 1), env("HUPS", 1));
+    let mut rng = Rng(env("SEED", 7) * 0x1234_5677 + 1);
+    let seconds = env("SECONDS_", 20);
+    let settings = PoolSettings {
+        run_ms: work,
+        calls: |class, id| if class == "rate-check" { 0 } else { u32::from(work(class, id) % 2 == 0) },
+        result_bytes: 0,
+        up_after_ms: 0,
+    };
+    let index = Index::start(IndexSettings { call_ms: 40, copy_every: 0, copy_after_ms: 0 });
+    let catalog = Catalog::start();
+    let folder = Folder::new();
+    let mut pools = vec![Pool::start(settings)];
+    let mut proxy = Proxy::start(pools[0].address);
+    let mut platform = Platform {
+        listen: free_address(),
+        control: free_address(),
+        pool: proxy.address,
+        directory: catalog.address,
+        index: Some(index.address),
+        memory_mb: 192,
+        settings: ROUNDS,
+    };
+    let mut server = Server::start("n0", &case.root, &folder, &platform);
+    if !wait_until(15_000, || is_ready(platform.control)) {
+        return End::NotRun("not ready".to_owned());
+    }
+    // All pools that will exist are made now, so that all know which requests are over.
+    for _ in 0..20 {
+        pools.push(Pool::start(settings));
+    }
+    let client = Client::new(platform.listen, pools.clone(), 6);
+    let load = client.clone();
+    let seed = rng.next(1 << 40);
+    let done = std::sync::Arc::new(std::sync::atomic::AtomicBool::new(false));
+    let stop = done.clone();
+    let loading = thread::spawn(move || {
+        let mut rng = Rng(seed | 1);
+        let mut key = 0;
+        while !stop.load(std::sync::atomic::Ordering::SeqCst) {
+            let kind = rng.next(10);
+            if kind < 6 {
+                key += 1;
+                let (load, tries, mut rng) = (load.clone(), 1 + rng.next(4), Rng(rng.next(1 << 40) | 1));
+                thread::spawn(move || {
+                    for _ in 0..tries {
+                        let sent = load.send("pour-entry", Some(&format!("k{key}")), format!("pour {key}").as_bytes(), "24.5", 7200);
+                        if rng.next(6) == 0 {
+                            let (load, after) = (load.clone(), rng.next(400));
+                            thread::spawn(move || {
+                                sleep_ms(after);
+                                load.forget(sent);
+                            });
+                        }
+                        let pause = if rng.next(2) == 0 { rng.next(80) } else { rng.next(1500) };
+                        sleep_ms(pause);
+                    }
+                });
+            } else if kind < 8 {
+                load.send("rate-check", None, b"rate", "24.5", 2200);
+            } else {
+                load.send("route-sheet", None, b"route", "24.5", 8700);
+            }
+            sleep_ms(10 + rng.next(30));
+        }
+    });
+    let mut old: Vec<(Server, u64)> = Vec::new();
+    let until = now_ms() + seconds * 1000;
+    let mut next_upgrade = now_ms() + 2000;
+    let mut next_break = now_ms() + 500;
+    let mut next_hup = now_ms() + 1500;
+    let (pauses, mut next_pause) = (env("PAUSES", 0), now_ms() + 1000);
+    let (mut number, mut broken) = (0, 0);
+    while now_ms() < until {
+        sleep_ms(5);
+        for (server, at) in &mut old {
+            if *at > 0 && now_ms() > *at {
+                server.signal("TERM");
+                *at = 0;
+            }
+        }
+        if breaks > 0 && now_ms() > next_break {
+            proxy.break_links(rng.next(50));
+            broken += 1;
+            next_break = now_ms() + 100 + rng.next(800 / breaks);
+        }
+        if hups > 0 && now_ms() > next_hup {
+            let next = Proxy::start(pools[number].address);
+            platform.pool = next.address;
+            server.reload(&format!("n{number}"), &folder, &platform);
+            let earlier = std::mem::replace(&mut proxy, next);
+            let lost = rng.next(50);
+            thread::spawn(move || {
+                sleep_ms(1500);
+                earlier.break_links(lost);
+            });
+            next_hup = now_ms() + 1000 + rng.next(3000);
+        }
+        if upgrades > 0 && now_ms() > next_upgrade && number + 1 < pools.len() {
+            number += 1;
+            proxy = Proxy::start(pools[number].address);
+            platform = Platform { control: free_address(), pool: proxy.address, ..platform };
+            let new = Server::start(&format!("n{number}"), &case.root, &folder, &platform);
+            let control = platform.control;
+            if !wait_until(15_000, || is_ready(control)) {
+                return End::NotRun(format!("process {number} not ready"));
+            }
+            old.push((std::mem::replace(&mut server, new), now_ms() + 100 + rng.next(4000)));
+            next_upgrade = now_ms() + 1500 + rng.next(3000);
+        }
+        if pauses > 0 && now_ms() > next_pause {
+            server.signal("STOP");
+            sleep_ms(62 + rng.next(158));
+            server.signal("CONT");
+            next_pause = now_ms() + 1000 + rng.next(2000);
+        }
+        if let Some(status) = server.has_ended() {
+            return End::Broken(format!("process {number} ended: {status}"));
+        }
+    }
+    done.store(true, std::sync::atomic::Ordering::SeqCst);
+    let _ = loading.join();
+    sleep_ms(9500);
+    let mut faults = Vec::new();
+    let mut runs: std::collections::HashMap<Vec<u8>, Vec<String>> = Default::default();
+    let mut started = std::collections::HashMap::new();
+    for (n, pool) in pools.iter().enumerate() {
+        let state = lock(&pool.state);
+        for run in &state.started {
+            if run.class == "pour-entry" {
+                runs.entry(run.body.clone()).or_default().push(format!("{} at {} by {n}", run.id, run.at - case.log.start));
+            }
+            started.insert(run.id.clone(), run.at);
+        }
+        for (id, call, reply) in &state.supplied {
+            if *reply != call_reply(call) {
+                faults.push(format!("wrong reply {id}"));
+            }
+        }
+    }
+    for (body, runs) in &runs {
+        if runs.len() > 1 {
+            faults.push(format!("run twice {}: {runs:?}", String::from_utf8_lossy(body)));
+        }
+    }
+    let mut first_run: std::collections::HashMap<Vec<u8>, u64> = Default::default();
+    for pool in &pools {
+        for run in &lock(&pool.state).started {
+            let at = first_run.entry(run.body.clone()).or_insert(run.at);
+            *at = run.at.min(*at);
+        }
+    }
+    let mut counts = std::collections::BTreeMap::new();
+    for r in lock(&client.records).iter() {
+        let kind = match r.answers.first() {
+            Some((_, Answer::Served(_))) => "served".to_owned(),
+            Some((_, Answer::Refused)) => "refused".to_owned(),
+            Some((_, Answer::Failed(text))) => format!("failed {text}"),
+            None => "none".to_owned(),
+        };
+        *counts.entry((r.class.clone(), kind)).or_insert(0) += 1;
+        let slack = if pauses > 0 { 380 } else { 130 };
+        match r.answers.first() {
+            None if r.forgotten => {}
+            Some((at, Answer::Refused)) if r.key.is_some() && first_run.get(&r.body).is_some_and(|s| s + 30 < *at) => faults.push(format!("refused {} {:?} at {} after a run of its key at {}", r.call, r.key, at - case.log.start, first_run[&r.body] - case.log.start)),
+            None => faults.push(format!("no answer {} {} sent {} ended {:?} sends {}", r.call, r.class, r.written_at - case.log.start, r.ended_at.map(|t| t - case.log.start), r.sends)),
+            Some((at, _)) if *at > r.written_at + r.give_up_ms + slack => faults.push(format!("late answer {}", r.call)),
+            Some((at, Answer::Refused)) if r.key.is_some() && started.get(&r.call).is_some_and(|s| s < at) => faults.push(format!("refused after run {}", r.call)),
+            Some((_, Answer::Served(result))) if !result.ends_with(&r.body) => faults.push(format!("wrong result {}", r.call)),
+            _ => {}
+        }
+        if r.answers.len() > 1 {
+            faults.push(format!("two answers {}", r.call));
+        }
+    }
+    case.log.now(&format!("{counts:?} breaks {broken} upgrades {number}"));
+    record_requests(case, &client, &[]);
+    for fault in faults.iter().take(20) {
+        case.log.now(fault);
+    }
+    if faults.is_empty() { End::Held } else { End::Broken(format!("{} faults", faults.len())) }
+}
--- a/review/standins-2/src/client.rs
+++ b/review/standins-2/src/client.rs
@@ -51,6 +51,8 @@
     pub refused_connections: Arc<AtomicU64>,
     next: Arc<AtomicU64>,
     max_connections: usize,
+    /// Whether requests say how long the client waits, and name their tenant.
+    pub passes_deadline: bool,
 }
 
 impl Client {
@@ -64,6 +66,7 @@
             refused_connections: Arc::default(),
             next: Arc::default(),
             max_connections,
+            passes_deadline: false,
         }
     }
 
@@ -95,7 +98,7 @@
         loop {
             thread::sleep(Duration::from_millis(10));
             let record = lock(&self.records)[number].clone();
-            if !record.answers.is_empty() {
+            if !record.answers.is_empty() || record.forgotten {
                 break;
             }
             if let Some(ended_at) = record.ended_at {
@@ -128,6 +131,10 @@
             ("heap", heap.to_owned()),
             ("crit", "0.9000".to_owned()),
         ];
+        if self.passes_deadline {
+            fields.push(("ttl", record.give_up_ms.to_string()));
+            fields.push(("org", "cons-valcamonica".to_owned()));
+        }
         if let Some(key) = record.key {
             fields.push(("dedupe", key));
         }
@@ -150,7 +157,7 @@
         Some(())
     }
 
-    fn forget(&self, number: usize) {
+    pub fn forget(&self, number: usize) {
         lock(&self.records)[number].forgotten = true;
         for connection in lock(&self.connections).iter() {
             let mut connection = lock(connection);
--- a/review/standins-2/src/main.rs
+++ b/review/standins-2/src/main.rs
@@ -5,6 +5,7 @@
 mod client;
 mod http;
 mod pool;
+mod proxy;
 mod server;
 mod settings;
 mod wire;
--- a/review/standins-2/src/server.rs
+++ b/review/standins-2/src/server.rs
@@ -28,6 +28,10 @@
 
 impl Drop for Folder {
     fn drop(&mut self) {
+        if std::env::var_os("KEEP").is_some() {
+            println!("kept {}", self.0.display());
+            return;
+        }
         let _ = fs::remove_dir_all(&self.0);
     }
 }
@@ -97,6 +101,15 @@
         Server(child)
     }
 
+    /// Replaces the configuration and tells the process to read it again.
+    pub fn reload(&self, name: &str, folder: &Folder, platform: &Platform) {
+        let config = folder.0.join(format!("{name}.json"));
+        let next = folder.0.join(format!("{name}.next"));
+        fs::write(&next, platform.json()).expect("the configuration");
+        fs::rename(&next, &config).expect("the configuration");
+        self.signal("HUP");
+    }
+
     pub fn signal(&self, name: &str) {
         let _ = Command::new("kill").args([format!("-{name}"), self.0.id().to_string()]).status();
     }
