--- a/review/standins-2/src/client.rs
+++ b/review/standins-2/src/client.rs
@@ -32,6 +32,7 @@
     /// When the connection ended with no answer.
     pub ended_at: Option<u64>,
     pub forgotten: bool,
+    pub refused: bool,
     pub sends: u32,
 }
 
@@ -84,6 +85,7 @@
                 answers: Vec::new(),
                 ended_at: None,
                 forgotten: false,
+                refused: false,
                 sends: 0,
             });
             records.len() - 1
@@ -145,7 +147,9 @@
         }
         let Some(connection) = self.connection() else {
             self.refused_connections.fetch_add(1, Ordering::SeqCst);
-            lock(&self.records)[number].ended_at = Some(now);
+            let mut records = lock(&self.records);
+            records[number].ended_at = Some(now);
+            records[number].refused = true;
             return None;
         };
         let mut connection = lock(&connection);
@@ -168,6 +172,19 @@
         }
     }
 
+    /// Breaks a connection, as a client proxy that is ended does; its open requests are given up.
+    pub fn reset(&self, choice: usize) {
+        let connections = lock(&self.connections);
+        let Some(connection) = connections.get(choice % connections.len().max(1)) else { return };
+        let mut state = lock(connection);
+        state.takes_requests = false;
+        let mut records = lock(&self.records);
+        for (_, number) in state.open.drain() {
+            records[number].forgotten = true;
+        }
+        let _ = state.stream.shutdown(Shutdown::Both);
+    }
+
     fn connection(&self) -> Option<Arc<Mutex<ConnectionState>>> {
         let mut connections = lock(&self.connections);
         connections.retain(|connection| lock(connection).takes_requests);
--- a/review/standins-2/src/server.rs
+++ b/review/standins-2/src/server.rs
@@ -79,12 +79,29 @@
 
 impl Server {
     pub fn start(name: &str, root: &Path, folder: &Folder, platform: &Platform) -> Server {
+        Server::start_with(name, root, folder, platform, None)
+    }
+
+    /// Starts the server with the text of an operator file.
+    pub fn start_with(
+        name: &str,
+        root: &Path,
+        folder: &Folder,
+        platform: &Platform,
+        operator: Option<&str>,
+    ) -> Server {
         let config = folder.0.join(format!("{name}.json"));
         fs::write(&config, platform.json()).expect("the configuration");
         let shared = folder.0.join("tmp");
         fs::create_dir_all(&shared).expect("TMPDIR");
         let log = fs::File::create(folder.0.join(format!("{name}.log"))).expect("a log");
-        let child = Command::new("/bin/sh")
+        let mut command = Command::new("/bin/sh");
+        if let Some(operator) = operator {
+            let file = folder.0.join(format!("{name}.hcl"));
+            fs::write(&file, operator).expect("the operator file");
+            command.env("DUNLINSPREAD_OPERATOR", file);
+        }
+        let child = command
             .args(["-c", "exec target/release/dunlinspread"])
             .current_dir(root)
             .env("RELAY_CONFIG", &config)
