review: case 7, 300 bad clients that ask again keep all client proxies out

Cause: connections that owe a response are never evicted and no more are accepted past 9/16 of the descriptors, so that resting client proxies lose their places and wait in the system's queue. The stand-ins keep only what the four cases need.

--- a/review/standins-2/src/client.rs
+++ b/review/standins-2/src/client.rs
@@ -2,7 +2,7 @@
 //! up to 32 open on each; after `shutdown` no new request; a request that crosses a close is sent again once.
 
 use crate::pool::Pool;
-use crate::wire::{Value, decode, forget, health_check, request};
+use crate::wire::{decode, forget, health_check, request, Value};
 use crate::{lock, now_ms};
 use std::collections::HashMap;
 use std::io::{Read, Write};
@@ -49,11 +49,8 @@
     pools: Vec<Pool>,
     connections: Arc<Mutex<Vec<Arc<Mutex<ConnectionState>>>>>,
     pub records: Arc<Mutex<Vec<Record>>>,
-    pub refused_connections: Arc<AtomicU64>,
     next: Arc<AtomicU64>,
     max_connections: usize,
-    /// Whether requests say how long the client waits, and name their tenant.
-    pub passes_deadline: bool,
 }
 
 impl Client {
@@ -64,15 +61,13 @@
             pools,
             connections: Arc::default(),
             records: Arc::default(),
-            refused_connections: Arc::default(),
             next: Arc::default(),
             max_connections,
-            passes_deadline: false,
         }
     }
 
     /// Sends a request with a new id, and returns its number.
-    pub fn send(&self, class: &str, key: Option<&str>, body: &[u8], heap: &str, give_up_ms: u64) -> usize {
+    pub fn send(&self, class: &str, key: Option<&str>, body: &[u8], give_up_ms: u64) -> usize {
         let number = {
             let mut records = lock(&self.records);
             records.push(Record {
@@ -90,13 +85,13 @@
             });
             records.len() - 1
         };
-        self.write(number, heap);
-        let (client, heap) = (self.clone(), heap.to_owned());
-        thread::spawn(move || client.wait(number, &heap));
+        self.write(number);
+        let client = self.clone();
+        thread::spawn(move || client.wait(number));
         number
     }
 
-    fn wait(&self, number: usize, heap: &str) {
+    fn wait(&self, number: usize) {
         loop {
             thread::sleep(Duration::from_millis(10));
             let record = lock(&self.records)[number].clone();
@@ -106,7 +101,7 @@
             if let Some(ended_at) = record.ended_at {
                 if record.sends < 2 && ended_at <= record.written_at + 50 {
                     lock(&self.records)[number].ended_at = None;
-                    self.write(number, heap);
+                    self.write(number);
                     continue;
                 }
                 break;
@@ -123,20 +118,16 @@
         }
     }
 
-    fn write(&self, number: usize, heap: &str) -> Option<()> {
+    fn write(&self, number: usize) -> Option<()> {
         let record = lock(&self.records)[number].clone();
         let now = now_ms();
         let mut fields = vec![
             ("call", record.call),
             ("recv", now.to_string()),
             ("src", "4".to_owned()),
-            ("heap", heap.to_owned()),
+            ("heap", "24.5".to_owned()),
             ("crit", "0.9000".to_owned()),
         ];
-        if self.passes_deadline {
-            fields.push(("ttl", record.give_up_ms.to_string()));
-            fields.push(("org", "cons-valcamonica".to_owned()));
-        }
         if let Some(key) = record.key {
             fields.push(("dedupe", key));
         }
@@ -146,7 +137,6 @@
             records[number].sends += 1;
         }
         let Some(connection) = self.connection() else {
-            self.refused_connections.fetch_add(1, Ordering::SeqCst);
             let mut records = lock(&self.records);
             records[number].ended_at = Some(now);
             records[number].refused = true;
@@ -161,7 +151,7 @@
         Some(())
     }
 
-    pub fn forget(&self, number: usize) {
+    fn forget(&self, number: usize) {
         lock(&self.records)[number].forgotten = true;
         for connection in lock(&self.connections).iter() {
             let mut connection = lock(connection);
@@ -172,19 +162,6 @@
         }
     }
 
-    /// Breaks a connection, as a client proxy that is ended does; its open requests are given up.
-    pub fn reset(&self, choice: usize) {
-        let connections = lock(&self.connections);
-        let Some(connection) = connections.get(choice % connections.len().max(1)) else { return };
-        let mut state = lock(connection);
-        state.takes_requests = false;
-        let mut records = lock(&self.records);
-        for (_, number) in state.open.drain() {
-            records[number].forgotten = true;
-        }
-        let _ = state.stream.shutdown(Shutdown::Both);
-    }
-
     fn connection(&self) -> Option<Arc<Mutex<ConnectionState>>> {
         let mut connections = lock(&self.connections);
         connections.retain(|connection| lock(connection).takes_requests);
--- a/review/standins-2/src/main.rs
+++ b/review/standins-2/src/main.rs
@@ -3,9 +3,9 @@
 
 mod cases;
 mod client;
+mod crowd;
 mod http;
 mod pool;
-mod proxy;
 mod server;
 mod settings;
 mod wire;
--- a/review/standins-2/src/server.rs
+++ b/review/standins-2/src/server.rs
@@ -1,5 +1,6 @@
 //! The server under test, started with the command of the deploy file.
 
+use crate::settings::ROUNDS;
 use crate::{lock, now_ms};
 use std::fs;
 use std::net::{SocketAddr, TcpListener};
@@ -28,10 +29,6 @@
 
 impl Drop for Folder {
     fn drop(&mut self) {
-        if std::env::var_os("KEEP").is_some() {
-            println!("kept {}", self.0.display());
-            return;
-        }
         let _ = fs::remove_dir_all(&self.0);
     }
 }
@@ -42,19 +39,15 @@
     pub control: SocketAddr,
     pub pool: SocketAddr,
     pub directory: SocketAddr,
-    pub index: Option<SocketAddr>,
-    pub memory_mb: u64,
-    pub settings: &'static str,
 }
 
 impl Platform {
     fn json(&self) -> String {
-        let index = self.index.map_or(String::new(), |index| format!("\"index\":\"{index}\","));
         format!(
-            "{{\"name\":\"n3\",\"listen\":\"{}\",\"control\":\"{}\",\"pool\":\"{}\",\"directory\":\"{}\",{index}\
+            "{{\"name\":\"n3\",\"listen\":\"{}\",\"control\":\"{}\",\"pool\":\"{}\",\"directory\":\"{}\",\
              \"seed\":\"8c1f30d27a5be964\",\"stop_ms\":3200,\
-             \"limits\":{{\"cores\":1.0,\"memory_mb\":{},\"sockets\":512}},\"settings\":{}}}",
-            self.listen, self.control, self.pool, self.directory, self.memory_mb, self.settings
+             \"limits\":{{\"cores\":1.0,\"memory_mb\":192,\"sockets\":512}},\"settings\":{}}}",
+            self.listen, self.control, self.pool, self.directory, ROUNDS
         )
     }
 }
@@ -79,29 +72,12 @@
 
 impl Server {
     pub fn start(name: &str, root: &Path, folder: &Folder, platform: &Platform) -> Server {
-        Server::start_with(name, root, folder, platform, None)
-    }
-
-    /// Starts the server with the text of an operator file.
-    pub fn start_with(
-        name: &str,
-        root: &Path,
-        folder: &Folder,
-        platform: &Platform,
-        operator: Option<&str>,
-    ) -> Server {
         let config = folder.0.join(format!("{name}.json"));
         fs::write(&config, platform.json()).expect("the configuration");
         let shared = folder.0.join("tmp");
         fs::create_dir_all(&shared).expect("TMPDIR");
         let log = fs::File::create(folder.0.join(format!("{name}.log"))).expect("a log");
-        let mut command = Command::new("/bin/sh");
-        if let Some(operator) = operator {
-            let file = folder.0.join(format!("{name}.hcl"));
-            fs::write(&file, operator).expect("the operator file");
-            command.env("DUNLINSPREAD_OPERATOR", file);
-        }
-        let child = command
+        let child = Command::new("/bin/sh")
             .args(["-c", "exec target/release/dunlinspread"])
             .current_dir(root)
             .env("RELAY_CONFIG", &config)
@@ -118,15 +94,6 @@
         Server(child)
     }
 
-    /// Replaces the configuration and tells the process to read it again.
-    pub fn reload(&self, name: &str, folder: &Folder, platform: &Platform) {
-        let config = folder.0.join(format!("{name}.json"));
-        let next = folder.0.join(format!("{name}.next"));
-        fs::write(&next, platform.json()).expect("the configuration");
-        fs::rename(&next, &config).expect("the configuration");
-        self.signal("HUP");
-    }
-
     pub fn signal(&self, name: &str) {
         let _ = Command::new("kill").args([format!("-{name}"), self.0.id().to_string()]).status();
     }
@@ -134,13 +101,6 @@
     pub fn has_ended(&mut self) -> Option<String> {
         self.0.try_wait().ok().flatten().map(|status| status.to_string())
     }
-
-    /// Memory of the process that no other process shares, kB, from its `status`.
-    pub fn anonymous_kb(&self) -> u64 {
-        let status = fs::read_to_string(format!("/proc/{}/status", self.0.id())).unwrap_or_default();
-        let line = status.lines().find(|line| line.starts_with("RssAnon:")).unwrap_or("");
-        line.split_whitespace().nth(1).and_then(|kb| kb.parse().ok()).unwrap_or(0)
-    }
 }
 
 impl Drop for Server {
--- a/review/standins-2/src/settings.rs
+++ b/review/standins-2/src/settings.rs
@@ -1,5 +1,4 @@
-//! Settings of a round server and of a nodo consegne, in the form that the platform gives them, with figures
-//! of the two site pages.
+//! Settings of a round server, in the form that the platform gives them, with the figures of the site's pages.
 
 pub const ROUNDS: &str = r#"{"tick_ms":5.0,"servers":10,"me":8,"tier":0,"tiers":["round-api","ledger"],"az":0,
 "zones":["kakkanad","aluva","thrissur"],"accounts":[],"value_by":"request","over_share_worth":0.1,
@@ -15,17 +14,3 @@
 "cold":false,"deep_checks":false,"dep_window_ms":5000.0,"fresh_for_ms":0.0,"gauges":["core_use","on_cores","heap_share","links"],
 "heeded_ms":1000.0,"keepalive_max_ms":30000.0,"key_kb":128.22,"linger_ms":200.0,"list_follows":true,"memory_kb":41526.0,"n_cores":6,
 "passes_deadline":false,"preemption":"suspend","run_factor":8.0,"say":"share_of","tells_gone":true}}"#;
-
-pub const CONSEGNE: &str = r#"{"tick_ms":5.0,"servers":12,"me":8,"tier":0,"tiers":["nodi"],"az":0,
-"zones":["sala-brescia","sala-bergamo"],"accounts":[{"name":"cons-lombardia-est","allowance_per_s":1000.0,"share":0.5},
-{"name":"cons-valcamonica","allowance_per_s":1000.0,"share":0.5}],"value_by":"request","over_share_worth":0.05,
-"client_habits":{"marks_retry":false},"load_report":{"how":"off","columns":[]},
-"profiles":[
-{"name":"stato-ordine","effect":"pure","target_ms":1900.0,"give_up_ms":4500.0,"worth":1.0,"late_worth":0.0,"memory_span_ms":5000.0},
-{"name":"prenota-consegna","effect":"token","target_ms":1100.0,"give_up_ms":3700.0,"worth":3.0,"late_worth":0.0,"memory_span_ms":11163.0}],
-"policy_limits":{"cpu_us_per_request":0.0,"cpu_us_per_s":60000,"max_retry_after_ms":1000.0,"retry_after":true},
-"safety":{"answer_slack_ms":60.0,"cold_ms":18000.0,"cold_share":0.21,"drain_grace_ms":2000.0,"fall_multiple":5.0,"tip_after_ms":2000.0},
-"specifics":{"below":"off","callers":3,"calls_out":0.0,"class_calls":[false,false],"class_skip_worth":[0.0,0.0],
-"cold":false,"deep_checks":false,"dep_window_ms":5000.0,"fresh_for_ms":0.0,"gauges":["core_use","on_cores","heap_share","links"],
-"heeded_ms":1000.0,"keepalive_max_ms":30000.0,"key_kb":64.0,"linger_ms":200.0,"list_follows":true,"memory_kb":60000.0,"n_cores":6,
-"passes_deadline":true,"preemption":"abort","run_factor":4.0,"say":"share_of","tells_gone":false}}"#;
